--- /dev/null
+++ b/src/libs/coordination/retry_budget.h
@@ -0,0 +1,23 @@
+#pragma once
+
+namespace fulmarpoint {
+
+/// Limits retries and hedges of one service to a share of its first attempts, so that retries do
+/// not multiply the load during a brown-out. Not thread-safe.
+class RetryBudget {
+ public:
+  /// `share` is the number of retries earned by each first attempt; `burst` caps saved retries.
+  RetryBudget(double share, double burst) : m_share(share), m_burst(burst), m_saved(burst) {}
+
+  /// Counts a first attempt.
+  void OnFirstAttempt();
+  /// Takes one retry from the budget; returns false if none is left.
+  bool TryTake();
+
+ private:
+  double m_share;
+  double m_burst;
+  double m_saved;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/protocol/parse_error.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <system_error>
+#include <utility>
+#include <variant>
+
+namespace fulmarpoint {
+
+/// Why a text was rejected. `line` is 1-based; 0 if the text has no lines.
+struct ParseError {
+  std::error_code code;
+  std::string key;
+  int line = 0;
+  std::string allowed;
+};
+
+/// Formats an error as "line N: key: what is allowed". Thread-safe.
+std::string Describe(const ParseError& error);
+
+/// A parsed value or the reason for its rejection.
+template <typename T>
+class Parsed {
+ public:
+  Parsed(T value) : m_result(std::move(value)) {}           // NOLINT(google-explicit-constructor)
+  Parsed(ParseError error) : m_result(std::move(error)) {}  // NOLINT(google-explicit-constructor)
+
+  bool Ok() const { return std::holds_alternative<T>(m_result); }
+  explicit operator bool() const { return Ok(); }
+  /// Precondition: `Ok()`.
+  const T& Value() const { return std::get<T>(m_result); }
+  /// Precondition: `Ok()`.
+  T& Value() { return std::get<T>(m_result); }
+  /// Precondition: `!Ok()`.
+  const ParseError& Error() const { return std::get<ParseError>(m_result); }
+
+ private:
+  std::variant<T, ParseError> m_result;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/utils/time.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace fulmarpoint {
+
+using Duration = std::chrono::microseconds;
+
+/// Tag clock for instants on a process-local monotonic time line. It has no `now()`: the daemon
+/// supplies the steady clock and tests supply virtual time.
+struct MonotonicClock {
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
+};
+
+using TimePoint = MonotonicClock::time_point;
+
+/// Wall-clock time in milliseconds since the Unix epoch. Used only in reports, key ages and
+/// operators' deadlines, never to decide who holds a lease.
+using UnixMillis = std::int64_t;
+
+/// Returns the steady clock's current instant. Thread-safe.
+inline TimePoint SteadyNow() {
+  return TimePoint(
+      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Returns the current wall-clock time. Thread-safe.
+inline UnixMillis WallNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace fulmarpoint
