--- /dev/null
+++ b/src/libs/coordination/router.cpp
@@ -0,0 +1,74 @@
+#include "coordination/router.h"
+
+#include <algorithm>
+
+namespace fulmarpoint {
+
+namespace {
+
+// Share of the slots that requests of each priority may fill.
+constexpr std::array<double, 3> kFillLimit = {1.0, 1.0, 0.85};
+// A full cache hit is worth this much load: prefill is a minor part of a long generation.
+constexpr double kCacheValue = 0.3;
+constexpr double kRemoteDomainCost = 0.05;
+constexpr double kAvoidedDomainCost = 10.0;
+// Number of best candidates from which two are drawn: a third of them, at least this many.
+constexpr std::size_t kLeastBest = 3;
+
+int Occupied(const RouteCandidate& candidate) {
+  return candidate.health.active + candidate.health.queued + candidate.started_since_report;
+}
+
+bool HasRoom(const RouteCandidate& candidate, Priority priority) {
+  if (candidate.free_credits) return *candidate.free_credits > 0;
+  const double limit = kFillLimit[static_cast<std::size_t>(priority)];
+  return Occupied(candidate) < limit * candidate.health.slots;
+}
+
+bool Usable(const RouteCandidate& candidate, const RouteRequest& request) {
+  if (candidate.health.state == EndpointState::kLeaving) return false;
+  if (!request.version.empty() && candidate.version != request.version) return false;
+  if (!HasRoom(candidate, request.priority)) return false;
+  return std::find(request.excluded.begin(), request.excluded.end(), candidate.endpoint) ==
+         request.excluded.end();
+}
+
+}  // namespace
+
+double RouteScore(const RouteCandidate& candidate, const RouteRequest& request) {
+  const double slots = std::max(1, candidate.health.slots);
+  double score = (Occupied(candidate) + 1) / slots / std::max(0.05, candidate.health.speed_weight);
+  if (request.prompt_tokens > 0) {
+    const std::uint32_t cached = std::min(candidate.cached_prefix_tokens, request.prompt_tokens);
+    score -= kCacheValue * cached / request.prompt_tokens;
+  }
+  if (candidate.failure_domain != request.failure_domain) score += kRemoteDomainCost;
+  const bool avoided =
+      !request.avoided_domain.empty() && candidate.failure_domain == request.avoided_domain;
+  return avoided ? score + kAvoidedDomainCost : score;
+}
+
+std::optional<RouteChoice> ChooseEndpoint(const std::vector<RouteCandidate>& candidates,
+                                          const RouteRequest& request, Random& random) {
+  std::vector<std::pair<double, std::size_t>> live;
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const RouteCandidate& candidate = candidates[index];
+    if (!Usable(candidate, request)) continue;
+    if (candidate.health.state == EndpointState::kLive) {
+      live.emplace_back(RouteScore(candidate, request), index);
+    } else if (candidate.health.trial_due && request.may_try_suspect) {
+      return RouteChoice{index, true};
+    }
+  }
+  if (live.empty()) return std::nullopt;
+  const std::size_t best = std::min(live.size(), std::max(kLeastBest, live.size() / 3));
+  std::partial_sort(live.begin(), live.begin() + static_cast<std::ptrdiff_t>(best), live.end());
+  // An avoided domain or a very slow endpoint is not among the best while there is another.
+  std::size_t comparable = 1;
+  while (comparable < best && live[comparable].first < live[0].first + 1.0) ++comparable;
+  std::uniform_int_distribution<std::size_t> draw(0, comparable - 1);
+  const std::size_t chosen = std::min(draw(random), draw(random));
+  return RouteChoice{live[chosen].second, false};
+}
+
+}  // namespace fulmarpoint
