Add crash suspicion by request fingerprint

Cause: a request that crashes every endpoint that runs it is repeated by its caller and takes down one endpoint after another. Change: CrashSuspects records each crash for all fingerprints that ran there, keeps suspects apart, merges what the daemons saw, and blocks the only fingerprint present at two confirmed crashes. Lost connections without a proved crash isolate but never block; a completed run clears. Conclusion: two crashes identify a request if no other was present at both; otherwise a third, separate run does.

--- /dev/null
+++ b/src/libs/protocol/suspect_messages.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "protocol/identifiers.h"
+
+namespace fulmarpoint {
+
+/// Identifies requests that are the same but for their identifiers.
+using Fingerprint = std::uint64_t;
+
+/// Identifies one crash: the endpoint and the incarnation that ended.
+using CrashId = std::uint64_t;
+
+/// Returns the fingerprint of a request. `body` must not contain request identifiers. Thread-safe.
+Fingerprint FingerprintOf(const OrganisationId& organisation, const ServiceName& service,
+                          std::string_view body);
+
+/// Returns the same identifier at every daemon. Thread-safe.
+CrashId CrashIdOf(const EndpointId& endpoint, std::uint64_t incarnation);
+
+/// What one daemon knows about the crashes in which a fingerprint was running.
+struct SuspectUpdate {
+  Fingerprint fingerprint = 0;
+  bool blocked = false;
+  std::vector<CrashId> crashes;
+  /// Crashes from which a completed run has cleared the fingerprint.
+  std::vector<CrashId> cleared;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(fingerprint, blocked, crashes, cleared);
+  }
+};
+
+/// A suspect runs, or no longer runs, at an endpoint.
+struct SuspectPlacement {
+  Fingerprint fingerprint = 0;
+  /// `StableHash` of the endpoint's name.
+  std::uint64_t endpoint = 0;
+  bool running = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(fingerprint, endpoint, running);
+  }
+};
+
+/// Gossip update about crash suspects. Updates are merged in any order, any number of times.
+struct SuspectNotice {
+  std::vector<SuspectUpdate> updates;
+  std::vector<SuspectPlacement> placements;
+  /// Crashes proved by a refused connection or a new incarnation.
+  std::vector<CrashId> confirmed;
+  /// Supposed crashes whose endpoint answered with the same incarnation.
+  std::vector<CrashId> refuted;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(updates, placements, confirmed, refuted);
+  }
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/auto/coordination/tst_crash_suspects.cpp
@@ -0,0 +1,205 @@
+#include <criterion/criterion.h>
+
+#include "coordination/crash_suspects.h"
+
+using namespace fulmarpoint;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint(seconds(1000));
+constexpr Fingerprint kCrasher = 1;
+constexpr Fingerprint kInnocent = 2;
+constexpr Fingerprint kOther = 3;
+
+/// One daemon whose notices are kept for delivery to others.
+struct Daemon {
+  CrashSuspects suspects;
+  std::vector<CrashSuspectsAction> actions;
+  std::vector<SuspectNotice> outbox;
+  std::uint64_t next_run = 0;
+
+  void Handle(const CrashSuspectsEvent& event, TimePoint now) {
+    suspects.Handle(event, now, actions);
+    for (const CrashSuspectsAction& action : actions) {
+      if (const auto* publish = std::get_if<PublishSuspectNotice>(&action)) {
+        outbox.push_back(publish->notice);
+      }
+    }
+    actions.clear();
+  }
+  std::uint64_t Start(Fingerprint fingerprint, const EndpointId& endpoint, TimePoint now) {
+    Handle(RunStarted{++next_run, fingerprint, endpoint, 1}, now);
+    return next_run;
+  }
+  /// All of `runs` lose their connection because the endpoint crashes.
+  void Crash(const EndpointId& endpoint, const std::vector<std::uint64_t>& runs, TimePoint now) {
+    for (std::uint64_t run : runs) Handle(RunEnded{run, RunEnd::kLost}, now);
+    Handle(EndpointProcessLost{endpoint, 1}, now + milliseconds(5));
+  }
+  void DeliverTo(Daemon& peer, TimePoint now) {
+    for (const SuspectNotice& notice : outbox) peer.Handle(SuspectNoticeReceived{notice}, now);
+    outbox.clear();
+  }
+  void Settle(TimePoint now) { Handle(SuspectTimerFired{}, now); }
+  SuspicionState State(Fingerprint fingerprint, TimePoint now) const {
+    return suspects.State(fingerprint, now);
+  }
+  bool MayRun(Fingerprint fingerprint, const EndpointId& endpoint, TimePoint now) const {
+    return suspects.MayRunAt(fingerprint, endpoint, true, Duration{}, now);
+  }
+};
+
+}  // namespace
+
+// Guards against a request that takes down one endpoint after another while it is repeated.
+Test(crash_suspects, second_crash_blocks_only_the_request_that_was_there_both_times) {
+  Daemon daemon;
+  TimePoint now = kStart;
+  const std::vector<std::uint64_t> first = {daemon.Start(kCrasher, "e1", now),
+                                            daemon.Start(kInnocent, "e1", now)};
+  daemon.Crash("e1", first, now);
+  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kIsolated);
+  now += seconds(1);
+  cr_assert(daemon.MayRun(kCrasher, "e2", now));
+  const std::uint64_t second = daemon.Start(kCrasher, "e2", now);
+  const std::uint64_t bystander = daemon.Start(kOther, "e2", now);
+  cr_assert_not(daemon.MayRun(kInnocent, "e2", now), "two suspects on one endpoint");
+  cr_assert(daemon.MayRun(kInnocent, "e3", now));
+  daemon.Crash("e2", {second, bystander}, now);
+  cr_assert_eq(daemon.State(kCrasher, now), SuspicionState::kHeld);
+  cr_assert_not(daemon.MayRun(kCrasher, "e3", now));
+  now += seconds(2);
+  daemon.Settle(now);
+  cr_assert_eq(daemon.State(kCrasher, now), SuspicionState::kBlocked);
+  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kFree, "its crash is explained");
+  cr_assert_eq(daemon.State(kOther, now), SuspicionState::kFree, "its crash is explained");
+}
+
+// Guards against a blocked fingerprint being free at a daemon that its caller turns to.
+Test(crash_suspects, crashes_seen_by_different_daemons_count_together) {
+  Daemon first;
+  Daemon second;
+  Daemon third;
+  TimePoint now = kStart;
+  first.Crash("e1", {first.Start(kCrasher, "e1", now)}, now);
+  second.Crash("e2", {second.Start(kCrasher, "e2", now)}, now);
+  first.DeliverTo(third, now);
+  // Repeated and reordered notices change nothing.
+  const std::vector<SuspectNotice> repeated = second.outbox;
+  second.DeliverTo(third, now);
+  for (const SuspectNotice& notice : repeated) third.Handle(SuspectNoticeReceived{notice}, now);
+  cr_assert_eq(third.State(kCrasher, now + milliseconds(10)), SuspicionState::kHeld);
+  third.Settle(now + seconds(2));
+  cr_assert_eq(third.State(kCrasher, now + seconds(2)), SuspicionState::kBlocked);
+}
+
+// Guards against blaming one of two requests that cannot be told apart, and against letting them
+// run for ever: the third run is strictly separate.
+Test(crash_suspects, ambiguous_pair_is_told_apart_by_a_third_run) {
+  Daemon daemon;
+  TimePoint now = kStart;
+  for (const char* endpoint : {"e1", "e2"}) {
+    daemon.Crash(endpoint,
+                 {daemon.Start(kCrasher, endpoint, now), daemon.Start(kInnocent, endpoint, now)},
+                 now);
+  }
+  now += seconds(2);
+  daemon.Settle(now);
+  cr_assert_eq(daemon.State(kCrasher, now), SuspicionState::kIsolated);
+  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kIsolated);
+  const std::uint64_t run = daemon.Start(kCrasher, "e3", now);
+  cr_assert_not(daemon.MayRun(kInnocent, "e3", now));
+  daemon.Crash("e3", {run}, now);
+  daemon.Settle(now + seconds(2));
+  cr_assert_eq(daemon.State(kCrasher, now + seconds(2)), SuspicionState::kBlocked);
+  cr_assert_eq(daemon.State(kInnocent, now + seconds(2)), SuspicionState::kFree);
+}
+
+// Guards against suspicion that lasts although the request has shown that it is harmless.
+Test(crash_suspects, completed_run_clears_everywhere) {
+  Daemon daemon;
+  Daemon peer;
+  daemon.Crash("e1", {daemon.Start(kInnocent, "e1", kStart)}, kStart);
+  std::vector<SuspectNotice> early = daemon.outbox;
+  daemon.DeliverTo(peer, kStart);
+  const std::uint64_t run = daemon.Start(kInnocent, "e2", kStart);
+  daemon.Handle(RunEnded{run, RunEnd::kCompleted}, kStart + seconds(5));
+  daemon.DeliverTo(peer, kStart + seconds(5));
+  for (const SuspectNotice& notice : early) peer.Handle(SuspectNoticeReceived{notice}, kStart);
+  cr_assert_eq(daemon.State(kInnocent, kStart + seconds(5)), SuspicionState::kFree);
+  cr_assert_eq(peer.State(kInnocent, kStart + seconds(5)), SuspicionState::kFree,
+               "an older notice must not bring the suspicion back");
+}
+
+// Guards against blocking requests whose connections broke while the endpoint lived, for example
+// in a partition.
+Test(crash_suspects, lost_connections_without_a_crash_never_block) {
+  Daemon daemon;
+  TimePoint now = kStart;
+  for (const char* endpoint : {"e1", "e2", "e3", "e4"}) {
+    const std::uint64_t run = daemon.Start(kInnocent, endpoint, now);
+    daemon.Handle(RunEnded{run, RunEnd::kLost}, now);
+    now += seconds(3);
+    daemon.Settle(now);
+  }
+  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kIsolated);
+  for (const char* endpoint : {"e1", "e2", "e3", "e4"}) {
+    daemon.Handle(EndpointProcessAlive{endpoint, 1}, now);
+  }
+  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kFree);
+}
+
+// Guards against two daemons that test one suspect each on the same endpoint.
+Test(crash_suspects, placement_by_a_peer_excludes_the_endpoint) {
+  Daemon first;
+  Daemon second;
+  first.Crash("e1", {first.Start(kCrasher, "e1", kStart)}, kStart);
+  second.Crash("e1", {second.Start(kInnocent, "e1", kStart)}, kStart);
+  const std::uint64_t run = first.Start(kCrasher, "e2", kStart);
+  first.DeliverTo(second, kStart);
+  cr_assert_not(second.MayRun(kInnocent, "e2", kStart));
+  cr_assert_not(second.MayRun(kCrasher, "e3", kStart), "the same request runs at a peer");
+  cr_assert_not(second.suspects.MayRunAt(kInnocent, "e3", false, Duration{}, kStart));
+  cr_assert(second.suspects.MayRunAt(kInnocent, "e3", false, seconds(1), kStart));
+  first.Handle(RunEnded{run, RunEnd::kCancelled}, kStart);
+  first.DeliverTo(second, kStart);
+  cr_assert(second.MayRun(kInnocent, "e2", kStart));
+}
+
+// Guards against a daemon that missed the notices while it was partitioned.
+Test(crash_suspects, returned_peer_learns_blocked_fingerprints) {
+  Daemon daemon;
+  Daemon returned;
+  for (const char* endpoint : {"e1", "e2"}) {
+    daemon.Crash(endpoint, {daemon.Start(kCrasher, endpoint, kStart)}, kStart);
+  }
+  daemon.Settle(kStart + seconds(2));
+  daemon.outbox.clear();
+  daemon.Handle(SuspectPeerReturned{}, kStart + seconds(3));
+  daemon.DeliverTo(returned, kStart + seconds(3));
+  cr_assert_eq(returned.State(kCrasher, kStart + seconds(3)), SuspicionState::kBlocked);
+}
+
+// Guards against memory that grows with the number of crashes.
+Test(crash_suspects, table_is_bounded_and_forgets) {
+  Daemon daemon;
+  for (int crash = 0; crash < 100; ++crash) {
+    const EndpointId endpoint = "e" + std::to_string(crash);
+    std::vector<std::uint64_t> runs;
+    for (int run = 0; run < 64; ++run) {
+      runs.push_back(
+          daemon.Start(static_cast<Fingerprint>(crash * 64 + run + 10), endpoint, kStart));
+    }
+    daemon.Crash(endpoint, runs, kStart);
+  }
+  daemon.Settle(kStart + seconds(1));
+  cr_assert_leq(daemon.suspects.Size(), 4096u);
+  for (const SuspectNotice& notice : daemon.outbox) {
+    cr_assert_leq(notice.updates.size(), 31u, "a notice fits one datagram");
+  }
+  daemon.Settle(kStart + minutes(11));
+  cr_assert_eq(daemon.suspects.Size(), 0u);
+}
