--- a/src/libs/coordination/crash_suspects.cpp
+++ b/src/libs/coordination/crash_suspects.cpp
@@ -25,7 +25,7 @@
   std::visit([&](const auto& typed) { On(typed, now, actions); }, event);
 }
 
-SuspicionState CrashSuspects::State(Fingerprint fingerprint, TimePoint now) const {
+SuspicionState CrashSuspects::State(Fingerprint fingerprint) const {
   const auto found = m_entries.find(fingerprint);
   if (found == m_entries.end()) return SuspicionState::kFree;
   const Entry& entry = found->second;
@@ -35,12 +35,14 @@
   if (counted.size() == 1) return SuspicionState::kIsolated;
   TimePoint newest{};
   for (CrashId crash : counted) newest = std::max(newest, entry.crashes.at(crash));
-  return now < newest + m_settings.settle ? SuspicionState::kHeld : SuspicionState::kIsolated;
+  // Held until the decision has been made, which is at the first event after the settling time.
+  return entry.assessed < newest + m_settings.settle ? SuspicionState::kHeld
+                                                     : SuspicionState::kIsolated;
 }
 
 bool CrashSuspects::MayRunAt(Fingerprint fingerprint, const EndpointId& endpoint, bool owned,
                              Duration waited, TimePoint now) const {
-  const SuspicionState state = State(fingerprint, now);
+  const SuspicionState state = State(fingerprint);
   if (state == SuspicionState::kFree) return true;
   if (state != SuspicionState::kIsolated) return false;
   if (!owned && waited < m_settings.wait_for_owned) return false;
@@ -51,7 +53,7 @@
   }
   for (const auto& [id, run] : m_runs) {
     if (run.endpoint != endpoint && run.fingerprint != fingerprint) continue;
-    if (State(run.fingerprint, now) != SuspicionState::kFree) return false;
+    if (State(run.fingerprint) != SuspicionState::kFree) return false;
   }
   return true;
 }
@@ -59,7 +61,7 @@
 void CrashSuspects::On(const RunStarted& event, TimePoint now, Actions& actions) {
   Run& run = m_runs[event.run];
   run = Run{event.fingerprint, event.endpoint, event.incarnation, std::nullopt};
-  if (State(event.fingerprint, now) == SuspicionState::kFree) return;
+  if (State(event.fingerprint) == SuspicionState::kFree) return;
   run.placement_published = now;
   SuspectNotice notice;
   notice.placements.push_back({event.fingerprint, StableHash(event.endpoint), true});
@@ -112,6 +114,18 @@
   Publish(notice, actions);
 }
 
+void CrashSuspects::On(const PriorRunClaimed& event, TimePoint now, Actions& actions) {
+  const CrashId crash = CrashIdOf(event.endpoint, event.incarnation);
+  // Isolates at once. Whether it was a crash shows at this daemon's next report of the endpoint.
+  const Crash& record = m_crashes.try_emplace(crash, Crash{false, false, now}).first->second;
+  if (record.refuted) return;
+  if (!AddCrash(event.fingerprint, crash, now)) return;
+  SuspectNotice notice;
+  notice.updates.push_back(UpdateFor(event.fingerprint, m_entries[event.fingerprint]));
+  Reassess(now, notice, actions);
+  Publish(notice, actions);
+}
+
 void CrashSuspects::On(const EndpointProcessAlive& event, TimePoint now, Actions& actions) {
   const CrashId crash = CrashIdOf(event.endpoint, event.incarnation);
   const auto found = m_crashes.find(crash);
@@ -149,7 +163,7 @@
   Publish(notice, actions);
 }
 
-void CrashSuspects::On(const SuspectPeerReturned&, TimePoint now, Actions& actions) {
+void CrashSuspects::On(const SuspectPeerReturned&, TimePoint, Actions& actions) {
   SuspectNotice notice;
   for (const auto& [crash, record] : m_crashes) {
     if (record.confirmed) notice.confirmed.push_back(crash);
@@ -158,7 +172,7 @@
     notice.updates.push_back(UpdateFor(fingerprint, entry));
   }
   for (const auto& [id, run] : m_runs) {
-    if (State(run.fingerprint, now) == SuspicionState::kFree) continue;
+    if (State(run.fingerprint) == SuspicionState::kFree) continue;
     notice.placements.push_back({run.fingerprint, StableHash(run.endpoint), true});
   }
   Publish(notice, actions);
@@ -214,8 +228,7 @@
     if (AddCrash(update.fingerprint, crash, now)) changed = true;
   }
   if (update.blocked && !entry.blocked && !entry.crashes.empty()) {
-    entry.blocked = true;
-    for (const auto& [crash, seen] : entry.crashes) m_attributed[crash] = update.fingerprint;
+    Attribute(update.fingerprint, entry, now);
     changed = true;
   }
   if (changed) entry.changed = now;
@@ -246,27 +259,54 @@
   return true;
 }
 
+std::size_t CrashSuspects::ConfirmedCrashes(const Entry& entry) const {
+  const auto confirmed = [this](const auto& item) {
+    const auto record = m_crashes.find(item.first);
+    return record != m_crashes.end() && record->second.confirmed;
+  };
+  return static_cast<std::size_t>(
+      std::count_if(entry.crashes.begin(), entry.crashes.end(), confirmed));
+}
+
 void CrashSuspects::Block(Fingerprint fingerprint, Entry& entry, TimePoint now,
                           SuspectNotice& notice) {
+  Attribute(fingerprint, entry, now);
+  notice.updates.push_back(UpdateFor(fingerprint, entry));
+}
+
+void CrashSuspects::Attribute(Fingerprint fingerprint, Entry& entry, TimePoint now) {
   entry.blocked = true;
   entry.changed = now;
   for (const auto& [crash, seen] : entry.crashes) m_attributed[crash] = fingerprint;
-  notice.updates.push_back(UpdateFor(fingerprint, entry));
+  // A fingerprint blocked for fewer crashes, all of which this one explains, was blamed before all
+  // notices had arrived.
+  for (auto& [other, weaker] : m_entries) {
+    if (!weaker.blocked || weaker.crashes.size() >= entry.crashes.size()) continue;
+    const bool explained =
+        std::all_of(weaker.crashes.begin(), weaker.crashes.end(),
+                    [&entry](const auto& item) { return entry.crashes.contains(item.first); });
+    if (explained) weaker.blocked = false;
+  }
 }
 
 void CrashSuspects::Reassess(TimePoint now, SuspectNotice& notice, Actions& actions) {
   for (auto& [fingerprint, entry] : m_entries) {
     if (entry.blocked || entry.crashes.size() < 2) continue;
+    entry.assessed = now;
+    // A third crash weighs more than an earlier decision against another fingerprint.
+    const std::size_t confirmed = ConfirmedCrashes(entry);
+    if (confirmed >= 3) {
+      Block(fingerprint, entry, now, notice);
+      continue;
+    }
     std::vector<CrashId> counted = Counted(fingerprint, entry);
     std::erase_if(counted, [this](CrashId crash) { return !m_crashes[crash].confirmed; });
-    if (counted.size() < 2 || State(fingerprint, now) == SuspicionState::kHeld) continue;
+    if (counted.size() < 2 || State(fingerprint) == SuspicionState::kHeld) continue;
     // Two fingerprints that were present at the same two crashes are told apart by a third run.
-    if (counted.size() >= 3 || WasAlone(fingerprint, counted)) {
-      Block(fingerprint, entry, now, notice);
-    }
+    if (WasAlone(fingerprint, counted)) Block(fingerprint, entry, now, notice);
   }
   for (auto& [fingerprint, entry] : m_entries) {
-    const SuspicionState state = State(fingerprint, now);
+    const SuspicionState state = State(fingerprint);
     if (state == entry.announced) continue;
     entry.announced = state;
     actions.push_back(SuspicionChanged{fingerprint, state});
--- a/src/libs/coordination/crash_suspects.h
+++ b/src/libs/coordination/crash_suspects.h
@@ -55,6 +55,14 @@
   std::uint64_t incarnation = 0;
 };
 
+/// The caller continues a generation whose event id names the endpoint that ran it last. Connects a
+/// crash with its request although the daemon that ran it is gone or partitioned.
+struct PriorRunClaimed {
+  Fingerprint fingerprint = 0;
+  EndpointId endpoint;
+  std::uint64_t incarnation = 0;
+};
+
 /// The process answered, so that runs lost there were lost with their connection.
 struct EndpointProcessAlive {
   EndpointId endpoint;
@@ -84,7 +92,7 @@
 };
 
 using CrashSuspectsEvent =
-    std::variant<RunStarted, RunEnded, EndpointProcessLost, EndpointProcessAlive,
+    std::variant<RunStarted, RunEnded, EndpointProcessLost, EndpointProcessAlive, PriorRunClaimed,
                  SuspectNoticeReceived, SuspectPeerReturned, SuspectTimerFired>;
 using CrashSuspectsAction = std::variant<PublishSuspectNotice, SuspicionChanged>;
 
@@ -114,7 +122,7 @@
 
   void Handle(const CrashSuspectsEvent& event, TimePoint now, Actions& actions);
 
-  SuspicionState State(Fingerprint fingerprint, TimePoint now) const;
+  SuspicionState State(Fingerprint fingerprint) const;
 
   /// Whether a run may be sent to `endpoint` now. `owned`: this daemon owns the endpoint's credits.
   /// `waited`: time since the run was first ready to be sent.
@@ -130,6 +138,7 @@
     bool blocked = false;
     SuspicionState announced = SuspicionState::kFree;
     TimePoint changed{};
+    TimePoint assessed{};
   };
   struct Run {
     Fingerprint fingerprint = 0;
@@ -156,6 +165,7 @@
   void On(const RunEnded& event, TimePoint now, Actions& actions);
   void On(const EndpointProcessLost& event, TimePoint now, Actions& actions);
   void On(const EndpointProcessAlive& event, TimePoint now, Actions& actions);
+  void On(const PriorRunClaimed& event, TimePoint now, Actions& actions);
   void On(const SuspectNoticeReceived& event, TimePoint now, Actions& actions);
   void On(const SuspectPeerReturned& event, TimePoint now, Actions& actions);
   void On(const SuspectTimerFired& event, TimePoint now, Actions& actions);
@@ -165,6 +175,8 @@
   bool Merge(const SuspectUpdate& update, TimePoint now);
   std::vector<CrashId> Counted(Fingerprint fingerprint, const Entry& entry) const;
   bool WasAlone(Fingerprint fingerprint, const std::vector<CrashId>& counted) const;
+  std::size_t ConfirmedCrashes(const Entry& entry) const;
+  void Attribute(Fingerprint fingerprint, Entry& entry, TimePoint now);
   void Reassess(TimePoint now, SuspectNotice& notice, Actions& actions);
   void Block(Fingerprint fingerprint, Entry& entry, TimePoint now, SuspectNotice& notice);
   void Forget(TimePoint now);
--- /dev/null
+++ b/src/tools/fulmarpoint-measure/crash_simulation.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "coordination/crash_suspects.h"
+#include "utils/random.h"
+#include "virtual_time.h"
+
+namespace fulmarpoint {
+
+struct CrashScenario {
+  std::uint64_t seed = 1;
+  int daemons = 6;
+  int endpoints = 20;
+  int slots = 16;
+  /// False for the baseline: every lost request runs again at once.
+  bool suspicion = true;
+  /// Requests that crash the endpoint they run at; the first arrives after 20 s.
+  int crashers = 1;
+  Duration crashes_after = std::chrono::seconds(2);
+  /// The caller repeats a lost request at another daemon; otherwise its daemon resumes it.
+  bool caller_repeats = false;
+  /// A repeating caller sends the event id of its interrupted generation.
+  bool event_ids = false;
+  /// Mean time between crashes of one endpoint for reasons of its own; zero for none.
+  Duration own_crash_interval{};
+  /// Mean delay of a notice from one daemon to another.
+  Duration gossip_delay = std::chrono::milliseconds(100);
+  /// No notice passes between daemons of even and odd number.
+  bool partitioned = false;
+  Duration length = std::chrono::minutes(3);
+};
+
+struct CrashResult {
+  /// Endpoints lost to each crashing request.
+  std::vector<int> lost;
+  int own_crashes = 0;
+  int innocent_started = 0;
+  int innocent_interrupted = 0;
+  int innocent_completed = 0;
+  int innocent_refused = 0;
+  /// Waits of interrupted innocent requests until they ran again, in milliseconds.
+  std::vector<double> waits_ms;
+  int notices = 0;
+};
+
+/// Runs a fleet with the real `CrashSuspects` of each daemon under virtual time. Not thread-safe.
+class CrashSimulation {
+ public:
+  explicit CrashSimulation(const CrashScenario& scenario);
+  CrashResult Run();
+
+ private:
+  struct Endpoint {
+    EndpointId id;
+    std::uint64_t incarnation = 1;
+    bool up = true;
+    int active = 0;
+    int owner = 0;
+  };
+  struct Request {
+    Fingerprint fingerprint = 0;
+    int crasher = -1;
+    int daemon = 0;
+    int endpoint = -1;
+    int last_endpoint = -1;
+    std::uint64_t last_incarnation = 0;
+    std::uint64_t run = 0;
+    int attempts = 0;
+    bool interrupted = false;
+    Duration work{};
+    TimePoint waiting_since{};
+  };
+
+  Duration Exponential(Duration mean);
+  Duration Uniform(Duration low, Duration high);
+  void AddRequest(int crasher);
+  void ScheduleArrival();
+  void ScheduleOwnCrash(int endpoint);
+  void Submit(std::uint64_t id);
+  void TryToRun(std::uint64_t id);
+  std::vector<int> Allowed(const Request& request);
+  void StartAt(std::uint64_t id, int endpoint);
+  void OnRunDue(std::uint64_t id, std::uint64_t run);
+  void CrashEndpoint(int endpoint);
+  void OnLost(std::uint64_t id, int endpoint, std::uint64_t incarnation);
+  void Handle(int daemon, const CrashSuspectsEvent& event);
+  void TickDaemon(int daemon);
+
+  CrashScenario m_scenario;
+  Random m_random;
+  VirtualTime m_time;
+  std::vector<CrashSuspects> m_daemons;
+  std::vector<Endpoint> m_endpoints;
+  std::map<std::uint64_t, Request> m_requests;
+  std::uint64_t m_next_request = 1;
+  std::uint64_t m_next_run = 1;
+  CrashResult m_result;
+};
+
+}  // namespace fulmarpoint
--- a/tests/auto/coordination/tst_crash_suspects.cpp
+++ b/tests/auto/coordination/tst_crash_suspects.cpp
@@ -44,9 +44,7 @@
     outbox.clear();
   }
   void Settle(TimePoint now) { Handle(SuspectTimerFired{}, now); }
-  SuspicionState State(Fingerprint fingerprint, TimePoint now) const {
-    return suspects.State(fingerprint, now);
-  }
+  SuspicionState State(Fingerprint fingerprint) const { return suspects.State(fingerprint); }
   bool MayRun(Fingerprint fingerprint, const EndpointId& endpoint, TimePoint now) const {
     return suspects.MayRunAt(fingerprint, endpoint, true, Duration{}, now);
   }
@@ -61,7 +59,7 @@
   const std::vector<std::uint64_t> first = {daemon.Start(kCrasher, "e1", now),
                                             daemon.Start(kInnocent, "e1", now)};
   daemon.Crash("e1", first, now);
-  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kIsolated);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kIsolated);
   now += seconds(1);
   cr_assert(daemon.MayRun(kCrasher, "e2", now));
   const std::uint64_t second = daemon.Start(kCrasher, "e2", now);
@@ -69,13 +67,13 @@
   cr_assert_not(daemon.MayRun(kInnocent, "e2", now), "two suspects on one endpoint");
   cr_assert(daemon.MayRun(kInnocent, "e3", now));
   daemon.Crash("e2", {second, bystander}, now);
-  cr_assert_eq(daemon.State(kCrasher, now), SuspicionState::kHeld);
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kHeld);
   cr_assert_not(daemon.MayRun(kCrasher, "e3", now));
   now += seconds(2);
   daemon.Settle(now);
-  cr_assert_eq(daemon.State(kCrasher, now), SuspicionState::kBlocked);
-  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kFree, "its crash is explained");
-  cr_assert_eq(daemon.State(kOther, now), SuspicionState::kFree, "its crash is explained");
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kBlocked);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kFree, "its crash is explained");
+  cr_assert_eq(daemon.State(kOther), SuspicionState::kFree, "its crash is explained");
 }
 
 // Guards against a blocked fingerprint being free at a daemon that its caller turns to.
@@ -91,9 +89,9 @@
   const std::vector<SuspectNotice> repeated = second.outbox;
   second.DeliverTo(third, now);
   for (const SuspectNotice& notice : repeated) third.Handle(SuspectNoticeReceived{notice}, now);
-  cr_assert_eq(third.State(kCrasher, now + milliseconds(10)), SuspicionState::kHeld);
+  cr_assert_eq(third.State(kCrasher), SuspicionState::kHeld);
   third.Settle(now + seconds(2));
-  cr_assert_eq(third.State(kCrasher, now + seconds(2)), SuspicionState::kBlocked);
+  cr_assert_eq(third.State(kCrasher), SuspicionState::kBlocked);
 }
 
 // Guards against blaming one of two requests that cannot be told apart, and against letting them
@@ -108,14 +106,14 @@
   }
   now += seconds(2);
   daemon.Settle(now);
-  cr_assert_eq(daemon.State(kCrasher, now), SuspicionState::kIsolated);
-  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kIsolated);
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kIsolated);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kIsolated);
   const std::uint64_t run = daemon.Start(kCrasher, "e3", now);
   cr_assert_not(daemon.MayRun(kInnocent, "e3", now));
   daemon.Crash("e3", {run}, now);
   daemon.Settle(now + seconds(2));
-  cr_assert_eq(daemon.State(kCrasher, now + seconds(2)), SuspicionState::kBlocked);
-  cr_assert_eq(daemon.State(kInnocent, now + seconds(2)), SuspicionState::kFree);
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kBlocked);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kFree);
 }
 
 // Guards against suspicion that lasts although the request has shown that it is harmless.
@@ -129,8 +127,8 @@
   daemon.Handle(RunEnded{run, RunEnd::kCompleted}, kStart + seconds(5));
   daemon.DeliverTo(peer, kStart + seconds(5));
   for (const SuspectNotice& notice : early) peer.Handle(SuspectNoticeReceived{notice}, kStart);
-  cr_assert_eq(daemon.State(kInnocent, kStart + seconds(5)), SuspicionState::kFree);
-  cr_assert_eq(peer.State(kInnocent, kStart + seconds(5)), SuspicionState::kFree,
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kFree);
+  cr_assert_eq(peer.State(kInnocent), SuspicionState::kFree,
                "an older notice must not bring the suspicion back");
 }
 
@@ -145,11 +143,11 @@
     now += seconds(3);
     daemon.Settle(now);
   }
-  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kIsolated);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kIsolated);
   for (const char* endpoint : {"e1", "e2", "e3", "e4"}) {
     daemon.Handle(EndpointProcessAlive{endpoint, 1}, now);
   }
-  cr_assert_eq(daemon.State(kInnocent, now), SuspicionState::kFree);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kFree);
 }
 
 // Guards against two daemons that test one suspect each on the same endpoint.
@@ -180,7 +178,7 @@
   daemon.outbox.clear();
   daemon.Handle(SuspectPeerReturned{}, kStart + seconds(3));
   daemon.DeliverTo(returned, kStart + seconds(3));
-  cr_assert_eq(returned.State(kCrasher, kStart + seconds(3)), SuspicionState::kBlocked);
+  cr_assert_eq(returned.State(kCrasher), SuspicionState::kBlocked);
 }
 
 // Guards against memory that grows with the number of crashes.
@@ -203,3 +201,52 @@
   daemon.Settle(kStart + minutes(11));
   cr_assert_eq(daemon.suspects.Size(), 0u);
 }
+
+// Guards against a suspect that runs again in the moment between the settling time and the
+// decision. Found by fulmarpoint-measure crash_suspects, seed 1: 3 endpoints lost instead of 2.
+Test(crash_suspects, held_until_the_decision_is_made) {
+  Daemon daemon;
+  for (const char* endpoint : {"e1", "e2"}) {
+    daemon.Crash(endpoint, {daemon.Start(kCrasher, endpoint, kStart)}, kStart);
+  }
+  cr_assert_not(daemon.MayRun(kCrasher, "e3", kStart + milliseconds(1500)));
+  daemon.Settle(kStart + milliseconds(1600));
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kBlocked);
+}
+
+// Guards against a crashing request that is free because its crashes were blamed on another, before
+// its own notices had arrived. Found by fulmarpoint-measure crash_suspects, seed 1, slow gossip: 20
+// endpoints lost.
+Test(crash_suspects, third_crash_corrects_an_earlier_decision) {
+  Daemon first;
+  Daemon second;
+  for (const char* endpoint : {"e1", "e2"}) {
+    first.Crash(endpoint, {first.Start(kInnocent, endpoint, kStart)}, kStart);
+    second.Crash(endpoint, {second.Start(kCrasher, endpoint, kStart)}, kStart);
+  }
+  first.Settle(kStart + seconds(2));
+  cr_assert_eq(first.State(kInnocent), SuspicionState::kBlocked);
+  first.DeliverTo(second, kStart + seconds(2));
+  const TimePoint later = kStart + seconds(3);
+  cr_assert_eq(second.State(kCrasher), SuspicionState::kFree);
+  second.Crash("e3", {second.Start(kCrasher, "e3", later)}, later);
+  cr_assert_eq(second.State(kCrasher), SuspicionState::kBlocked);
+  cr_assert_eq(second.State(kInnocent), SuspicionState::kFree, "the other explains its crashes");
+  second.DeliverTo(first, later);
+  cr_assert_eq(first.State(kCrasher), SuspicionState::kBlocked);
+  cr_assert_eq(first.State(kInnocent), SuspicionState::kFree);
+}
+
+// Guards against a request whose crash is known only to a daemon on the other side of a partition.
+Test(crash_suspects, event_id_of_the_caller_connects_crash_and_request) {
+  Daemon daemon;
+  daemon.Handle(PriorRunClaimed{kCrasher, "e1", 1}, kStart);
+  daemon.Handle(PriorRunClaimed{kInnocent, "e9", 1}, kStart);
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kIsolated);
+  daemon.Handle(EndpointProcessLost{"e1", 1}, kStart);
+  daemon.Handle(EndpointProcessAlive{"e9", 1}, kStart);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kFree, "its endpoint did not crash");
+  daemon.Crash("e2", {daemon.Start(kCrasher, "e2", kStart)}, kStart);
+  daemon.Settle(kStart + seconds(2));
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kBlocked);
+}
