--- /dev/null
+++ b/src/libs/protocol/peer_messages.h
@@ -0,0 +1,187 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cereal/cereal.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/identifiers.h"
+#include "utils/enum_names.h"
+
+namespace fulmarpoint {
+
+namespace internal {
+
+/// Serializes a list with a two-byte count. Reading stops at the first missing byte, so that memory
+/// stays proportional to the input.
+template <typename Archive, typename Item>
+void SerializeList(Archive& archive, std::vector<Item>& items) {
+  std::uint16_t count = static_cast<std::uint16_t>(items.size());
+  archive(count);
+  if constexpr (Archive::is_loading::value) items.clear();
+  for (std::uint16_t i = 0; i < count; ++i) {
+    if constexpr (Archive::is_loading::value) items.emplace_back();
+    archive(items[i]);
+  }
+}
+
+/// Serializes a text of at most 65,535 bytes with a two-byte length, in pieces of at most 512 bytes
+/// for the same reason.
+template <typename Archive>
+void SerializeText(Archive& archive, std::string& text) {
+  std::uint16_t size = static_cast<std::uint16_t>(text.size());
+  archive(size);
+  if constexpr (Archive::is_loading::value) text.clear();
+  for (std::size_t done = 0; done < size;) {
+    const std::size_t piece = std::min<std::size_t>(512, size - done);
+    if constexpr (Archive::is_loading::value) text.resize(done + piece);
+    archive(cereal::binary_data(text.data() + done, piece));
+    done += piece;
+  }
+}
+
+/// Serializes a flag as one byte. Any value but zero reads as true.
+template <typename Archive>
+void SerializeFlag(Archive& archive, bool& flag) {
+  std::uint8_t byte = flag ? 1 : 0;
+  archive(byte);
+  flag = byte != 0;
+}
+
+template <typename Archive>
+void SerializeId(Archive& archive, InstanceId& id) {
+  SerializeText(archive, id.name);
+  archive(id.incarnation);
+}
+
+}  // namespace internal
+
+/// State of a member in order of precedence: at the same epoch the later one wins.
+enum class MemberState : std::uint8_t { kAlive, kSuspect, kFailed, kLeft };
+
+inline constexpr std::array<EnumName<MemberState>, 4> kMemberStateNames = {{
+    {MemberState::kAlive, "alive"},
+    {MemberState::kSuspect, "suspect"},
+    {MemberState::kFailed, "failed"},
+    {MemberState::kLeft, "left"},
+}};
+
+/// What one daemon says about another or about itself. The address and the places are omitted
+/// when only the state changed (`has_places` is false).
+struct MemberUpdate {
+  InstanceId id;
+  /// Raised only by the process itself, to refute a suspicion.
+  std::uint32_t epoch = 0;
+  MemberState state = MemberState::kAlive;
+  bool leaving = false;
+  bool has_places = true;
+  /// "ip:port" of the peer service (UDP and TCP).
+  std::string address;
+  std::uint16_t http_port = 0;
+  std::string failure_domain;
+  std::string region;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    internal::SerializeId(archive, id);
+    archive(epoch, state);
+    internal::SerializeFlag(archive, leaving);
+    internal::SerializeFlag(archive, has_places);
+    if (!has_places) return;
+    internal::SerializeText(archive, address);
+    archive(http_port);
+    internal::SerializeText(archive, failure_domain);
+    internal::SerializeText(archive, region);
+  }
+};
+
+enum class NoticeTopic : std::uint8_t { kVersionBad, kCrashSuspect, kOther };
+
+/// Information of another module that is spread to every daemon. Of two notices with the same
+/// topic and key the one with the higher version is kept.
+struct GossipNotice {
+  NoticeTopic topic = NoticeTopic::kOther;
+  std::string key;
+  std::uint64_t version = 0;
+  std::string body;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(topic, version);
+    internal::SerializeText(archive, key);
+    internal::SerializeText(archive, body);
+  }
+};
+
+inline constexpr std::uint32_t kNoProof = UINT32_MAX;
+
+/// The catalogue revision in effect at the sender.
+struct CatalogueHead {
+  std::uint64_t revision = 0;
+  /// Age of the sender's proof that the revision is current; `kNoProof` if it has none.
+  std::uint32_t proof_age_ms = kNoProof;
+  /// The sender refuses new work.
+  bool fenced = true;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(revision, proof_age_ms);
+    internal::SerializeFlag(archive, fenced);
+  }
+};
+
+enum class DatagramKind : std::uint8_t {
+  kPing,
+  kAck,
+  kPingRequest,
+  kIndirectAck,
+  kPageRequest,
+  kPage,
+};
+
+/// A message between daemons over UDP.
+struct PeerDatagram {
+  DatagramKind kind = DatagramKind::kPing;
+  /// Chosen by the requester and repeated in the answer.
+  std::uint64_t nonce = 0;
+  /// The sender as it describes itself.
+  MemberUpdate from;
+  /// The process that is asked; an empty name addresses whichever process has the address.
+  InstanceId to;
+  CatalogueHead head;
+  /// `kPingRequest`: the process to ping and its address.
+  InstanceId subject;
+  std::string subject_address;
+  /// `kPageRequest`, `kPage`: name of the member to continue after, and, once all members have been
+  /// sent, the number of notices to skip.
+  std::string cursor;
+  std::uint32_t notice_cursor = 0;
+  std::vector<MemberUpdate> updates;
+  std::vector<GossipNotice> notices;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(kind, nonce, from);
+    internal::SerializeId(archive, to);
+    archive(head);
+    if (kind == DatagramKind::kPingRequest) {
+      internal::SerializeId(archive, subject);
+      internal::SerializeText(archive, subject_address);
+    }
+    if (kind == DatagramKind::kPageRequest || kind == DatagramKind::kPage) {
+      internal::SerializeText(archive, cursor);
+      archive(notice_cursor);
+    }
+    internal::SerializeList(archive, updates);
+    internal::SerializeList(archive, notices);
+  }
+};
+
+/// Returns the number of bytes that an item adds to a datagram. Thread-safe.
+std::size_t EncodedSize(const MemberUpdate& update);
+std::size_t EncodedSize(const GossipNotice& notice);
+
+}  // namespace fulmarpoint
