--- /dev/null
+++ b/src/libs/coordination/rollout_participant.cpp
@@ -0,0 +1,202 @@
+#include "coordination/rollout_participant.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "utils/overloaded.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr double kMillion = 1e6;
+/// Keeps a daemon with a burst of requests from saving up a burst for the new version.
+constexpr double kMaxShareSaved = 1.0;
+constexpr std::uint32_t kMaxPermitsWanted = 4;
+constexpr std::size_t kMaxReportsInFlight = 8;
+constexpr std::size_t kMaxStrataPerReport = 64;
+constexpr std::size_t kMaxEndpointsPerReport = 16;
+/// Latencies within this factor of the old version's 95th percentile do not count as slow.
+constexpr double kSlowMargin = 1.25;
+
+bool Exceeds(const QuantileEstimator& limit, Duration value) {
+  return static_cast<double>(value.count()) >
+         kSlowMargin * static_cast<double>(limit.Estimate().count());
+}
+
+std::uint32_t ShortHash(std::string_view text) {
+  return static_cast<std::uint32_t>(StableHash(text));
+}
+
+}  // namespace
+
+RolloutParticipant::RolloutParticipant(InstanceId self, ServiceName service, RolloutRequest rollout)
+    : m_self(std::move(self)),
+      m_service(std::move(service)),
+      m_rollout(std::move(rollout)),
+      m_comparison(VersionComparison::Settings{}) {
+  m_pending.rollout = m_rollout.id;
+  m_pending.sender = m_self;
+}
+
+void RolloutParticipant::Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
+  std::visit(
+      Overloaded{[&](const OutcomeSeen& seen) { OnOutcome(seen.outcome, now, actions); },
+                 [&](const DirectiveReceived& received) { OnDirective(received.directive, now); },
+                 [&](const NoticeReceived& received) { OnNotice(received.notice, actions); },
+                 [&](const Tick&) { OnTick(now, actions); }},
+      event);
+}
+
+bool RolloutParticipant::ChooseNewVersion(int new_version_endpoints, TimePoint now) {
+  m_new_version_endpoints = new_version_endpoints;
+  ++m_pending.requests;
+  m_last_used_permit = false;
+  const std::optional<RolloutDirective> directive = Directive(now);
+  if (!directive || new_version_endpoints == 0) return false;
+  switch (directive->phase) {
+    case RolloutPhase::kCanary:
+      if (m_permits == 0) {
+        m_pending.permits_wanted = std::min(kMaxPermitsWanted, m_pending.permits_wanted + 1);
+        return false;
+      }
+      --m_permits;
+      m_last_used_permit = true;
+      return true;
+    case RolloutPhase::kRamp:
+      m_share_saved = std::min(kMaxShareSaved, m_share_saved + directive->share_ppm / kMillion);
+      if (m_share_saved < 1.0) return false;
+      m_share_saved -= 1.0;
+      return true;
+    case RolloutPhase::kFull:
+    case RolloutPhase::kDone:
+      return true;
+    case RolloutPhase::kRolledBack:
+      return false;
+  }
+  return false;
+}
+
+void RolloutParticipant::ReturnChoice() {
+  if (m_last_used_permit) {
+    ++m_permits;
+  } else {
+    m_share_saved = std::min(kMaxShareSaved, m_share_saved + 1.0);
+  }
+  m_last_used_permit = false;
+}
+
+bool RolloutParticipant::MayUse(const EndpointId& endpoint) const {
+  return !m_excluded_by_controller.contains(endpoint) &&
+         !m_comparison.ExcludedEndpoints().contains(endpoint);
+}
+
+std::optional<RolloutDirective> RolloutParticipant::Directive(TimePoint now) const {
+  if (m_known_bad || !m_directive || now >= m_directive_until) return std::nullopt;
+  return m_directive;
+}
+
+void RolloutParticipant::OnOutcome(const RequestOutcome& outcome, TimePoint now,
+                                   std::vector<Action>& actions) {
+  if (outcome.new_version && !MayUse(outcome.endpoint)) return;
+  StratumCounts stratum{ShortHash(outcome.route), ShortHash(outcome.failure_domain), {}, {}};
+  const OutcomeCounts counts = Classify(outcome);
+  (outcome.new_version ? stratum.new_version : stratum.old_version) = counts;
+  EndpointCounts endpoint;
+  if (outcome.new_version && counts.errors + counts.slow > 0) {
+    endpoint = EndpointCounts{outcome.endpoint, counts};
+  }
+  Collect(stratum, endpoint);
+  std::vector<EndpointCounts> endpoints;
+  if (!endpoint.endpoint.empty()) endpoints.push_back(endpoint);
+  m_comparison.Add({stratum}, endpoints, m_new_version_endpoints, now);
+  if (m_known_bad || m_comparison.Result() != ComparisonResult::kBad) return;
+  m_known_bad = true;
+  actions.emplace_back(
+      PublishNotice{{m_rollout.id, m_service, m_rollout.to, m_comparison.Reason(), m_self}});
+}
+
+OutcomeCounts RolloutParticipant::Classify(const RequestOutcome& outcome) {
+  LatencyLimits& limits = m_limits[ShortHash(outcome.route)];
+  OutcomeCounts counts;
+  counts.requests = 1;
+  counts.errors = outcome.error ? 1 : 0;
+  const bool has_latency = !outcome.error && outcome.latency > Duration::zero();
+  if (has_latency && limits.latency.Ready()) {
+    counts.timed = 1;
+    const bool interval_known =
+        outcome.token_interval > Duration::zero() && limits.token_interval.Ready();
+    const bool slow = Exceeds(limits.latency, outcome.latency) ||
+                      (interval_known && Exceeds(limits.token_interval, outcome.token_interval));
+    counts.slow = slow ? 1 : 0;
+  }
+  if (has_latency && !outcome.new_version) {
+    limits.latency.Add(outcome.latency);
+    if (outcome.token_interval > Duration::zero()) {
+      limits.token_interval.Add(outcome.token_interval);
+    }
+  }
+  return counts;
+}
+
+void RolloutParticipant::Collect(const StratumCounts& stratum, const EndpointCounts& endpoint) {
+  const auto same = [&stratum](const StratumCounts& other) {
+    return other.route == stratum.route && other.failure_domain == stratum.failure_domain;
+  };
+  auto found = std::find_if(m_pending.strata.begin(), m_pending.strata.end(), same);
+  if (found != m_pending.strata.end()) {
+    found->old_version += stratum.old_version;
+    found->new_version += stratum.new_version;
+  } else if (m_pending.strata.size() < kMaxStrataPerReport) {
+    m_pending.strata.push_back(stratum);
+  }
+  if (endpoint.endpoint.empty()) return;
+  const auto same_endpoint = [&endpoint](const EndpointCounts& other) {
+    return other.endpoint == endpoint.endpoint;
+  };
+  auto entry = std::find_if(m_pending.endpoints.begin(), m_pending.endpoints.end(), same_endpoint);
+  if (entry != m_pending.endpoints.end()) {
+    entry->new_version += endpoint.new_version;
+  } else if (m_pending.endpoints.size() < kMaxEndpointsPerReport) {
+    m_pending.endpoints.push_back(endpoint);
+  }
+}
+
+void RolloutParticipant::OnDirective(const RolloutDirective& directive, TimePoint now) {
+  if (directive.rollout != m_rollout.id) return;
+  auto sent = m_reports_sent.find(directive.sequence);
+  if (sent == m_reports_sent.end()) return;
+  const TimePoint valid_until =
+      sent->second + kDirectiveValidity - Duration(std::max<std::int64_t>(0, directive.age_us));
+  m_reports_sent.erase(m_reports_sent.begin(), std::next(sent));
+  if (m_directive && directive.controller_token < m_directive->controller_token) return;
+  if (now >= valid_until) return;
+  if (directive.phase == RolloutPhase::kRolledBack) m_known_bad = true;
+  const bool was_valid = Directive(now).has_value();
+  m_directive = directive;
+  m_directive_until = valid_until;
+  m_permits = (was_valid ? m_permits : 0) + directive.permits;
+  m_excluded_by_controller = std::set<EndpointId>(directive.excluded_endpoints.begin(),
+                                                  directive.excluded_endpoints.end());
+}
+
+void RolloutParticipant::OnNotice(const BadVersionNotice& notice, std::vector<Action>& actions) {
+  if (notice.rollout != m_rollout.id || m_known_bad) return;
+  m_known_bad = true;
+  actions.emplace_back(PublishNotice{notice});
+}
+
+void RolloutParticipant::OnTick(TimePoint now, std::vector<Action>& actions) {
+  if (m_next_report && now < *m_next_report) return;
+  m_next_report = now + kReportInterval;
+  ++m_pending.sequence;
+  m_reports_sent[m_pending.sequence] = now;
+  if (m_reports_sent.size() > kMaxReportsInFlight) m_reports_sent.erase(m_reports_sent.begin());
+  actions.emplace_back(SendReport{m_pending});
+  m_pending.strata.clear();
+  m_pending.endpoints.clear();
+  m_pending.requests = 0;
+  m_pending.permits_wanted = 0;
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/rollout_participant.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "coordination/quantile_estimator.h"
+#include "coordination/version_comparison.h"
+#include "protocol/catalogue.h"
+#include "protocol/rollout_messages.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// One finished or failed request of a service that has a rollout.
+struct RequestOutcome {
+  bool new_version = false;
+  /// Route name; for generations the adapter, or empty.
+  std::string route;
+  EndpointId endpoint;
+  std::string failure_domain;
+  /// True for a failure that the version can have caused. Cancelled requests are not reported.
+  bool error = false;
+  /// Time to first token or of the whole call; zero if there was none.
+  Duration latency{};
+  /// Mean time between tokens; zero for calls and for generations of one token.
+  Duration token_interval{};
+};
+
+/// One daemon's part in the rollout of one service: chooses the version of each request within the
+/// share that the controller allows, compares the versions on this daemon's own requests, and
+/// reports to the controller.
+///
+/// A directive is used only for `kDirectiveValidity` after the report that it answers was sent;
+/// after that every request gets the old version. So a daemon that was paused or cut off cannot
+/// send requests to a version that was rolled back meanwhile. Not thread-safe.
+class RolloutParticipant {
+ public:
+  static constexpr Duration kReportInterval = std::chrono::seconds(1);
+  static constexpr Duration kDirectiveValidity = std::chrono::milliseconds(2500);
+
+  struct OutcomeSeen {
+    RequestOutcome outcome;
+  };
+  struct DirectiveReceived {
+    RolloutDirective directive;
+  };
+  struct NoticeReceived {
+    BadVersionNotice notice;
+  };
+  /// Call at least every `kReportInterval`.
+  struct Tick {};
+  using Event = std::variant<OutcomeSeen, DirectiveReceived, NoticeReceived, Tick>;
+
+  struct SendReport {
+    RolloutReport report;
+  };
+  /// To be gossiped at once.
+  struct PublishNotice {
+    BadVersionNotice notice;
+  };
+  using Action = std::variant<SendReport, PublishNotice>;
+
+  RolloutParticipant(InstanceId self, ServiceName service, RolloutRequest rollout);
+
+  void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
+
+  /// Returns true if the next request is to run on the new version, and counts it. Call it only for
+  /// a request that can be sent at once. `new_version_endpoints` is the number of usable endpoints
+  /// that have the new version loaded.
+  bool ChooseNewVersion(int new_version_endpoints, TimePoint now);
+  /// Gives a choice of the new version back if no endpoint took the request.
+  void ReturnChoice();
+  /// True if the new version may be used on `endpoint`.
+  bool MayUse(const EndpointId& endpoint) const;
+  /// True once the new version is known to be bad.
+  bool KnownBad() const { return m_known_bad; }
+  /// Directive in use, if it is still valid.
+  std::optional<RolloutDirective> Directive(TimePoint now) const;
+  const RolloutRequest& Rollout() const { return m_rollout; }
+
+ private:
+  struct LatencyLimits {
+    QuantileEstimator latency{0.95};
+    QuantileEstimator token_interval{0.95};
+  };
+
+  void OnOutcome(const RequestOutcome& outcome, TimePoint now, std::vector<Action>& actions);
+  void OnDirective(const RolloutDirective& directive, TimePoint now);
+  void OnNotice(const BadVersionNotice& notice, std::vector<Action>& actions);
+  void OnTick(TimePoint now, std::vector<Action>& actions);
+  OutcomeCounts Classify(const RequestOutcome& outcome);
+  void Collect(const StratumCounts& stratum, const EndpointCounts& endpoint);
+
+  InstanceId m_self;
+  ServiceName m_service;
+  RolloutRequest m_rollout;
+  VersionComparison m_comparison;
+  std::map<std::uint32_t, LatencyLimits> m_limits;
+  RolloutReport m_pending;
+  std::map<std::uint64_t, TimePoint> m_reports_sent;
+  std::optional<RolloutDirective> m_directive;
+  std::set<EndpointId> m_excluded_by_controller;
+  TimePoint m_directive_until{};
+  std::optional<TimePoint> m_next_report;
+  std::uint32_t m_permits = 0;
+  double m_share_saved = 0;
+  int m_new_version_endpoints = 0;
+  bool m_last_used_permit = false;
+  bool m_known_bad = false;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/protocol/rollout_messages.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "protocol/identifiers.h"
+#include "utils/enum_names.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+enum class RolloutPhase { kCanary, kRamp, kFull, kDone, kRolledBack };
+
+inline constexpr std::array<EnumName<RolloutPhase>, 5> kRolloutPhaseNames = {{
+    {RolloutPhase::kCanary, "canary"},
+    {RolloutPhase::kRamp, "ramp"},
+    {RolloutPhase::kFull, "full"},
+    {RolloutPhase::kDone, "done"},
+    {RolloutPhase::kRolledBack, "rolled_back"},
+}};
+
+/// Outcomes of one version. `timed` counts the requests that had a latency limit to compare with,
+/// `slow` those that exceeded it.
+struct OutcomeCounts {
+  std::uint32_t requests = 0;
+  std::uint32_t errors = 0;
+  std::uint32_t timed = 0;
+  std::uint32_t slow = 0;
+
+  OutcomeCounts& operator+=(const OutcomeCounts& other);
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(requests, errors, timed, slow);
+  }
+};
+
+/// Outcomes of the old and the new version on one route in one failure domain. Comparing inside a
+/// stratum keeps the loss of a failure domain from counting against the new version.
+struct StratumCounts {
+  std::uint32_t route = 0;
+  std::uint32_t failure_domain = 0;
+  OutcomeCounts old_version;
+  OutcomeCounts new_version;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(route, failure_domain, old_version, new_version);
+  }
+};
+
+/// Outcomes of the new version on one endpoint.
+struct EndpointCounts {
+  EndpointId endpoint;
+  OutcomeCounts new_version;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, new_version);
+  }
+};
+
+/// Outcomes of both versions since the sender's previous report. A receiver ignores a sequence
+/// number that it has seen; a lost report loses evidence but never counts any twice.
+struct RolloutReport {
+  std::string rollout;
+  InstanceId sender;
+  std::uint64_t sequence = 0;
+  std::uint32_t permits_wanted = 0;
+  /// Requests of both versions, started since the previous report.
+  std::uint32_t requests = 0;
+  std::vector<StratumCounts> strata;
+  /// Only endpoints with an error or a slow request of the new version.
+  std::vector<EndpointCounts> endpoints;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(rollout, sender, sequence, permits_wanted, requests, strata, endpoints);
+  }
+};
+
+/// Answer to a report: what the daemon may send to the new version.
+struct RolloutDirective {
+  std::string rollout;
+  /// Sequence number of the report that this answers.
+  std::uint64_t sequence = 0;
+  /// Fencing token of the controller's lease.
+  std::uint64_t controller_token = 0;
+  RolloutPhase phase = RolloutPhase::kCanary;
+  /// Share of requests for the new version in parts per million; used in the ramp.
+  std::uint32_t share_ppm = 0;
+  /// Requests that the daemon may send to the new version in the canary phase.
+  std::uint32_t permits = 0;
+  /// Endpoints whose faults are their own; the new version is not used there.
+  std::vector<EndpointId> excluded_endpoints;
+  /// Time since the controller issued the directive, in microseconds.
+  std::int64_t age_us = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(rollout, sequence, controller_token, phase, share_ppm, permits, excluded_endpoints,
+            age_us);
+  }
+};
+
+/// Says that the new version of a rollout is bad. It is never withdrawn.
+struct BadVersionNotice {
+  std::string rollout;
+  ServiceName service;
+  VersionName version;
+  std::string reason;
+  InstanceId origin;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(rollout, service, version, reason, origin);
+  }
+};
+
+}  // namespace fulmarpoint
