Compare a new version with the last seconds of the old one

Cause: at the start of a brown-out the baseline of 60 s lagged behind the actual error rate, and slow requests, of which every version has some, hid that the errors came from one endpoint. Change: baseline is the maximum of a 60 s and a 5 s window; a faulty endpoint is found on the measure that raised the alarm, against the mean of the others.

--- a/src/libs/coordination/version_comparison.cpp
+++ b/src/libs/coordination/version_comparison.cpp
@@ -8,8 +8,10 @@
 namespace {
 
 constexpr Duration kBaselineWindow = std::chrono::seconds(60);
-/// Requests of the old version in one interval that make its rate in that interval meaningful.
-constexpr std::uint32_t kMinIntervalRequests = 5;
+/// Shows the start of a brown-out before the long window does.
+constexpr Duration kShortWindow = std::chrono::seconds(5);
+constexpr double kMinShortRequests = 8;
+constexpr double kMinShortBad = 2;
 constexpr double kMinBaselineRequests = 20;
 constexpr double kMinErrorRate = 0.005;
 constexpr double kMinSlowRate = 0.05;
@@ -18,8 +20,9 @@
 constexpr double kBadRatio = 3.0;
 constexpr double kMaxBadRate = 0.95;
 constexpr double kMinAlarmRequests = 50;
-/// Share of the bad outcomes that one endpoint must have for the fault to be the endpoint's.
-constexpr double kConcentration = 0.9;
+/// An endpoint with this many times the bad outcomes of the mean of the others is itself at fault.
+constexpr double kConcentration = 5;
+constexpr std::uint64_t kMinConcentratedBad = 3;
 /// Rarely used routes do not hold up acceptance while they have at most this share of the requests.
 constexpr double kMaxPendingShare = 0.1;
 constexpr std::size_t kMaxEndpointsTracked = 1024;
@@ -71,42 +74,48 @@
   const Duration elapsed = now - *m_decayed_at;
   if (elapsed < std::chrono::seconds(1)) return;
   m_decayed_at = now;
-  const double factor = std::exp(-static_cast<double>(elapsed.count()) / kBaselineWindow.count());
-  const auto shrink = [factor](Baseline& baseline) {
-    baseline.requests *= factor;
-    baseline.errors *= factor;
-    baseline.timed *= factor;
-    baseline.slow *= factor;
+  const double elapsed_us = static_cast<double>(elapsed.count());
+  const double factor = std::exp(-elapsed_us / kBaselineWindow.count());
+  const double short_factor = std::exp(-elapsed_us / kShortWindow.count());
+  const auto shrink = [](OldOutcomes& outcomes, double by) {
+    outcomes.requests *= by;
+    outcomes.errors *= by;
+    outcomes.timed *= by;
+    outcomes.slow *= by;
   };
-  for (auto& [key, baseline] : m_strata) shrink(baseline);
-  for (auto& [key, baseline] : m_routes) shrink(baseline);
+  const auto shrink_both = [&](Baseline& baseline) {
+    shrink(baseline.window, factor);
+    shrink(baseline.short_window, short_factor);
+  };
+  for (auto& [key, baseline] : m_strata) shrink_both(baseline);
+  for (auto& [key, baseline] : m_routes) shrink_both(baseline);
 }
 
 void VersionComparison::AddBaseline(const StratumCounts& stratum) {
-  const auto add = [&stratum](Baseline& baseline) {
-    baseline.requests += stratum.old_version.requests;
-    baseline.errors += stratum.old_version.errors;
-    baseline.timed += stratum.old_version.timed;
-    baseline.slow += stratum.old_version.slow;
+  const auto add = [&stratum](OldOutcomes& outcomes) {
+    outcomes.requests += stratum.old_version.requests;
+    outcomes.errors += stratum.old_version.errors;
+    outcomes.timed += stratum.old_version.timed;
+    outcomes.slow += stratum.old_version.slow;
   };
-  add(m_strata[{stratum.route, stratum.failure_domain}]);
-  add(m_routes[stratum.route]);
+  for (Baseline* baseline :
+       {&m_strata[{stratum.route, stratum.failure_domain}], &m_routes[stratum.route]}) {
+    add(baseline->window);
+    add(baseline->short_window);
+  }
 }
 
 double VersionComparison::OldRate(const StratumCounts& stratum, Measure measure) const {
   const bool errors = measure == Measure::kErrors;
-  const auto rate = [errors](const Baseline& baseline) {
-    const double all = errors ? baseline.requests : baseline.timed;
-    const double bad = errors ? baseline.errors : baseline.slow;
-    return (bad + 0.5) / (all + 10.0);
-  };
+  const auto all = [errors](const OldOutcomes& old) { return errors ? old.requests : old.timed; };
+  const auto bad = [errors](const OldOutcomes& old) { return errors ? old.errors : old.slow; };
   const Baseline& own = m_strata.at({stratum.route, stratum.failure_domain});
-  const double samples = errors ? own.requests : own.timed;
-  double result = rate(samples >= kMinBaselineRequests ? own : m_routes.at(stratum.route));
-  const OutcomeCounts& interval = stratum.old_version;
-  if (interval.requests >= kMinIntervalRequests) {
-    const double bad = errors ? interval.errors : interval.slow;
-    result = std::max(result, bad / interval.requests);
+  const Baseline& route = m_routes.at(stratum.route);
+  const OldOutcomes& window = all(own.window) >= kMinBaselineRequests ? own.window : route.window;
+  double result = (bad(window) + 0.5) / (all(window) + 10.0);
+  for (const OldOutcomes& recent : {own.short_window, route.short_window}) {
+    if (all(recent) < kMinShortRequests || bad(recent) < kMinShortBad) continue;
+    result = std::max(result, bad(recent) / all(recent));
   }
   return std::clamp(result, errors ? kMinErrorRate : kMinSlowRate, kMaxRate);
 }
@@ -130,9 +139,9 @@
 
 void VersionComparison::AddEndpoints(const std::vector<EndpointCounts>& endpoints) {
   for (const EndpointCounts& counts : endpoints) {
-    const bool known = m_bad_by_endpoint.contains(counts.endpoint);
-    if (!known && m_bad_by_endpoint.size() >= kMaxEndpointsTracked) continue;
-    m_bad_by_endpoint[counts.endpoint] += counts.new_version.errors + counts.new_version.slow;
+    const bool known = m_endpoints.contains(counts.endpoint);
+    if (!known && m_endpoints.size() >= kMaxEndpointsTracked) continue;
+    m_endpoints[counts.endpoint] += counts.new_version;
   }
 }
 
@@ -145,7 +154,7 @@
 void VersionComparison::Evaluate(int new_version_endpoints) {
   for (auto& [key, sums] : m_sums) {
     if (sums.alarm < AlarmLimit(sums)) continue;
-    if (ExcludeConcentratedEndpoint(new_version_endpoints)) return;
+    if (ExcludeConcentratedEndpoint(key.second, new_version_endpoints)) return;
     m_result = ComparisonResult::kBad;
     m_reason = std::string(key.second == Measure::kErrors ? "errors" : "slow") + " on route " +
                std::to_string(key.first) + ": " + std::to_string(sums.bad) + " of " +
@@ -155,22 +164,26 @@
   if (Accepted()) m_result = ComparisonResult::kGood;
 }
 
-bool VersionComparison::ExcludeConcentratedEndpoint(int new_version_endpoints) {
-  const int excluded = static_cast<int>(m_excluded.size());
+bool VersionComparison::ExcludeConcentratedEndpoint(Measure measure, int new_version_endpoints) {
+  const int others = new_version_endpoints - static_cast<int>(m_excluded.size()) - 1;
   const bool may_exclude =
-      excluded < m_settings.max_excluded_endpoints && new_version_endpoints - excluded >= 2;
-  if (!may_exclude || m_bad_by_endpoint.empty()) return false;
+      static_cast<int>(m_excluded.size()) < m_settings.max_excluded_endpoints && others >= 1;
+  if (!may_exclude || m_endpoints.empty()) return false;
+  const auto bad = [measure](const OutcomeCounts& counts) {
+    return measure == Measure::kErrors ? counts.errors : counts.slow;
+  };
   std::uint64_t total = 0;
-  auto worst = m_bad_by_endpoint.begin();
-  for (auto item = m_bad_by_endpoint.begin(); item != m_bad_by_endpoint.end(); ++item) {
-    total += item->second;
-    if (item->second > worst->second) worst = item;
-  }
-  if (static_cast<double>(worst->second) < kConcentration * static_cast<double>(total)) {
-    return false;
+  auto worst = m_endpoints.begin();
+  for (auto item = m_endpoints.begin(); item != m_endpoints.end(); ++item) {
+    total += bad(item->second);
+    if (bad(item->second) > bad(worst->second)) worst = item;
   }
+  const std::uint64_t worst_bad = bad(worst->second);
+  const double mean_of_others = static_cast<double>(total - worst_bad) / others;
+  if (worst_bad < kMinConcentratedBad) return false;
+  if (static_cast<double>(worst_bad) < kConcentration * mean_of_others) return false;
   m_excluded.insert(worst->first);
-  m_bad_by_endpoint.erase(worst);
+  m_endpoints.erase(worst);
   for (auto& [key, sums] : m_sums) sums = Sums{};
   return true;
 }
--- a/src/libs/coordination/version_comparison.h
+++ b/src/libs/coordination/version_comparison.h
@@ -23,7 +23,7 @@
 /// any time, also after much good evidence; its alarm limit grows with the number of requests, so
 /// that the probability of a false alarm in a whole rollout stays below `false_alarm_rate`. A plain
 /// sum accepts the version as good. The old version's rate is taken from the same route and failure
-/// domain, and from the same interval if that is higher, so that a general brown-out or the loss
+/// domain, and from the last seconds if that is higher, so that a general brown-out or the loss
 /// of a failure domain is not charged to the new version.
 ///
 /// Not thread-safe.
@@ -65,12 +65,17 @@
 
  private:
   enum class Measure { kErrors, kSlow };
-  struct Baseline {
+  /// Outcomes of the old version, decayed over time.
+  struct OldOutcomes {
     double requests = 0;
     double errors = 0;
     double timed = 0;
     double slow = 0;
   };
+  struct Baseline {
+    OldOutcomes window;
+    OldOutcomes short_window;
+  };
   struct Sums {
     double alarm = 0;
     double acceptance = 0;
@@ -86,7 +91,7 @@
   void AddEndpoints(const std::vector<EndpointCounts>& endpoints);
   double AlarmLimit(const Sums& sums) const;
   void Evaluate(int new_version_endpoints);
-  bool ExcludeConcentratedEndpoint(int new_version_endpoints);
+  bool ExcludeConcentratedEndpoint(Measure measure, int new_version_endpoints);
   bool Accepted() const;
 
   Settings m_settings;
@@ -95,7 +100,7 @@
   std::map<StratumKey, Baseline> m_strata;
   std::map<std::uint32_t, Baseline> m_routes;
   std::map<std::pair<std::uint32_t, Measure>, Sums> m_sums;
-  std::map<EndpointId, std::uint64_t> m_bad_by_endpoint;
+  std::map<EndpointId, OutcomeCounts> m_endpoints;
   std::set<EndpointId> m_excluded;
   std::uint64_t m_new_requests = 0;
   std::optional<TimePoint> m_decayed_at;
