--- a/src/libs/coordination/crash_suspects.cpp
+++ b/src/libs/coordination/crash_suspects.cpp
@@ -9,9 +9,9 @@
 
 // A confirmation may arrive this long after the connection broke: the time of a restart.
 constexpr Duration kLostRunLifetime = std::chrono::minutes(2);
-// A notice fits a datagram of 1,200 bytes with room for its header and four vector lengths.
-constexpr std::size_t kMaxNoticeBytes = 1000;
-constexpr std::size_t kUpdateBytes = 25;
+// Encoded sizes; a notice has four counts of two bytes and a byte order mark.
+constexpr std::size_t kMaxNoticeBytes = kMaxSuspectNoticeBytes - 9;
+constexpr std::size_t kUpdateBytes = 13;
 constexpr std::size_t kPlacementBytes = 17;
 // A third of the lifetime of a placement at the peers: two repetitions may be lost.
 constexpr Duration kRepeatPlacementAfter = std::chrono::seconds(30);
--- a/src/libs/protocol/suspect_messages.h
+++ b/src/libs/protocol/suspect_messages.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
 #include "protocol/identifiers.h"
+#include "protocol/parse_error.h"
+#include "protocol/peer_messages.h"
 
 namespace fulmarpoint {
 
@@ -31,7 +34,10 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, blocked, crashes, cleared);
+    archive(fingerprint);
+    internal::SerializeFlag(archive, blocked);
+    internal::SerializeList(archive, crashes);
+    internal::SerializeList(archive, cleared);
   }
 };
 
@@ -44,7 +50,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, endpoint, running);
+    archive(fingerprint, endpoint);
+    internal::SerializeFlag(archive, running);
   }
 };
 
@@ -59,8 +66,20 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(updates, placements, confirmed, refuted);
+    internal::SerializeList(archive, updates);
+    internal::SerializeList(archive, placements);
+    internal::SerializeList(archive, confirmed);
+    internal::SerializeList(archive, refuted);
   }
 };
 
+/// Largest encoded notice, so that it fits a `GossipNotice` with its key.
+inline constexpr std::size_t kMaxSuspectNoticeBytes = 320;
+
+/// Returns the body of a gossip notice with topic `kCrashSuspect`. Thread-safe.
+std::string EncodeSuspectNotice(const SuspectNotice& notice);
+
+/// Returns the notice, or `kBadRequest`. Thread-safe.
+Parsed<SuspectNotice> DecodeSuspectNotice(std::string_view body);
+
 }  // namespace fulmarpoint
--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -7,6 +7,7 @@
 
 #include "measure.h"
 #include "measure_crash_suspects.h"
+#include "measure_rollout.h"
 
 namespace fulmarpoint {
 
@@ -21,6 +22,7 @@
 constexpr std::array kMeasurements = {
     Measurement{"crash_suspects", "endpoints lost to a crashing request, false positives",
                 MeasureCrashSuspects},
+    Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
 const Measurement* Find(const std::string& name) {
--- a/tests/auto/coordination/tst_crash_suspects.cpp
+++ b/tests/auto/coordination/tst_crash_suspects.cpp
@@ -196,7 +196,11 @@
   daemon.Settle(kStart + seconds(1));
   cr_assert_leq(daemon.suspects.Size(), 4096u);
   for (const SuspectNotice& notice : daemon.outbox) {
-    cr_assert_leq(notice.updates.size(), 31u, "a notice fits one datagram");
+    const std::string body = EncodeSuspectNotice(notice);
+    cr_assert_leq(body.size(), kMaxSuspectNoticeBytes, "a notice fits a gossip update");
+    const Parsed<SuspectNotice> decoded = DecodeSuspectNotice(body);
+    cr_assert(decoded.Ok() && decoded.Value().updates.size() == notice.updates.size());
+    cr_assert_not(DecodeSuspectNotice(body.substr(0, body.size() - 1)).Ok());
   }
   daemon.Settle(kStart + minutes(11));
   cr_assert_eq(daemon.suspects.Size(), 0u);
@@ -224,6 +228,7 @@
     first.Crash(endpoint, {first.Start(kInnocent, endpoint, kStart)}, kStart);
     second.Crash(endpoint, {second.Start(kCrasher, endpoint, kStart)}, kStart);
   }
+  first.outbox.clear();
   first.Settle(kStart + seconds(2));
   cr_assert_eq(first.State(kInnocent), SuspicionState::kBlocked);
   first.DeliverTo(second, kStart + seconds(2));
