--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "measure.h"
+#include "measure_admission.h"
 #include "measure_crash_suspects.h"
 #include "measure_rollout.h"
 
@@ -20,6 +21,8 @@
 };
 
 constexpr std::array kMeasurements = {
+    Measurement{"admission", "overload against an unbounded queue, shares, state",
+                MeasureAdmission},
     Measurement{"crash_suspects", "endpoints lost to a crashing request, false positives",
                 MeasureCrashSuspects},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
