Add endpoint credits

Cause: fixed shares give a daemon less than one slot at 350 daemons and leave slots unused under skewed load; adaptive limits overshoot by up to a slot count when load reports are old. Change: CreditOwner grants the slots of the endpoints that its daemon owns by rendezvous hashing, max-min fair, never more than the holders may still use together; CreditHolder asks each owner in one message every 2.4 s, and earlier when requests wait. Each daemon uses all endpoints it owns and 16 of the next eight owners, so traffic does not grow with the fleet.

--- /dev/null
+++ b/src/libs/coordination/credit_holder.cpp
@@ -0,0 +1,263 @@
+#include "coordination/credit_holder.h"
+
+#include <algorithm>
+#include <set>
+
+#include "coordination/credit_owner.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+// Two rounds fit the lifetime of a grant, so that one lost message does not end it.
+constexpr Duration kRound = std::chrono::milliseconds(2400);
+// Least distance between requests to one owner when requests wait.
+constexpr Duration kEarlyInterval = std::chrono::milliseconds(250);
+// Requests sent ahead of their round by this daemon, so that overload does not multiply messages.
+constexpr double kEarlyPerSecond = 4.0;
+constexpr double kEarlyBurst = 16.0;
+// Free credits kept ready, as a share of the running requests.
+constexpr int kSpareDivisor = 8;
+// Endpoints of other owners that each daemon uses, over all services, and their owners.
+constexpr int kRemoteEndpoints = 16;
+constexpr int kRemoteOwners = 8;
+constexpr int kMaxCredits = 65535;
+
+}  // namespace
+
+void CreditHolder::Handle(const CreditHolderEvent& event, TimePoint now, Actions& actions) {
+  std::visit([&](const auto& typed) { On(typed, now, actions); }, event);
+}
+
+bool CreditHolder::Take(const EndpointId& endpoint, TimePoint now) {
+  if (Free(endpoint, now) <= 0) return false;
+  ++m_entries[StableHash(endpoint)].in_use;
+  return true;
+}
+
+void CreditHolder::Return(const EndpointId& endpoint) {
+  const auto found = m_entries.find(StableHash(endpoint));
+  if (found == m_entries.end()) return;
+  Entry& entry = found->second;
+  entry.in_use = std::max(0, entry.in_use - 1);
+  if (entry.removed && entry.in_use == 0) m_entries.erase(found);
+}
+
+int CreditHolder::Free(const EndpointId& endpoint, TimePoint now) const {
+  const auto found = m_entries.find(StableHash(endpoint));
+  if (found == m_entries.end() || found->second.removed) return 0;
+  return std::max(0, Held(found->second, now) - found->second.in_use);
+}
+
+int CreditHolder::Slots(const ServiceName& service, TimePoint now) const {
+  int slots = 0;
+  for (const auto& [hash, entry] : m_entries) {
+    if (entry.service != service) continue;
+    slots += entry.removed ? entry.in_use : std::max(entry.in_use, Held(entry, now));
+  }
+  return slots;
+}
+
+void CreditHolder::On(const SubsetChanged& event, TimePoint now, Actions& actions) {
+  for (auto& [hash, entry] : m_entries) entry.removed = true;
+  for (const SubsetEndpoint& member : event.endpoints) {
+    Entry& entry = m_entries[StableHash(member.endpoint)];
+    entry.endpoint = member.endpoint;
+    entry.service = member.service;
+    entry.owner = member.owner;
+    entry.removed = false;
+  }
+  std::erase_if(m_entries,
+                [](const auto& item) { return item.second.removed && item.second.in_use == 0; });
+  std::set<InstanceId> owners;
+  for (const auto& [hash, entry] : m_entries) owners.insert(entry.owner);
+  std::erase_if(m_owners, [&owners](const auto& item) { return !owners.contains(item.first); });
+  // A new owner learns at once what is held here.
+  AskAll(now, actions);
+}
+
+void CreditHolder::On(const CreditDemandChanged& event, TimePoint now, Actions& actions) {
+  m_waiting[event.service] = event.waiting;
+  if (event.waiting == 0) return;
+  AssignWants(now);
+  std::set<InstanceId> owners;
+  for (const auto& [hash, entry] : m_entries) {
+    const bool needs_more = entry.service == event.service && entry.wanted > Held(entry, now);
+    // An owner that had too little is asked again in the next round only.
+    if (needs_more && !entry.removed && !entry.scarce) owners.insert(entry.owner);
+  }
+  for (const InstanceId& owner : owners) {
+    if (now < m_owners[owner].next_early || !TakeEarlyMessage(now)) continue;
+    Ask(owner, now, actions);
+  }
+}
+
+void CreditHolder::On(const CreditGrantReceived& event, TimePoint now, Actions& actions) {
+  const CreditGrant& grant = event.grant;
+  const auto found = m_owners.find(grant.owner);
+  if (found == m_owners.end() || grant.sent_at > found->second.last_sent_at) return;
+  for (const CreditAmount& amount : grant.amounts) {
+    const auto known = m_entries.find(amount.endpoint);
+    if (known == m_entries.end() || known->second.owner != grant.owner) continue;
+    Entry& entry = known->second;
+    // A grant that arrives after a later one would bring back what was taken away.
+    if (grant.sent_at <= entry.applied) continue;
+    entry.applied = grant.sent_at;
+    entry.held = amount.granted;
+    entry.expires = TimePoint(Duration(grant.sent_at)) + kCreditLifetime;
+    entry.scarce = amount.granted < entry.wanted;
+  }
+  ReportSlots(now, actions);
+}
+
+void CreditHolder::On(const CreditTimerFired&, TimePoint now, Actions& actions) {
+  if (now >= m_next_round) AskAll(now, actions);
+  ReportSlots(now, actions);
+}
+
+bool CreditHolder::TakeEarlyMessage(TimePoint now) {
+  const double seconds = static_cast<double>((now - m_early_at).count()) / 1e6;
+  m_early_at = now;
+  m_early_messages = std::min(kEarlyBurst, m_early_messages + seconds * kEarlyPerSecond);
+  if (m_early_messages < 1.0) return false;
+  m_early_messages -= 1.0;
+  return true;
+}
+
+void CreditHolder::AssignWants(TimePoint now) {
+  struct Service {
+    int in_use = 0;
+    std::vector<Entry*> order;
+  };
+  std::map<ServiceName, Service> services;
+  for (auto& [hash, entry] : m_entries) {
+    entry.wanted = entry.removed ? 0 : entry.in_use;
+    Service& service = services[entry.service];
+    service.in_use += entry.in_use;
+    if (!entry.removed) service.order.push_back(&entry);
+  }
+  for (auto& [name, service] : services) {
+    const auto waiting = m_waiting.find(name);
+    int spare = std::max(1, service.in_use / kSpareDivisor) +
+                (waiting == m_waiting.end() ? 0 : waiting->second);
+    if (service.order.empty()) continue;
+    // Credits that are free already are kept first, then endpoints that were not short last time.
+    std::stable_sort(service.order.begin(), service.order.end(), [&](Entry* left, Entry* right) {
+      const bool left_free = Held(*left, now) > left->in_use;
+      const bool right_free = Held(*right, now) > right->in_use;
+      if (left_free != right_free) return left_free;
+      if (left->scarce != right->scarce) return !left->scarce;
+      return left->in_use < right->in_use;
+    });
+    for (Entry* entry : service.order) {
+      const int kept = std::min(spare, std::max(0, Held(*entry, now) - entry->in_use));
+      entry->wanted += kept;
+      spare -= kept;
+    }
+    const int count = static_cast<int>(service.order.size());
+    for (int index = 0; index < count && spare > 0; ++index) {
+      const int part = (spare + (count - index) - 1) / (count - index);
+      service.order[index]->wanted = std::min(kMaxCredits, service.order[index]->wanted + part);
+      spare -= part;
+    }
+  }
+}
+
+void CreditHolder::Ask(const InstanceId& owner, TimePoint now, Actions& actions) {
+  Owner& state = m_owners[owner];
+  CreditRequest request{
+      m_self, std::max(now.time_since_epoch().count(), state.last_sent_at + 1), {}};
+  const auto send = [&] {
+    state.last_sent_at = request.sent_at;
+    actions.push_back(SendCreditRequest{owner, request});
+    ++request.sent_at;
+    request.demands.clear();
+  };
+  for (const auto& [hash, entry] : m_entries) {
+    if (entry.owner != owner) continue;
+    const int held = Held(entry, now);
+    if (entry.in_use == 0 && held == 0 && entry.wanted == 0) continue;
+    request.demands.push_back(
+        {hash, static_cast<std::uint16_t>(std::min(entry.in_use, kMaxCredits)),
+         static_cast<std::uint16_t>(held), static_cast<std::uint16_t>(entry.wanted)});
+    if (request.demands.size() == kMaxCreditEntries) send();
+  }
+  if (!request.demands.empty()) send();
+  state.next_early = now + kEarlyInterval;
+}
+
+void CreditHolder::AskAll(TimePoint now, Actions& actions) {
+  AssignWants(now);
+  std::set<InstanceId> owners;
+  for (const auto& [hash, entry] : m_entries) owners.insert(entry.owner);
+  for (const InstanceId& owner : owners) Ask(owner, now, actions);
+  m_next_round = now + kRound;
+  actions.emplace_back(std::in_place_type<SetCreditTimer>, SetCreditTimer{m_next_round});
+  ReportSlots(now, actions);
+}
+
+void CreditHolder::ReportSlots(TimePoint now, Actions& actions) {
+  std::map<ServiceName, int> slots;
+  for (const auto& [service, reported] : m_reported) slots[service] = 0;
+  for (const auto& [hash, entry] : m_entries) {
+    slots[entry.service] += entry.removed ? entry.in_use : std::max(entry.in_use, Held(entry, now));
+  }
+  for (const auto& [service, count] : slots) {
+    const auto reported = m_reported.find(service);
+    if (reported != m_reported.end() && reported->second == count) continue;
+    m_reported[service] = count;
+    actions.push_back(CreditSlotsChanged{service, count});
+  }
+}
+
+std::vector<SubsetEndpoint> CreditSubset(const InstanceId& self,
+                                         const std::vector<InstanceId>& daemons,
+                                         const ServiceName& service,
+                                         const std::vector<EndpointId>& endpoints, int services) {
+  std::map<InstanceId, std::vector<EndpointId>> owned;
+  for (const EndpointId& endpoint : endpoints) {
+    owned[CreditOwnerOf(endpoint, daemons)].push_back(endpoint);
+  }
+  std::vector<SubsetEndpoint> subset;
+  for (const EndpointId& endpoint : owned[self]) subset.push_back({endpoint, service, self});
+  owned.erase(self);
+  // Owners of the service in the order of the ring, from this daemon on.
+  const std::uint64_t start = StableHash(self.name);
+  std::vector<std::pair<std::uint64_t, InstanceId>> ring;
+  ring.reserve(owned.size());
+  for (const auto& [owner, theirs] : owned) {
+    ring.emplace_back(StableHash(owner.name) - start, owner);
+  }
+  std::sort(ring.begin(), ring.end());
+  ring.resize(std::min<std::size_t>(ring.size(), kRemoteOwners));
+  const int count = static_cast<int>(endpoints.size());
+  const int daemon_count = std::max<int>(1, static_cast<int>(daemons.size()));
+  int remote = std::max({2, kRemoteEndpoints / std::max(1, services), count / (2 * daemon_count)});
+  for (std::size_t position = 0; position < ring.size() && remote > 0; ++position) {
+    std::vector<EndpointId>& theirs = owned[ring[position].second];
+    std::sort(theirs.begin(), theirs.end(),
+              [start](const EndpointId& left, const EndpointId& right) {
+                return StableHash(left, start) > StableHash(right, start);
+              });
+    const int owners_left = static_cast<int>(ring.size() - position);
+    const int part =
+        std::min<int>((remote + owners_left - 1) / owners_left, static_cast<int>(theirs.size()));
+    for (int index = 0; index < part; ++index) {
+      subset.push_back({theirs[index], service, ring[position].second});
+    }
+    remote -= part;
+  }
+  return subset;
+}
+
+const InstanceId& CreditOwnerOf(const EndpointId& endpoint,
+                                const std::vector<InstanceId>& daemons) {
+  const std::uint64_t seed = StableHash(endpoint);
+  const auto weight = [seed](const InstanceId& id) { return StableHash(id.name, seed); };
+  return *std::max_element(daemons.begin(), daemons.end(),
+                           [&weight](const InstanceId& left, const InstanceId& right) {
+                             return weight(left) < weight(right);
+                           });
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/credit_holder.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "protocol/credit_messages.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// An endpoint of this daemon's subset and the daemon that owns its credits.
+struct SubsetEndpoint {
+  EndpointId endpoint;
+  ServiceName service;
+  InstanceId owner;
+};
+
+/// The subset or the owners changed.
+struct SubsetChanged {
+  std::vector<SubsetEndpoint> endpoints;
+};
+
+/// Number of requests of a service that wait for a credit.
+struct CreditDemandChanged {
+  ServiceName service;
+  int waiting = 0;
+};
+
+struct CreditGrantReceived {
+  CreditGrant grant;
+};
+
+/// Raise at the times asked for by `SetCreditTimer`.
+struct CreditTimerFired {};
+
+struct SendCreditRequest {
+  InstanceId to;
+  CreditRequest request;
+};
+
+struct SetCreditTimer {
+  TimePoint at;
+};
+
+/// The number of requests that may run for a service changed: `slots` counts running requests and
+/// free credits.
+struct CreditSlotsChanged {
+  ServiceName service;
+  int slots = 0;
+};
+
+using CreditHolderEvent =
+    std::variant<SubsetChanged, CreditDemandChanged, CreditGrantReceived, CreditTimerFired>;
+using CreditHolderAction = std::variant<SendCreditRequest, SetCreditTimer, CreditSlotsChanged>;
+
+/// Credits of this daemon for the endpoints of its subset. Asks each owner in one message for all
+/// of its endpoints, every 2.4 s and earlier when requests wait. Not thread-safe.
+class CreditHolder {
+ public:
+  using Actions = std::vector<CreditHolderAction>;
+
+  explicit CreditHolder(InstanceId self) : m_self(std::move(self)) {}
+
+  void Handle(const CreditHolderEvent& event, TimePoint now, Actions& actions);
+
+  /// Takes a credit for one request; returns false if none is valid and free.
+  bool Take(const EndpointId& endpoint, TimePoint now);
+  /// Returns the credit of a request that ended. Endpoints outside the subset are ignored.
+  void Return(const EndpointId& endpoint);
+  /// Number of credits that are valid and free.
+  int Free(const EndpointId& endpoint, TimePoint now) const;
+  /// Requests that run and credits that are free at the endpoints of a service.
+  int Slots(const ServiceName& service, TimePoint now) const;
+
+ private:
+  struct Entry {
+    EndpointId endpoint;
+    ServiceName service;
+    InstanceId owner;
+    int in_use = 0;
+    int held = 0;
+    TimePoint expires{};
+    /// `sent_at` of the grant in effect.
+    std::int64_t applied = 0;
+    /// Asked for more than was granted, so that spare demand goes to other endpoints first.
+    bool scarce = false;
+    int wanted = 0;
+    /// Absent from the subset; kept until its requests have ended.
+    bool removed = false;
+  };
+  struct Owner {
+    std::int64_t last_sent_at = 0;
+    TimePoint next_early{};
+  };
+
+  void On(const SubsetChanged& event, TimePoint now, Actions& actions);
+  void On(const CreditDemandChanged& event, TimePoint now, Actions& actions);
+  void On(const CreditGrantReceived& event, TimePoint now, Actions& actions);
+  void On(const CreditTimerFired& event, TimePoint now, Actions& actions);
+
+  bool TakeEarlyMessage(TimePoint now);
+  void AssignWants(TimePoint now);
+  void Ask(const InstanceId& owner, TimePoint now, Actions& actions);
+  void AskAll(TimePoint now, Actions& actions);
+  void ReportSlots(TimePoint now, Actions& actions);
+  int Held(const Entry& entry, TimePoint now) const { return entry.expires > now ? entry.held : 0; }
+
+  InstanceId m_self;
+  std::map<EndpointHash, Entry> m_entries;
+  std::map<InstanceId, Owner> m_owners;
+  std::map<ServiceName, int> m_waiting;
+  std::map<ServiceName, int> m_reported;
+  TimePoint m_next_round{};
+  double m_early_messages = 0.0;
+  TimePoint m_early_at{};
+};
+
+/// Returns the endpoints of a service that `self` uses: all that it owns, so that every endpoint is
+/// used, and some of the endpoints of the next owners in a ring of all daemons. Their number does
+/// not grow with the fleet, and neither do the messages, because there is one per owner.
+/// `services` is the number of services that share them. Thread-safe.
+std::vector<SubsetEndpoint> CreditSubset(const InstanceId& self,
+                                         const std::vector<InstanceId>& daemons,
+                                         const ServiceName& service,
+                                         const std::vector<EndpointId>& endpoints, int services);
+
+/// Returns the owner of an endpoint's credits among `daemons`, by rendezvous hashing.
+/// Precondition: `daemons` is not empty. Thread-safe.
+const InstanceId& CreditOwnerOf(const EndpointId& endpoint, const std::vector<InstanceId>& daemons);
+
+}  // namespace fulmarpoint
--- a/src/libs/protocol/identifiers.h
+++ b/src/libs/protocol/identifiers.h
@@ -13,7 +13,8 @@
   std::string name;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const InstanceId&) const = default;
+  // clang-tidy 14 takes the zero in the generated comparison for a null pointer.
+  auto operator<=>(const InstanceId&) const = default;  // NOLINT(modernize-use-nullptr)
 
   template <typename Archive>
   void serialize(Archive& archive) {
--- /dev/null
+++ b/src/tools/fulmarpoint-measure/credit_simulation.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "coordination/credit_holder.h"
+#include "coordination/credit_owner.h"
+#include "utils/random.h"
+#include "virtual_time.h"
+
+namespace fulmarpoint {
+
+/// How daemons keep endpoints within their slots.
+enum class LimitMode { kCredits, kFixedShares, kAdaptiveOnly };
+
+inline constexpr std::array<EnumName<LimitMode>, 3> kLimitModeNames = {{
+    {LimitMode::kCredits, "credits"},
+    {LimitMode::kFixedShares, "baseline: fixed shares"},
+    {LimitMode::kAdaptiveOnly, "baseline: adaptive limit only"},
+}};
+
+/// What happens 40 s after the start.
+enum class CreditFault {
+  kNone,
+  kLoadDoubles,
+  kJoin,
+  kDie,
+  kPause,
+  kPartition,
+  kSkew,
+  kLoss,
+  kTwice
+};
+
+inline constexpr std::array<EnumName<CreditFault>, 9> kCreditFaultNames = {{
+    {CreditFault::kNone, "none"},
+    {CreditFault::kLoadDoubles, "load doubles"},
+    {CreditFault::kJoin, "a daemon joins"},
+    {CreditFault::kDie, "a daemon dies"},
+    {CreditFault::kPause, "a daemon pauses for 20 s"},
+    {CreditFault::kPartition, "daemons partitioned for 30 s"},
+    {CreditFault::kSkew, "half of the load moves to one daemon"},
+    {CreditFault::kLoss, "a fifth of the messages is lost"},
+    {CreditFault::kTwice, "load doubles and daemons partitioned"},
+}};
+
+struct CreditScenario {
+  std::uint64_t seed = 1;
+  LimitMode mode = LimitMode::kCredits;
+  CreditFault fault = CreditFault::kNone;
+  int daemons = 8;
+  int endpoints = 20;
+  int slots = 16;
+  /// Offered load relative to all slots.
+  double load = 0.7;
+  Duration report_age = std::chrono::seconds(1);
+};
+
+struct CreditResult {
+  /// Most requests above the slots of one endpoint at any moment.
+  int worst_overshoot = 0;
+  /// Share of endpoint time with more requests than slots.
+  double overshoot_time = 0.0;
+  /// Slots in use in the last 30 s, relative to all slots.
+  double utilization = 0.0;
+  int arrived = 0;
+  int refused = 0;
+  /// Messages and bytes sent per second by a daemon: mean, and the daemon with most.
+  double messages_per_second = 0.0;
+  double bytes_per_second = 0.0;
+  double worst_bytes_per_second = 0.0;
+};
+
+/// Runs a fleet with the real `CreditHolder` and `CreditOwner` of each daemon, or a baseline, under
+/// virtual time. Not thread-safe.
+class CreditSimulation {
+ public:
+  explicit CreditSimulation(const CreditScenario& scenario);
+  CreditResult Run();
+
+ private:
+  struct Daemon {
+    explicit Daemon(const InstanceId& self) : id(self), holder(self), owner(self) {}
+    InstanceId id;
+    CreditHolder holder;
+    CreditOwner owner;
+    bool up = true;
+    bool paused = false;
+    /// Events that arrive during a pause are handled after it.
+    std::vector<std::function<void()>> held_back;
+    std::vector<bool> sees;
+    std::vector<bool> knows;
+    std::vector<int> subset;
+    std::deque<TimePoint> waiting;
+    /// Baselines: requests running and limit per endpoint.
+    std::vector<int> running;
+    std::vector<double> limit;
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+  };
+  struct Endpoint {
+    EndpointId id;
+    int active = 0;
+    TimePoint changed{};
+    /// Earlier values, for reports with age.
+    std::deque<std::pair<TimePoint, int>> history;
+  };
+
+  void AddDaemon();
+  void UpdateView(int daemon);
+  void DoAt(int daemon, const std::function<void()>& action);
+  void Send(int from, int to, std::size_t bytes, std::function<void()> action);
+  void OnHolder(int daemon, const CreditHolderEvent& event);
+  void OnOwner(int daemon, const CreditOwnerEvent& event);
+  void Arrive(int daemon);
+  void Dispatch(int daemon);
+  int FindEndpoint(int daemon);
+  bool MayUse(int daemon, int endpoint);
+  void Start(int daemon, int endpoint);
+  void End(int daemon, int endpoint);
+  void Report(int daemon);
+  void Inject();
+  void Partition();
+  void Join();
+  void Pause();
+  void SetSeen(int observer, int subject, bool sees, Duration delay);
+  void Change(Endpoint& endpoint, int difference);
+  void Sample();
+  int ReportedActive(const Endpoint& endpoint) const;
+  Duration Exponential(Duration mean);
+  Duration Uniform(Duration low, Duration high);
+
+  CreditScenario m_scenario;
+  Random m_random;
+  VirtualTime m_time;
+  std::deque<Daemon> m_daemons;
+  std::vector<Endpoint> m_endpoints;
+  bool m_partitioned = false;
+  bool m_skewed = false;
+  bool m_lossy = false;
+  double m_load = 0.0;
+  double m_over_seconds = 0.0;
+  double m_busy_seconds = 0.0;
+  CreditResult m_result;
+};
+
+}  // namespace fulmarpoint
--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -8,6 +8,7 @@
 #include "measure.h"
 #include "measure_admission.h"
 #include "measure_crash_suspects.h"
+#include "measure_credits.h"
 #include "measure_rollout.h"
 
 namespace fulmarpoint {
@@ -25,6 +26,9 @@
                 MeasureAdmission},
     Measurement{"crash_suspects", "endpoints lost to a crashing request, false positives",
                 MeasureCrashSuspects},
+    Measurement{"credit_faults", "overshoot of slots under faults, against two baselines",
+                MeasureCreditFaults},
+    Measurement{"credit_traffic", "messages and bytes of credits per daemon", MeasureCreditTraffic},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
