--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -9,6 +9,7 @@
 #include "measure_admission.h"
 #include "measure_crash_suspects.h"
 #include "measure_credits.h"
+#include "measure_reader_buffers.h"
 #include "measure_rollout.h"
 
 namespace fulmarpoint {
@@ -29,6 +30,7 @@
     Measurement{"credit_faults", "overshoot of slots under faults, against two baselines",
                 MeasureCreditFaults},
     Measurement{"credit_traffic", "messages and bytes of credits per daemon", MeasureCreditTraffic},
+    Measurement{"reader_buffers", "memory and slots of slow callers", MeasureReaderBuffers},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
