Add transport: HTTP server and client, UDP, framed TCP, worker pool

Cause: all other layers that talk to sockets need asynchronous transport. Change: src/libs/transport on Asio coroutines; Beast stays in the sources. Errors are values, and results tell whether any byte of a request was handed to the kernel.

--- /dev/null
+++ b/src/libs/transport/http_client_connection.cpp
@@ -0,0 +1,144 @@
+#include "transport/internal/http_client_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cerrno>
+#include <utility>
+
+#include "transport/internal/completion.h"
+#include "transport/internal/endpoint.h"
+#include "transport/internal/http_format.h"
+
+namespace fulmarpoint {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using internal::kCompletion;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+
+bool IsSafe(const HttpClientRequest& request) {
+  if (!internal::IsSafeToken(request.method) || !internal::IsSafeToken(request.target))
+    return false;
+  for (const HttpHeader& header : request.headers) {
+    if (!internal::IsSafeHeader(header)) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+Task<boost::system::error_code> HttpEventStream::Connection::Connect(std::string to) {
+  address = std::move(to);
+  const std::optional<tcp::endpoint> endpoint = internal::ParseEndpoint<tcp::endpoint>(address);
+  if (!endpoint) co_return asio::error::invalid_argument;
+  auto [error] = co_await socket.async_connect(*endpoint, kCompletion);
+  if (error) co_return error;
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  co_return error;
+}
+
+Task<boost::system::error_code> HttpEventStream::Connection::WriteRequest(
+    const HttpClientRequest& request, std::size_t& written) {
+  if (!IsSafe(request)) co_return asio::error::invalid_argument;
+  std::string head =
+      internal::FormatRequestHead(request.method, request.target, address, request.headers);
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  head += "\r\n";
+  const std::array<asio::const_buffer, 2> parts = {asio::buffer(head), asio::buffer(request.body)};
+  const internal::IoResult result = co_await asio::async_write(socket, parts, kCompletion);
+  written = std::get<1>(result);
+  co_return std::get<0>(result);
+}
+
+Task<boost::system::error_code> HttpEventStream::Connection::ReadHead(bool head_only,
+                                                                      std::size_t max_head_bytes,
+                                                                      HttpReply& reply) {
+  boost::system::error_code error;
+  do {
+    parser.emplace();
+    parser->body_limit(boost::none);
+    parser->header_limit(static_cast<std::uint32_t>(max_head_bytes));
+    parser->skip(head_only);
+    while (!error && !parser->is_header_done()) {
+      const internal::IoResult read =
+          co_await http::async_read_some(socket, buffer, *parser, kCompletion);
+      error = std::get<0>(read);
+    }
+    if (error) co_return error;
+  } while (parser->get().result_int() / 100 == 1);
+  reply.status = static_cast<int>(parser->get().result_int());
+  for (const auto& field : parser->get()) {
+    reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  co_return error;
+}
+
+Task<boost::system::error_code> HttpEventStream::Connection::ReadSome(std::string& data) {
+  data.resize(kReadBytes);
+  auto& body = parser->get().body();
+  body.data = data.data();
+  body.size = data.size();
+  body.more = true;
+  const internal::IoResult read =
+      co_await http::async_read_some(socket, buffer, *parser, kCompletion);
+  boost::system::error_code error = std::get<0>(read);
+  if (error == http::error::need_buffer) error = {};
+  data.resize(data.size() - parser->get().body().size);
+  co_return error;
+}
+
+bool HttpEventStream::Connection::IsQuiet() {
+  if (!socket.is_open()) return false;
+  char byte = 0;
+  const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpEventStream::Connection::Close() {
+  boost::system::error_code ignored;
+  socket.close(ignored);
+}
+
+HttpEventStream::HttpEventStream(std::shared_ptr<Connection> connection)
+    : m_connection(std::move(connection)) {}
+
+HttpEventStream::~HttpEventStream() { m_connection->Close(); }
+
+Task<HttpEvent> HttpEventStream::Next() {
+  const std::shared_ptr<Connection> connection = m_connection;
+  HttpEvent event;
+  std::string data;
+  while (!connection->events.HasEvent()) {
+    if (connection->BodyDone()) {
+      event.end = true;
+      co_return event;
+    }
+    const boost::system::error_code error = co_await connection->ReadSome(data);
+    if (error) event.error = error;
+    if (!error && !connection->events.Append(data)) {
+      event.error = std::make_error_code(std::errc::message_size);
+    }
+    if (event.error) {
+      connection->Close();
+      co_return event;
+    }
+  }
+  event = connection->events.Take();
+  co_return event;
+}
+
+void HttpEventStream::Close() { m_connection->Close(); }
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/transport/http_connection.cpp
@@ -0,0 +1,344 @@
+#include "transport/internal/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <cerrno>
+#include <charconv>
+#include <exception>
+#include <utility>
+
+#include "transport/internal/deadline.h"
+#include "transport/internal/endpoint.h"
+#include "transport/internal/http_format.h"
+#include "utils/logging.h"
+
+namespace fulmarpoint {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using internal::kCompletion;
+
+namespace {
+
+const char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// After a rejection the peer may still be sending; data that is not read would make the kernel
+// reset the connection before the peer has read the answer.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kLingerBytes = 256 * 1024;
+
+HttpRejection RejectionOf(const boost::system::error_code& error) {
+  if (error == http::error::header_limit) return HttpRejection::kHeadTooLarge;
+  if (error == http::error::buffer_overflow) return HttpRejection::kHeadTooLarge;
+  if (error == http::error::body_limit) return HttpRejection::kBodyTooLarge;
+  return HttpRejection::kMalformed;
+}
+
+bool IsProtocolError(const boost::system::error_code& error) {
+  return error.category() == make_error_code(http::error::bad_method).category() &&
+         error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+HttpRequest ToRequest(HttpExchange::Connection::Parser& parser, const std::string& peer) {
+  http::request<http::string_body>& message = parser.get();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(message.body());
+  request.peer_address = peer;
+  return request;
+}
+
+}  // namespace
+
+namespace internal {
+
+bool BodyReservation::GrowTo(std::size_t bytes) {
+  if (bytes <= m_bytes) return true;
+  const std::size_t more = bytes - m_bytes;
+  if (m_shared.body_bytes.fetch_add(more) + more > m_shared.limits.total_body_bytes) {
+    m_shared.body_bytes -= more;
+    return false;
+  }
+  m_bytes = bytes;
+  return true;
+}
+
+}  // namespace internal
+
+HttpExchange::Connection::Connection(tcp::socket connected, Executor own_strand,
+                                     std::shared_ptr<internal::HttpServerShared> server)
+    : socket(std::move(connected)),
+      strand(std::move(own_strand)),
+      shared(std::move(server)),
+      buffer(shared->limits.head_bytes + 4096) {}
+
+bool HttpExchange::Connection::Prepare() {
+  boost::system::error_code error;
+  const tcp::endpoint peer = socket.remote_endpoint(error);
+  if (error) return false;
+  peer_ip = peer.address().to_string();
+  peer_address = internal::AddressText(peer);
+  socket.set_option(tcp::no_delay(true), error);
+  socket.set_option(asio::socket_base::send_buffer_size(shared->limits.send_buffer_bytes), error);
+  return true;
+}
+
+Task<void> HttpExchange::Connection::Run() {
+  const std::shared_ptr<Connection> self = shared_from_this();
+  bool first = true;
+  while (co_await ServeOne(first)) {
+    first = false;
+    idle = true;
+    if (shared->stopping || !co_await WaitForRequest()) break;
+  }
+  CloseSocket();
+}
+
+Task<bool> HttpExchange::Connection::WaitForRequest() {
+  if (buffer.size() > 0) co_return true;
+  const internal::Deadline deadline(strand, shared->limits.idle_time, [this]() { CloseSocket(); });
+  auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
+  co_return !error && socket.is_open();
+}
+
+Task<bool> HttpExchange::Connection::ServeOne(bool first) {
+  internal::BodyReservation reservation(*shared);
+  std::optional<Parser> parser(std::in_place);
+  parser->header_limit(static_cast<std::uint32_t>(shared->limits.head_bytes));
+  parser->body_limit(shared->limits.body_bytes);
+  std::optional<HttpRejection> rejection;
+  idle = first;
+  const boost::system::error_code error = co_await ReadRequest(*parser, reservation, rejection);
+  idle = false;
+  if (rejection) {
+    co_await Reject(*rejection, shared_from_this());
+    co_return false;
+  }
+  if (error) co_return false;
+  const bool keep_alive = parser->get().keep_alive();
+  HttpExchange exchange(*this, ToRequest(*parser, peer_address));
+  exchange.m_chunked = parser->get().version() >= 11;
+  parser.reset();
+  close_afterwards = !keep_alive || shared->stopping;
+  co_await Handle(exchange);
+  co_return !close_afterwards && !client_gone && !shared->stopping;
+}
+
+Task<boost::system::error_code> HttpExchange::Connection::ReadRequest(
+    Parser& parser, internal::BodyReservation& reservation,
+    std::optional<HttpRejection>& rejection) {
+  // Shutting down the receiving side ends this and all later reads, and still allows an answer.
+  const internal::Deadline deadline(strand, shared->limits.request_time, [this]() {
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_receive, ignored);
+  });
+  boost::system::error_code error;
+  while (!error && !parser.is_header_done()) {
+    const internal::IoResult read =
+        co_await http::async_read_some(socket, buffer, parser, kCompletion);
+    error = std::get<0>(read);
+    idle = idle && buffer.size() == 0 && !parser.is_header_done();
+  }
+  if (!error) error = co_await ReadBody(parser, reservation, rejection);
+  if (rejection) co_return error;
+  if (deadline.Expired()) {
+    if (parser.got_some() || buffer.size() > 0) rejection = HttpRejection::kTimeout;
+    co_return asio::error::timed_out;
+  }
+  if (error && IsProtocolError(error)) rejection = RejectionOf(error);
+  co_return error;
+}
+
+Task<boost::system::error_code> HttpExchange::Connection::ReadBody(
+    Parser& parser, internal::BodyReservation& reservation,
+    std::optional<HttpRejection>& rejection) {
+  boost::system::error_code error;
+  if (parser.get().target().size() > shared->limits.url_bytes) {
+    rejection = HttpRejection::kUrlTooLong;
+    co_return error;
+  }
+  if (parser.content_length() && *parser.content_length() > shared->limits.body_bytes) {
+    rejection = HttpRejection::kBodyTooLarge;
+    co_return error;
+  }
+  if (!parser.is_done() &&
+      boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    const std::string text(kContinue);
+    if (co_await Write(text)) co_return asio::error::connection_reset;
+  }
+  while (!error && !parser.is_done()) {
+    const internal::IoResult read =
+        co_await http::async_read_some(socket, buffer, parser, kCompletion);
+    error = std::get<0>(read);
+    if (!reservation.GrowTo(parser.get().body().capacity())) {
+      rejection = HttpRejection::kMemory;
+      co_return error;
+    }
+  }
+  co_return error;
+}
+
+Task<void> HttpExchange::Connection::Handle(HttpExchange& exchange) {
+  WatchClient();
+  bool failed = false;
+  try {
+    co_await shared->handler(exchange);
+  } catch (const std::exception& exception) {
+    failed = true;
+    Log(LogLevel::kError, "handler_failed", "reason=\"" + std::string(exception.what()) + "\"");
+  }
+  on_client_gone = nullptr;
+  StopWatching();
+  if (exchange.m_started && !exchange.m_streaming) co_return;
+  close_afterwards = true;
+  if (exchange.m_started) co_return;
+  if (failed || !client_gone) co_await Reject(HttpRejection::kHandlerFailed, shared_from_this());
+}
+
+Task<void> HttpExchange::Connection::Reject(HttpRejection rejection,
+                                            [[maybe_unused]] std::shared_ptr<Connection> self) {
+  close_afterwards = true;
+  HttpReply reply = shared->rejection_reply(rejection);
+  reply.headers.push_back({"Content-Length", std::to_string(reply.body.size())});
+  reply.headers.push_back({"Connection", "close"});
+  const std::string text =
+      internal::FormatReplyHead(reply.status, reply.headers) + "\r\n" + reply.body;
+  if (co_await Write(text)) co_return;
+  boost::system::error_code error;
+  socket.shutdown(tcp::socket::shutdown_send, error);
+  const internal::Deadline deadline(strand, kLingerTime, [this]() { CloseSocket(); });
+  std::string ignored(4096, '\0');
+  std::size_t total = 0;
+  while (!error && total < kLingerBytes) {
+    const internal::IoResult read =
+        co_await socket.async_read_some(asio::buffer(ignored), kCompletion);
+    error = std::get<0>(read);
+    total += std::get<1>(read);
+  }
+  CloseSocket();
+}
+
+Task<std::error_code> HttpExchange::Connection::Write(const std::string& data) {
+  if (client_gone) co_return make_error_code(std::errc::connection_reset);
+  const internal::Deadline deadline(strand, shared->limits.write_time, [this]() { CloseSocket(); });
+  const internal::IoResult written =
+      co_await asio::async_write(socket, asio::buffer(data), kCompletion);
+  const boost::system::error_code error = std::get<0>(written);
+  if (error) MarkClientGone();
+  co_return error;
+}
+
+void HttpExchange::Connection::CloseIfIdle() {
+  if (idle && buffer.size() == 0) CloseSocket();
+}
+
+void HttpExchange::Connection::Abort() {
+  CloseSocket();
+  MarkClientGone();
+}
+
+void HttpExchange::Connection::WatchClient() {
+  if (client_gone || !socket.is_open()) return;
+  const std::uint64_t watch = ++m_watch;
+  socket.async_wait(tcp::socket::wait_read,
+                    [self = shared_from_this(), watch](const boost::system::error_code& error) {
+                      if (!error) self->CheckClient(watch);
+                    });
+}
+
+void HttpExchange::Connection::CheckClient(std::uint64_t watch) {
+  if (watch != m_watch || !socket.is_open()) return;
+  char byte = 0;
+  const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // With a pipelined request waiting, the end of the stream can't be seen; a failed write shows it.
+  if (got > 0) return;
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    WatchClient();
+    return;
+  }
+  MarkClientGone();
+}
+
+void HttpExchange::Connection::StopWatching() {
+  ++m_watch;
+  boost::system::error_code ignored;
+  if (socket.is_open()) socket.cancel(ignored);
+}
+
+void HttpExchange::Connection::MarkClientGone() {
+  if (std::exchange(client_gone, true)) return;
+  const std::function<void()> notify = std::exchange(on_client_gone, nullptr);
+  if (notify) notify();
+}
+
+void HttpExchange::Connection::CloseSocket() {
+  boost::system::error_code ignored;
+  socket.close(ignored);
+}
+
+HttpExchange::HttpExchange(Connection& connection, HttpRequest request)
+    : m_connection(connection), m_request(std::move(request)) {}
+
+Task<std::error_code> HttpExchange::Respond(HttpReply reply) {
+  if (m_started) co_return std::make_error_code(std::errc::operation_not_permitted);
+  m_started = true;
+  const bool has_body = reply.status != 204 && reply.status != 304;
+  if (has_body) reply.headers.push_back({"Content-Length", std::to_string(reply.body.size())});
+  if (m_connection.close_afterwards) reply.headers.push_back({"Connection", "close"});
+  std::string text = internal::FormatReplyHead(reply.status, reply.headers) + "\r\n";
+  if (has_body && m_request.method != "HEAD") text += reply.body;
+  co_return co_await m_connection.Write(text);
+}
+
+Task<std::error_code> HttpExchange::StartStream(int status, HttpHeaders headers) {
+  if (m_started) co_return std::make_error_code(std::errc::operation_not_permitted);
+  m_started = true;
+  m_streaming = true;
+  if (m_chunked) headers.push_back({"Transfer-Encoding", "chunked"});
+  if (!m_chunked) m_connection.close_afterwards = true;
+  if (m_connection.close_afterwards) headers.push_back({"Connection", "close"});
+  const std::string text = internal::FormatReplyHead(status, headers) + "\r\n";
+  co_return co_await m_connection.Write(text);
+}
+
+Task<std::error_code> HttpExchange::WriteChunk(std::string data) {
+  if (!m_streaming || data.empty()) {
+    co_return std::make_error_code(std::errc::operation_not_permitted);
+  }
+  if (!m_chunked) co_return co_await m_connection.Write(data);
+  char size[20];
+  const std::to_chars_result end = std::to_chars(size, size + sizeof size, data.size(), 16);
+  std::string text(size, end.ptr);
+  text.append("\r\n").append(data).append("\r\n");
+  co_return co_await m_connection.Write(text);
+}
+
+Task<std::error_code> HttpExchange::FinishStream() {
+  if (!m_streaming) co_return std::make_error_code(std::errc::operation_not_permitted);
+  m_streaming = false;
+  if (!m_chunked) co_return std::error_code();
+  const std::string text = "0\r\n\r\n";
+  co_return co_await m_connection.Write(text);
+}
+
+void HttpExchange::CloseAfterwards() { m_connection.close_afterwards = true; }
+
+bool HttpExchange::ClientGone() const { return m_connection.client_gone; }
+
+void HttpExchange::OnClientGone(std::function<void()> function) {
+  if (m_connection.client_gone) {
+    Post(m_connection.strand, std::move(function));
+    return;
+  }
+  m_connection.on_client_gone = std::move(function);
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/transport/http_message.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmarpoint {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// Returns the value of the first header of that name; names are compared without case.
+/// Thread-safe.
+std::optional<std::string_view> FindHeader(const HttpHeaders& headers, std::string_view name);
+
+/// A request as received. `target` is the path with the query.
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  std::string peer_address;
+};
+
+struct HttpReply {
+  int status = 200;
+  HttpHeaders headers;
+  std::string body;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/transport/internal/http_connection.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "transport/http_server.h"
+#include "transport/internal/completion.h"
+
+namespace fulmarpoint {
+
+namespace internal {
+
+/// What the connections of one server share. `limits`, `handler` and `rejection_reply` do not
+/// change once the server listens.
+struct HttpServerShared {
+  HttpServerLimits limits;
+  HttpHandler handler;
+  HttpRejectionReply rejection_reply;
+  std::atomic<bool> stopping{false};
+  std::atomic<std::size_t> body_bytes{0};
+};
+
+/// Share of the server's memory for request bodies that one request holds.
+class BodyReservation {
+ public:
+  explicit BodyReservation(HttpServerShared& shared) : m_shared(shared) {}
+  ~BodyReservation() { m_shared.body_bytes -= m_bytes; }
+  BodyReservation(const BodyReservation&) = delete;
+  BodyReservation& operator=(const BodyReservation&) = delete;
+
+  /// Grows the share to `bytes`; returns false if the server's limit does not allow it.
+  bool GrowTo(std::size_t bytes);
+
+ private:
+  HttpServerShared& m_shared;
+  std::size_t m_bytes = 0;
+};
+
+}  // namespace internal
+
+/// One accepted connection. All members are used on its strand.
+struct HttpExchange::Connection : std::enable_shared_from_this<HttpExchange::Connection> {
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  Connection(boost::asio::ip::tcp::socket connected, Executor own_strand,
+             std::shared_ptr<internal::HttpServerShared> server);
+
+  /// Sets socket options and reads the peer's address; returns false if the peer has gone.
+  bool Prepare();
+  /// Serves requests until the connection closes.
+  Task<void> Run();
+  /// Answers with a rejection and closes. `self` keeps the connection alive.
+  Task<void> Reject(HttpRejection rejection, std::shared_ptr<Connection> self);
+  Task<std::error_code> Write(const std::string& data);
+  void CloseIfIdle();
+  void Abort();
+  const std::string& PeerIp() const { return peer_ip; }
+
+  boost::asio::ip::tcp::socket socket;
+  Executor strand;
+  std::shared_ptr<internal::HttpServerShared> shared;
+  boost::beast::flat_buffer buffer;
+  std::string peer_ip;
+  std::string peer_address;
+  std::function<void()> on_client_gone;
+  bool client_gone = false;
+  bool close_afterwards = false;
+  bool idle = true;
+
+ private:
+  Task<bool> WaitForRequest();
+  Task<bool> ServeOne(bool first);
+  Task<boost::system::error_code> ReadRequest(Parser& parser,
+                                              internal::BodyReservation& reservation,
+                                              std::optional<HttpRejection>& rejection);
+  Task<boost::system::error_code> ReadBody(Parser& parser, internal::BodyReservation& reservation,
+                                           std::optional<HttpRejection>& rejection);
+  Task<void> Handle(HttpExchange& exchange);
+  void WatchClient();
+  void CheckClient(std::uint64_t watch);
+  void StopWatching();
+  void MarkClientGone();
+  void CloseSocket();
+
+  std::uint64_t m_watch = 0;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/transport/worker_pool.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <memory>
+
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+/// Threads that run asynchronous work. Thread-safe.
+class WorkerPool {
+ public:
+  /// Starts `threads` threads; at least one.
+  explicit WorkerPool(int threads);
+  /// Stops and joins the threads. Must not be called by one of them.
+  ~WorkerPool();
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
+
+  Executor GetExecutor() const;
+  /// Drops work that has not started and joins the threads. Must not be called by one of them.
+  void Stop();
+
+ private:
+  struct State;
+  std::unique_ptr<State> m_state;
+};
+
+}  // namespace fulmarpoint
