--- a/src/libs/protocol/field_reader.h
+++ b/src/libs/protocol/field_reader.h
@@ -62,6 +62,8 @@
   void Adopt(const std::optional<ParseError>& error);
   std::string PathOf(const std::string& key) const;
   const std::map<std::string, int>* Lines() const { return m_lines; }
+  /// Returns the first error without checking for unknown keys.
+  const std::optional<ParseError>& FirstError() const { return m_error; }
   /// Returns the first error, after checking for unknown keys.
   const std::optional<ParseError>& Finish();
 
--- /dev/null
+++ b/src/libs/server/catalogue_view.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/catalogue.h"
+
+namespace fulmarpoint {
+
+/// A catalogue entry with an index of its API keys.
+struct ServiceEntry {
+  std::shared_ptr<const CatalogueEntry> entry;
+  /// Index into `entry->organisations` by key hash.
+  std::unordered_map<std::string, std::size_t> organisation_by_key;
+
+  /// Returns the organisation of a key hash, or null.
+  const OrganisationAccess* FindKey(const std::string& key_hash) const;
+};
+
+using ServiceEntryPtr = std::shared_ptr<const ServiceEntry>;
+
+/// The catalogue in effect at one instant. It does not change.
+struct CatalogueSnapshot {
+  std::uint64_t revision = 0;
+  std::map<ServiceName, ServiceEntryPtr, std::less<>> services;
+
+  /// Returns the entry of a service, or null.
+  ServiceEntryPtr Find(std::string_view service) const;
+  /// Returns whether a key hash belongs to any service.
+  bool KnowsKey(const std::string& key_hash) const;
+};
+
+/// Holds the catalogue in effect. Written by the catalogue driver, read by requests. Thread-safe.
+class CatalogueView {
+ public:
+  /// Decides whether new work of an entry may be accepted.
+  using Freshness = std::function<bool(const CatalogueEntry&)>;
+
+  CatalogueView();
+
+  std::shared_ptr<const CatalogueSnapshot> Current() const;
+  /// Puts a higher revision into effect; a lower one is ignored.
+  void Apply(std::uint64_t revision,
+             const std::vector<std::shared_ptr<const CatalogueEntry>>& changed,
+             const std::vector<ServiceName>& removed);
+
+  /// Sets the decision of the catalogue driver; without one no work is accepted.
+  void SetFreshness(Freshness freshness);
+  bool MayServe(const CatalogueEntry& entry) const;
+
+ private:
+  mutable std::mutex m_mutex;
+  std::shared_ptr<const CatalogueSnapshot> m_current;
+  std::shared_ptr<const Freshness> m_freshness;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/server/endpoint_registry.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/endpoint_health.h"
+#include "coordination/router.h"
+#include "protocol/catalogue.h"
+#include "protocol/load_report.h"
+#include "server/instance_list_client.h"
+#include "server/settings.h"
+#include "transport/http_client.h"
+
+namespace fulmarpoint {
+
+class Metrics;
+
+/// What is known of one endpoint.
+struct EndpointRecord {
+  EndpointId id;
+  std::string address;
+  InstanceKind kind = InstanceKind::kEngine;
+  std::string failure_domain;
+  std::string region;
+  LoadReport load;
+  EndpointHealthView health;
+};
+
+/// A possible endpoint for a request, with its address.
+struct EndpointCandidate {
+  RouteCandidate route;
+  std::string address;
+  Duration token_interval{};
+};
+
+/// Knows the endpoints from the platform's list, their own load reports and the outcomes of
+/// requests. Thread-safe.
+class EndpointRegistry {
+ public:
+  using Listener = std::function<void(const EndpointHealthAction&)>;
+
+  EndpointRegistry(HttpClient& http, InstanceListClient& list, PollingSettings settings,
+                   Metrics& metrics);
+  ~EndpointRegistry();
+  EndpointRegistry(const EndpointRegistry&) = delete;
+  EndpointRegistry& operator=(const EndpointRegistry&) = delete;
+
+  /// Receives the actions of the health module, without a lock held. Set before `Start`.
+  void SetListener(Listener listener);
+  /// Starts to poll on `executor`.
+  void Start(const Executor& executor);
+  /// Ends polling after the polls that run.
+  void Stop();
+  /// Returns whether the platform's list was read at least once.
+  bool Ready() const;
+
+  /// Adds an outcome or a notice of a peer.
+  void Handle(const EndpointHealthEvent& event);
+  /// Counts a request that was sent and that the next load report may not contain.
+  void CountStarted(const EndpointId& endpoint);
+  /// Counts that such a request never reached the endpoint.
+  void CountNotStarted(const EndpointId& endpoint);
+  bool BeginTrial(const EndpointId& endpoint);
+
+  /// Returns the endpoints that serve an entry, in any version that it lists.
+  std::vector<EndpointCandidate> Candidates(const CatalogueEntry& entry) const;
+  std::optional<EndpointRecord> Find(const EndpointId& endpoint) const;
+  std::vector<EndpointRecord> All() const;
+  /// Returns the daemons of the last list.
+  std::vector<ListedInstance> Daemons() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/server/services.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <atomic>
+
+#include "protocol/event_id.h"
+#include "protocol/identifiers.h"
+#include "server/catalogue_view.h"
+#include "server/settings.h"
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+class Dispatcher;
+class EndpointRegistry;
+class HttpClient;
+class InstanceListClient;
+class Metrics;
+class ObjectClient;
+class RequestLog;
+class RunningRequests;
+class TableClient;
+
+/// What the drivers of the decision modules share. Created once by `Daemon`, outlives all drivers.
+/// Every member is thread-safe.
+///
+/// Drivers plug in as follows:
+/// - `generation_session.h`, `call_session.h`: one coroutine for each request, on the strand of its
+///   connection; they choose endpoints with `dispatcher`.
+/// - Peer service and catalogue driver: objects that `Daemon` owns, started after the clients; the
+///   catalogue driver calls `catalogue.Apply` and `catalogue.SetFreshness`.
+struct Services {
+  const Settings& settings;
+  /// Identity of this process.
+  const InstanceId self;
+  /// Executor of the worker threads; use `MakeStrand` on it.
+  const Executor executor;
+  HttpClient& http;
+  TableClient& tables;
+  ObjectClient& objects;
+  InstanceListClient& instances;
+  EndpointRegistry& endpoints;
+  Dispatcher& dispatcher;
+  CatalogueView& catalogue;
+  Metrics& metrics;
+  RequestLog& request_log;
+  RunningRequests& running;
+  const EventIdCodec& event_ids;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/transport/event_parser.cpp
+++ b/src/libs/transport/event_parser.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 256 * 1024;
+constexpr std::size_t kMaxEventBytes = std::size_t{256} * 1024;
 
 }  // namespace
 
--- a/src/libs/transport/framed_connection.h
+++ b/src/libs/transport/framed_connection.h
@@ -9,7 +9,7 @@
 namespace fulmarpoint {
 
 struct FrameLimits {
-  std::size_t frame_bytes = 4 * 1024 * 1024;
+  std::size_t frame_bytes = std::size_t{4} * 1024 * 1024;
   /// Requests of one connection that wait for their reply.
   std::size_t outstanding = 256;
   Duration connect_timeout = std::chrono::seconds(1);
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -18,7 +18,7 @@
 using Connection = HttpEventStream::Connection;
 using ConnectionPointer = std::shared_ptr<Connection>;
 
-constexpr std::size_t kBufferSlackBytes = 16 * 1024;
+constexpr std::size_t kBufferSlackBytes = std::size_t{16} * 1024;
 
 bool IsEventStream(const HttpReply& reply) {
   const std::optional<std::string_view> type = FindHeader(reply.headers, "Content-Type");
--- a/src/libs/transport/http_client.h
+++ b/src/libs/transport/http_client.h
@@ -16,8 +16,8 @@
   Duration idle_time = std::chrono::seconds(20);
   std::size_t idle_connections_per_address = 16;
   std::size_t idle_connections = 1024;
-  std::size_t max_head_bytes = 16 * 1024;
-  std::size_t max_body_bytes = 8 * 1024 * 1024;
+  std::size_t max_head_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
 };
 
 /// A request to "ip:port".
--- a/src/libs/transport/http_client_connection.cpp
+++ b/src/libs/transport/http_client_connection.cpp
@@ -23,7 +23,7 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 8 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 
 bool IsSafe(const HttpClientRequest& request) {
   if (!internal::IsSafeToken(request.method) || !internal::IsSafeToken(request.target))
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -29,7 +29,7 @@
 // After a rejection the peer may still be sending; data that is not read would make the kernel
 // reset the connection before the peer has read the answer.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
-constexpr std::size_t kLingerBytes = 256 * 1024;
+constexpr std::size_t kLingerBytes = std::size_t{256} * 1024;
 
 HttpRejection RejectionOf(const boost::system::error_code& error) {
   if (error == http::error::header_limit) return HttpRejection::kHeadTooLarge;
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -13,11 +13,11 @@
 namespace fulmarpoint {
 
 struct HttpServerLimits {
-  std::size_t head_bytes = 16 * 1024;
-  std::size_t body_bytes = 1024 * 1024;
+  std::size_t head_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
   /// Sum of the request bodies that are being received or handled.
-  std::size_t total_body_bytes = 256 * 1024 * 1024;
-  std::size_t url_bytes = 8 * 1024;
+  std::size_t total_body_bytes = std::size_t{256} * 1024 * 1024;
+  std::size_t url_bytes = std::size_t{8} * 1024;
   std::size_t connections = 4096;
   /// Connections from one IP address.
   std::size_t connections_per_address = 2048;
--- a/src/libs/transport/udp_socket.cpp
+++ b/src/libs/transport/udp_socket.cpp
@@ -16,12 +16,12 @@
 
 namespace {
 
-constexpr std::size_t kMaxDatagramBytes = 64 * 1024;
+constexpr std::size_t kMaxDatagramBytes = std::size_t{64} * 1024;
 
 }  // namespace
 
 struct UdpSocket::State {
-  explicit State(Executor executor) : strand(MakeStrand(executor)), socket(strand) {}
+  explicit State(const Executor& executor) : strand(MakeStrand(executor)), socket(strand) {}
 
   Executor strand;
   udp::socket socket;
@@ -31,7 +31,7 @@
   bool closed = false;
 };
 
-UdpSocket::UdpSocket(Executor executor) : m_state(std::make_shared<State>(std::move(executor))) {}
+UdpSocket::UdpSocket(const Executor& executor) : m_state(std::make_shared<State>(executor)) {}
 
 UdpSocket::~UdpSocket() { Close(); }
 
--- a/src/libs/transport/udp_socket.h
+++ b/src/libs/transport/udp_socket.h
@@ -19,7 +19,7 @@
 /// Sends and receives UDP datagrams. `Send` is thread-safe; `Receive` has one caller at a time.
 class UdpSocket {
  public:
-  explicit UdpSocket(Executor executor);
+  explicit UdpSocket(const Executor& executor);
   /// Closes the socket.
   ~UdpSocket();
   UdpSocket(const UdpSocket&) = delete;
