--- /dev/null
+++ b/src/tools/fulmarpoint-standin/engine_standin.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "prefix_cache.h"
+#include "standin_server.h"
+#include "transport/notification.h"
+
+namespace fulmarpoint::standin {
+
+struct EngineOptions {
+  std::string model = "draft";
+  std::vector<std::string> versions = {"v1"};
+  int slots = 8;
+  /// Requests held beyond the slots; above this the engine collapses.
+  int queue = 16;
+  Duration prefill_per_token = std::chrono::microseconds(200);
+  Duration token_interval = std::chrono::milliseconds(20);
+  std::size_t cache_tokens = 100'000;
+  /// Age of the load report.
+  Duration load_lag = std::chrono::milliseconds(200);
+  /// Time to load a version.
+  Duration load_time = std::chrono::seconds(2);
+  bool obeys_fencing = true;
+};
+
+/// Simulated model engine, see section 4.1 of docs/design.md. Tokens are those of `TokenAt`;
+/// positions and `max_tokens` count from the start of the generation, so a request with
+/// `prefix_tokens` continues after them. A prefix that is not the beginning of this generation
+/// gives other tokens, as with a real model. A finished stream, or one without a reader, is kept
+/// for 30 s. Control actions beside the common ones: leaving (refuse), version (slow,
+/// fail_every), crash_on,
+/// cache_events (delay_ms, drop), fencing, load_lag. Used by one thread.
+class EngineStandin {
+ public:
+  EngineStandin(const Executor& executor, const std::string& name, bool exit_on_crash,
+                EngineOptions options);
+
+  StandinServer& Server() { return m_server; }
+
+ private:
+  struct Stream;
+  using StreamPointer = std::shared_ptr<Stream>;
+  /// Faults of one version.
+  struct VersionFault {
+    double slow = 1.0;
+    std::uint64_t fail_every = 0;
+    std::uint64_t requests = 0;
+  };
+
+  Task<void> Handle(HttpExchange& exchange);
+  Task<void> StartStream(HttpExchange& exchange);
+  Task<void> ContinueStream(HttpExchange& exchange, const std::string& id, std::uint64_t from);
+  Task<void> WriteTokens(HttpExchange& exchange, StreamPointer stream, std::uint64_t from);
+  Task<void> Generate(StreamPointer stream);
+  Task<void> ProduceTokens(const StreamPointer& stream);
+  Task<void> Order(HttpExchange& exchange);
+  Task<void> ReportLoad();
+  bool Control(const std::string& action, const nlohmann::json& request);
+  nlohmann::json State() const;
+  nlohmann::json LoadReport() const;
+  nlohmann::json LaggedLoadReport() const;
+  void Cancel(const std::string& id);
+  void Crashed();
+  void StartWaiting();
+  void Load(const std::string& version);
+  bool FailsByVersion(const std::string& version);
+  /// Factor by which generation is slowed down, by faults and by overload.
+  double SlowFactor(const std::string& version) const;
+
+  EngineOptions m_options;
+  StandinServer m_server;
+  PrefixCache m_cache;
+  std::uint64_t m_incarnation;
+  std::set<std::string> m_versions;
+  std::map<std::string, VersionFault> m_version_faults;
+  std::map<std::string, StreamPointer> m_streams;
+  std::deque<StreamPointer> m_waiting;
+  int m_active = 0;
+  bool m_leaving = false;
+  bool m_refuses_when_leaving = false;
+  std::string m_role = "serve";
+  std::string m_crash_text;
+  std::uint64_t m_highest_fencing_token = 0;
+  std::deque<std::pair<TimePoint, nlohmann::json>> m_reports;
+  std::map<std::string, std::uint64_t> m_counters;
+};
+
+}  // namespace fulmarpoint::standin
