Add fulmarpoint-load

Change: open-loop callers of generations and calls that follow lookups, resume with Last-Event-ID and repeat calls with their key; faults through /control and signals; a history that the checker judges; a JSON report. Conclusion: builds; not yet run, because no daemon serves yet.

--- /dev/null
+++ b/src/tools/fulmarpoint-load/experiment.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/parse_error.h"
+#include "utils/enum_names.h"
+#include "utils/time.h"
+
+namespace fulmarpoint::load {
+
+/// Where the idempotency key of a call comes from.
+enum class KeySource { kNone, kCaller, kDaemon };
+
+inline constexpr std::array<EnumName<KeySource>, 3> kKeySourceNames = {{
+    {KeySource::kNone, "none"},
+    {KeySource::kCaller, "caller"},
+    {KeySource::kDaemon, "daemon"},
+}};
+
+/// Generations that arrive at a mean rate, regardless of how many run (open loop).
+struct GenerationLoad {
+  std::string service;
+  std::string api_key;
+  std::string model;
+  std::int64_t rate_per_minute = 60;
+  int prompt_words = 32;
+  int min_tokens = 32;
+  int max_tokens = 128;
+  /// Share of callers that wait for `slow_reader_delay` after each token, in percent.
+  int slow_reader_percent = 0;
+  Duration slow_reader_delay = std::chrono::milliseconds(200);
+  /// Callers keep their tokens and send them back when they resume.
+  bool sends_tokens_back = true;
+  /// A caller whose stream is silent for so long connects to another daemon.
+  Duration silence_limit = std::chrono::seconds(5);
+};
+
+/// Calls to an application service that arrive at a mean rate.
+struct CallLoad {
+  std::string service;
+  std::string api_key;
+  std::int64_t rate_per_minute = 60;
+  std::string method = "POST";
+  std::string path = "/orders";
+  KeySource key = KeySource::kCaller;
+  int body_bytes = 200;
+  Duration timeout = std::chrono::seconds(5);
+};
+
+/// A request to `POST /control` of a stand-in, or a signal to a process.
+struct Fault {
+  Duration at = Duration::zero();
+  std::string target;
+  /// JSON text; empty if a signal is sent.
+  std::string control;
+  /// "stop", "cont", "term" or "kill"; empty if `control` is set.
+  std::string signal;
+};
+
+struct Experiment {
+  std::uint64_t seed = 1;
+  Duration duration = std::chrono::seconds(20);
+  /// Time for requests that still run after `duration`.
+  Duration finish_limit = std::chrono::seconds(30);
+  std::vector<GenerationLoad> generations;
+  std::vector<CallLoad> calls;
+  std::vector<Fault> faults;
+  /// Gauge of the daemons that is reported as memory held for slow readers.
+  std::string memory_metric = "fulmarpoint_buffer_bytes";
+};
+
+/// Parses an experiment file. Unknown keys, wrong types and values out of range are errors.
+/// Thread-safe.
+Parsed<Experiment> ParseExperiment(std::string_view text);
+
+}  // namespace fulmarpoint::load
--- /dev/null
+++ b/src/tools/fulmarpoint-load/load_run.cpp
@@ -0,0 +1,186 @@
+#include "load_run.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <sstream>
+#include <utility>
+
+#include "call_caller.h"
+#include "generation_caller.h"
+
+namespace fulmarpoint::load {
+
+namespace {
+
+constexpr Duration kObserveInterval = std::chrono::milliseconds(500);
+constexpr Duration kEndPollInterval = std::chrono::milliseconds(50);
+
+std::vector<std::string> AddressesOf(const std::map<std::string, std::string>& daemons) {
+  std::vector<std::string> addresses;
+  for (const auto& [name, address] : daemons) addresses.push_back(address);
+  return addresses;
+}
+
+std::map<std::string, std::string> NamesByAddress(
+    const std::map<std::string, std::string>& daemons) {
+  std::map<std::string, std::string> names;
+  for (const auto& [name, address] : daemons) names[address] = name;
+  return names;
+}
+
+/// Returns the sum of the samples of `metric` in the text format of Prometheus.
+double SumOf(const std::string& metric, const std::string& text) {
+  double sum = 0;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    const std::size_t end = line.find_first_of(" {");
+    if (end == std::string::npos || line.substr(0, end) != metric) continue;
+    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
+  }
+  return sum;
+}
+
+}  // namespace
+
+LoadRun::LoadRun(const Executor& executor, Experiment experiment, Targets targets)
+    : m_experiment(std::move(experiment)),
+      m_targets(std::move(targets)),
+      m_context(executor, m_experiment.seed, AddressesOf(m_targets.daemons),
+                NamesByAddress(m_targets.daemons)),
+      m_observer(m_context, m_targets.endpoints) {}
+
+Duration LoadRun::NextGap(std::int64_t rate_per_minute) {
+  std::exponential_distribution<double> gap(static_cast<double>(rate_per_minute) / 60.0);
+  return Duration(static_cast<Duration::rep>(gap(m_context.random) * 1e6));
+}
+
+Task<void> LoadRun::ArriveGenerations(std::size_t index) {
+  const GenerationLoad& load = m_experiment.generations[index];
+  while (true) {
+    co_await Sleep(NextGap(load.rate_per_minute));
+    if (SteadyNow() >= m_end) break;
+    const std::string name = "g" + std::to_string(m_context.requests++);
+    const auto caller = std::make_shared<GenerationCaller>(m_context, load, name);
+    ++m_context.active;
+    Spawn(m_context.executor, [this, caller]() -> Task<void> {
+      co_await caller->Run();
+      --m_context.active;
+    });
+  }
+  --m_arriving;
+}
+
+Task<void> LoadRun::ArriveCalls(std::size_t index) {
+  const CallLoad& load = m_experiment.calls[index];
+  while (true) {
+    co_await Sleep(NextGap(load.rate_per_minute));
+    if (SteadyNow() >= m_end) break;
+    const std::string name = "c" + std::to_string(m_context.requests++);
+    const auto caller = std::make_shared<CallCaller>(m_context, load, name);
+    ++m_context.active;
+    Spawn(m_context.executor, [this, caller]() -> Task<void> {
+      co_await caller->Run();
+      --m_context.active;
+    });
+  }
+  --m_arriving;
+}
+
+void LoadRun::SendSignal(const Fault& fault) {
+  const auto found = m_targets.process_ids.find(fault.target);
+  if (found == m_targets.process_ids.end()) {
+    std::fprintf(stderr, "fault: no --pid for %s\n", fault.target.c_str());
+    return;
+  }
+  int number = SIGCONT;
+  if (fault.signal == "stop") {
+    number = SIGSTOP;
+    m_context.Record(DaemonPaused{fault.target});
+  } else if (fault.signal == "term") {
+    number = SIGTERM;
+    m_context.Record(DrainStarted{fault.target});
+  } else if (fault.signal == "kill") {
+    number = SIGKILL;
+    m_context.Record(DaemonStopped{fault.target});
+  } else {
+    m_context.Record(DaemonUnpaused{fault.target});
+  }
+  if (kill(found->second, number) != 0) std::perror(fault.target.c_str());
+}
+
+Task<void> LoadRun::Inject(Fault fault) {
+  if (!fault.signal.empty()) {
+    SendSignal(fault);
+    co_return;
+  }
+  HttpClientRequest request;
+  request.address = m_targets.endpoints[fault.target];
+  if (request.address.empty()) request.address = m_targets.controls[fault.target];
+  if (request.address.empty()) {
+    std::fprintf(stderr, "fault: no address for %s\n", fault.target.c_str());
+    co_return;
+  }
+  request.method = "POST";
+  request.target = "/control";
+  request.body = fault.control;
+  request.new_connection = true;
+  const HttpResult result = co_await m_context.client.Send(std::move(request));
+  if (!result.error && result.reply.status != 200) {
+    std::fprintf(stderr, "fault: %s: %s\n", fault.target.c_str(), result.reply.body.c_str());
+  }
+}
+
+Task<void> LoadRun::InjectFaults() {
+  const TimePoint start = SteadyNow();
+  for (const Fault& fault : m_experiment.faults) {
+    co_await Sleep(std::max(start + fault.at - SteadyNow(), Duration::zero()));
+    co_await Inject(fault);
+  }
+}
+
+Task<void> LoadRun::ReadMemory() {
+  double sum = 0;
+  for (const auto& [name, address] : m_targets.daemons) {
+    HttpClientRequest request;
+    request.address = address;
+    request.target = "/metrics";
+    request.timeout = kObserveInterval;
+    const HttpResult result = co_await m_context.client.Send(std::move(request));
+    if (!result.error) sum += SumOf(m_experiment.memory_metric, result.reply.body);
+  }
+  m_peak_memory = std::max(m_peak_memory, sum);
+}
+
+Task<void> LoadRun::Observe() {
+  while (!m_stopped) {
+    co_await m_observer.Poll();
+    co_await ReadMemory();
+    co_await Sleep(kObserveInterval);
+  }
+}
+
+Task<void> LoadRun::Run() {
+  m_end = SteadyNow() + m_experiment.duration;
+  const Executor& executor = m_context.executor;
+  for (std::size_t i = 0; i < m_experiment.generations.size(); ++i, ++m_arriving) {
+    Spawn(executor, [this, i]() { return ArriveGenerations(i); });
+  }
+  for (std::size_t i = 0; i < m_experiment.calls.size(); ++i, ++m_arriving) {
+    Spawn(executor, [this, i]() { return ArriveCalls(i); });
+  }
+  Spawn(executor, [this]() { return InjectFaults(); });
+  Spawn(executor, [this]() { return Observe(); });
+  const TimePoint limit = m_end + m_experiment.finish_limit;
+  while (SteadyNow() < limit && (m_arriving > 0 || m_context.active > 0)) {
+    co_await Sleep(kEndPollInterval);
+  }
+  m_stopped = true;
+  // The last poll of `Observe` may still run; it must not interleave with the final one.
+  co_await Sleep(kObserveInterval * 2);
+  co_await m_observer.Poll();
+  co_await m_observer.ReadCounters();
+}
+
+}  // namespace fulmarpoint::load
--- /dev/null
+++ b/src/tools/fulmarpoint-load/load_run.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "endpoint_observer.h"
+#include "experiment.h"
+#include "run_context.h"
+
+namespace fulmarpoint::load {
+
+/// Where the processes of an experiment are; all maps are by name.
+struct Targets {
+  std::map<std::string, std::string> daemons;
+  std::map<std::string, std::string> endpoints;
+  /// Other stand-ins that faults may address.
+  std::map<std::string, std::string> controls;
+  std::map<std::string, int> process_ids;
+};
+
+/// Runs one experiment: arrivals, faults and observation. Used by one thread.
+class LoadRun {
+ public:
+  LoadRun(const Executor& executor, Experiment experiment, Targets targets);
+
+  /// Completes when all requests have ended or the finish limit is over.
+  Task<void> Run();
+
+  RunContext& Context() { return m_context; }
+  EndpointObserver& Observer() { return m_observer; }
+  /// Highest sum over the daemons of the experiment's memory metric.
+  double PeakMemory() const { return m_peak_memory; }
+  /// Requests that had no outcome at the end.
+  std::uint64_t Unfinished() const { return m_context.active; }
+  const Experiment& Settings() const { return m_experiment; }
+
+ private:
+  Task<void> ArriveGenerations(std::size_t index);
+  Task<void> ArriveCalls(std::size_t index);
+  Task<void> InjectFaults();
+  Task<void> Inject(Fault fault);
+  void SendSignal(const Fault& fault);
+  Task<void> Observe();
+  Task<void> ReadMemory();
+  Duration NextGap(std::int64_t rate_per_minute);
+
+  Experiment m_experiment;
+  Targets m_targets;
+  RunContext m_context;
+  EndpointObserver m_observer;
+  TimePoint m_end;
+  double m_peak_memory = 0;
+  int m_arriving = 0;
+  bool m_stopped = false;
+};
+
+}  // namespace fulmarpoint::load
--- /dev/null
+++ b/src/tools/fulmarpoint-load/run_context.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lookup.h"
+#include "transport/http_client.h"
+#include "utils/random.h"
+#include "verification/history.h"
+
+namespace fulmarpoint::load {
+
+/// Times that callers measured.
+struct Measurements {
+  std::vector<Duration> first_token;
+  std::vector<Duration> token_gap;
+  std::vector<Duration> call;
+  std::uint64_t tokens = 0;
+  std::uint64_t answers = 0;
+  std::uint64_t repeated_sends = 0;
+  /// Errors that callers received, by name.
+  std::map<std::string, std::uint64_t> errors;
+};
+
+/// What the callers of one run share. Used by one thread.
+struct RunContext {
+  RunContext(const Executor& run_executor, std::uint64_t seed, std::vector<std::string> daemons,
+             std::map<std::string, std::string> names)
+      : executor(run_executor),
+        client(run_executor, HttpClientOptions()),
+        random(seed),
+        lookup(client, std::move(daemons)),
+        daemon_names(std::move(names)) {}
+
+  void Record(HistoryEvent event) { history.push_back({SteadyNow(), std::move(event)}); }
+  /// Returns the name of the daemon at `address`, or the address.
+  std::string DaemonName(const std::string& address) const {
+    const auto found = daemon_names.find(address);
+    return found == daemon_names.end() ? address : found->second;
+  }
+
+  Executor executor;
+  HttpClient client;
+  Random random;
+  Lookup lookup;
+  std::map<std::string, std::string> daemon_names;
+  History history;
+  Measurements measurements;
+  std::uint64_t requests = 0;
+  std::uint64_t active = 0;
+};
+
+/// An error answer.
+struct Problem {
+  ResultCode code = ResultCode::kInternal;
+  Execution execution = Execution::kMayHaveRun;
+  Duration retry_after = Duration::zero();
+};
+
+/// Reads a problem document; anything else is an internal error that may have run. Thread-safe.
+Problem ParseProblem(const std::string& body);
+
+/// Records the answer to one send and counts it.
+void RecordProblem(RunContext& context, const std::string& request, int send,
+                   const Problem& problem, const std::string& address);
+
+}  // namespace fulmarpoint::load
