--- /dev/null
+++ b/tests/auto/tools/tst_standin.cpp
@@ -0,0 +1,214 @@
+#include <criterion/criterion.h>
+
+#include <future>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "application_standin.h"
+#include "engine_standin.h"
+#include "platform_standin.h"
+#include "transport/http_client.h"
+#include "transport/worker_pool.h"
+#include "verification/token_function.h"
+
+using namespace fulmarpoint;
+using namespace fulmarpoint::standin;
+
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(5);
+
+/// A stand-in and a client on one thread.
+template <typename Standin, typename Options>
+struct Bench {
+  explicit Bench(Options options) {
+    Run([this, options]() -> Task<void> {
+      if constexpr (std::is_same_v<Standin, PlatformStandin>) {
+        standin = std::make_unique<Standin>(pool.GetExecutor(), "s", options);
+      } else {
+        standin = std::make_unique<Standin>(pool.GetExecutor(), "s", false, options);
+      }
+      failed = static_cast<bool>(standin->Server().Listen("127.0.0.1:0"));
+      co_return;
+    });
+    cr_assert_not(failed);
+  }
+  ~Bench() { pool.Stop(); }
+
+  void Run(std::function<Task<void>()> body) {
+    std::promise<void> done;
+    Spawn(pool.GetExecutor(), [&]() -> Task<void> {
+      co_await body();
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+
+  HttpResult Send(const std::string& method, const std::string& target, const std::string& body) {
+    HttpResult result;
+    Run([&]() -> Task<void> {
+      HttpClientRequest request;
+      request.address = standin->Server().Address();
+      request.method = method;
+      request.target = target;
+      request.body = body;
+      result = co_await client.Send(std::move(request));
+    });
+    return result;
+  }
+  nlohmann::json Json(const std::string& method, const std::string& target,
+                      const std::string& body) {
+    return nlohmann::json::parse(Send(method, target, body).reply.body, nullptr, false);
+  }
+
+  WorkerPool pool{1};
+  HttpClient client{pool.GetExecutor(), HttpClientOptions()};
+  std::unique_ptr<Standin> standin;
+  bool failed = false;
+};
+
+using EngineBench = Bench<EngineStandin, EngineOptions>;
+using ApplicationBench = Bench<ApplicationStandin, ApplicationOptions>;
+using PlatformBench = Bench<PlatformStandin, PlatformOptions>;
+
+EngineOptions FastEngine() {
+  EngineOptions options;
+  options.token_interval = std::chrono::milliseconds(1);
+  options.load_lag = Duration::zero();
+  return options;
+}
+
+std::string StreamRequest(const std::string& id, const std::vector<std::string>& prefix) {
+  const nlohmann::json request = {{"stream", id},           {"model", "draft"}, {"version", "v1"},
+                                  {"prompt", "r1 hi"},      {"seed", 5},        {"max_tokens", 6},
+                                  {"prefix_tokens", prefix}};
+  return request.dump();
+}
+
+/// Returns the tokens of a complete reply, in the order of their positions from `first`.
+std::vector<std::string> TokensOf(const std::string& body, std::uint64_t first) {
+  std::vector<std::string> tokens;
+  std::size_t begin = 0;
+  while ((begin = body.find("data: ", begin)) != std::string::npos) {
+    begin += 6;
+    const nlohmann::json data =
+        nlohmann::json::parse(body.substr(begin, body.find('\n', begin) - begin));
+    if (data.contains("done")) {
+      cr_assert_eq(data["total"].get<std::uint64_t>(), 6U);
+      return tokens;
+    }
+    cr_assert_eq(data["position"].get<std::uint64_t>(), first + tokens.size());
+    tokens.push_back(data["token"]);
+  }
+  cr_assert_fail("no end of the stream");
+  return tokens;
+}
+
+std::vector<std::string> Expected(std::uint64_t first) {
+  std::vector<std::string> tokens;
+  for (std::uint64_t i = first; i < 6; ++i) tokens.push_back(TokenAt("draft", "v1", "r1 hi", 5, i));
+  return tokens;
+}
+
+}  // namespace
+
+// Guards against a stand-in that hides or invents loss: resumed tokens are exactly the later ones.
+Test(standin, engine_resumes_by_stream_and_by_prefix) {
+  EngineBench bench(FastEngine());
+  const std::string all = bench.Send("POST", "/v1/streams", StreamRequest("a", {})).reply.body;
+  cr_assert(TokensOf(all, 0) == Expected(0));
+  cr_assert(TokensOf(bench.Send("GET", "/v1/streams/a?from=4", "").reply.body, 4) == Expected(4));
+  const std::vector<std::string> prefix = {Expected(0)[0], Expected(0)[1]};
+  const std::string resumed =
+      bench.Send("POST", "/v1/streams", StreamRequest("b", prefix)).reply.body;
+  cr_assert(TokensOf(resumed, 2) == Expected(2));
+  cr_assert_eq(bench.Send("GET", "/v1/streams/none?from=0", "").reply.status, 404);
+  cr_assert_eq(bench.Send("DELETE", "/v1/streams/a", "").reply.status, 204);
+  cr_assert_eq(bench.Send("GET", "/v1/streams/a?from=4", "").reply.status, 404);
+}
+
+// Guards against a resumption with wrong tokens that looks correct.
+Test(standin, wrong_prefix_gives_other_tokens) {
+  EngineBench bench(FastEngine());
+  const std::string body = bench.Send("POST", "/v1/streams", StreamRequest("a", {"x"})).reply.body;
+  cr_assert(TokensOf(body, 1) != Expected(1));
+}
+
+// Guards against a crash that keeps state which a real process loses.
+Test(standin, restarted_engine_has_a_new_incarnation_and_no_streams) {
+  EngineBench bench(FastEngine());
+  bench.Send("POST", "/v1/streams", StreamRequest("a", {}));
+  const auto before = bench.Json("GET", "/v1/load", "")["incarnation"].get<std::uint64_t>();
+  cr_assert_eq(
+      bench.Send("POST", "/control", R"({"action":"crash","restart_after_ms":1})").reply.status,
+      200);
+  nlohmann::json load;
+  while (!load.is_object() || load["incarnation"].get<std::uint64_t>() == before) {
+    bench.Run([]() { return Sleep(kPollInterval); });
+    load = bench.Json("GET", "/v1/load", "");
+  }
+  cr_assert_eq(bench.Send("GET", "/v1/streams/a?from=0", "").reply.status, 404);
+}
+
+// Guards against fencing tests that pass because the engine never checks.
+Test(standin, stale_fencing_token_is_refused_only_if_obeyed) {
+  EngineBench bench(FastEngine());
+  const std::string newer = R"({"order":"o","fencing_token":5,"action":"unload","version":"v9"})";
+  const std::string older = R"({"order":"o","fencing_token":4,"action":"unload","version":"v9"})";
+  cr_assert_eq(bench.Send("POST", "/v1/orders", newer).reply.status, 200);
+  cr_assert_eq(bench.Send("POST", "/v1/orders", older).reply.status, 409);
+  bench.Send("POST", "/control", R"({"action":"fencing","obey":false})");
+  cr_assert_eq(bench.Send("POST", "/v1/orders", older).reply.status, 200);
+}
+
+// Guards against a "lost reply" that had no effect.
+Test(standin, application_loses_a_reply_after_the_effect) {
+  ApplicationOptions options;
+  options.service_time = std::chrono::milliseconds(2);
+  ApplicationBench bench(options);
+  bench.Send("POST", "/control", R"({"action":"lose_replies","count":1})");
+  const HttpResult lost = bench.Send("POST", "/orders", "order-1");
+  cr_assert(lost.error);
+  cr_assert_not(lost.nothing_written);
+  const HttpResult answered = bench.Send("POST", "/orders", "order-2");
+  cr_assert_eq(answered.reply.body, AnswerTo("POST", "/orders", "order-2"));
+  bench.Send("GET", "/orders", "");
+  const nlohmann::json effects = bench.Json("GET", "/control/effects", "")["effects"];
+  cr_assert_eq(effects.size(), 2U);
+  cr_assert_eq(effects[0]["text"].get<std::string>(), "order-1");
+}
+
+// Guards against a table service without compare-and-set, or whose lost answers are lost writes.
+Test(standin, platform_applies_transactions_atomically) {
+  PlatformBench bench(PlatformOptions{});
+  const std::string insert =
+      R"({"operations":[{"table":"t","key":"a","expect":0,"value":1},{"table":"t","key":"b/c","expect":0,"value":2}]})";
+  cr_assert_eq(bench.Send("POST", "/transactions", insert).reply.status, 200);
+  const HttpResult conflict = bench.Send(
+      "POST", "/transactions",
+      R"({"operations":[{"table":"t","key":"new","expect":0,"value":1},{"table":"t","key":"a","expect":0,"value":9}]})");
+  cr_assert_eq(conflict.reply.status, 409);
+  cr_assert_eq(bench.Send("GET", "/tables/t/rows/new", "").reply.status, 404);
+  cr_assert_eq(bench.Json("GET", "/tables/t/rows/b/c", "")["value"].get<int>(), 2);
+  bench.Send("POST", "/control", R"({"action":"store","service":"tables","state":"lose"})");
+  const std::string remove = R"({"operations":[{"table":"t","key":"a","expect":1,"value":null}]})";
+  cr_assert(bench.Send("POST", "/transactions", remove).error);
+  bench.Send("POST", "/control", R"({"action":"store","service":"tables","state":"up"})");
+  cr_assert_eq(bench.Send("GET", "/tables/t/rows/a", "").reply.status, 404);
+  cr_assert_eq(bench.Json("GET", "/tables/t/rows?since=1", "")["rows"].size(), 1U);
+  cr_assert_eq(
+      bench.Send("POST", "/transactions", insert.substr(0, insert.find(",{")) + "]}").reply.status,
+      200);
+}
+
+// Guards against a list that shows changes at once.
+Test(standin, instance_list_lags) {
+  PlatformOptions options;
+  options.list_lag = std::chrono::hours(1);
+  PlatformBench bench(options);
+  bench.Send("POST", "/control", R"({"action":"instances","list":[{"name":"e1","state":"live"}]})");
+  bench.Send("POST", "/control", R"({"action":"instance","name":"e1","state":"leaving"})");
+  cr_assert_eq(bench.Json("GET", "/instances", "")[0]["state"].get<std::string>(), "live");
+  bench.Send("POST", "/control", R"({"action":"list_lag","ms":0})");
+  cr_assert_eq(bench.Json("GET", "/instances", "")[0]["state"].get<std::string>(), "leaving");
+}
