Decode percent-encoded keys in the platform stand-in

Cause: the daemon's table client encodes keys in paths. Change: table, row and object names are decoded. Conclusion: tst_standin covers a key with a slash.

--- a/src/tools/fulmarpoint-standin/platform_standin.cpp
+++ b/src/tools/fulmarpoint-standin/platform_standin.cpp
@@ -33,7 +33,7 @@
   } else if (target.path == "/transactions" && is_write) {
     co_await Answer(exchange, "tables", true, [&]() { return Transaction(request.body); });
   } else if (target.path.starts_with("/objects/")) {
-    const std::string key = target.path.substr(std::string("/objects/").size());
+    const std::string key = PercentDecode(target.path.substr(std::string("/objects/").size()));
     co_await Answer(exchange, "objects", is_write, [&]() {
       if (!is_write) return ReadObject(key);
       m_objects[key] = request.body;
@@ -87,12 +87,12 @@
   // Paths are /tables/T/rows and /tables/T/rows/K; a key may contain slashes.
   const std::string rest = target.path.substr(std::string("/tables/").size());
   const std::size_t slash = rest.find('/');
-  const auto table = m_tables.find(rest.substr(0, slash));
+  const auto table = m_tables.find(PercentDecode(rest.substr(0, slash)));
   const std::string path = slash == std::string::npos ? "" : rest.substr(slash);
   const std::string row_prefix = "/rows/";
   if (path.starts_with(row_prefix)) {
     if (table == m_tables.end()) return JsonReply(404, {{"error", "no such row"}});
-    const auto row = table->second.find(path.substr(row_prefix.size()));
+    const auto row = table->second.find(PercentDecode(path.substr(row_prefix.size())));
     if (row == table->second.end() || row->second.value.is_null()) {
       return JsonReply(404, {{"error", "no such row"}});
     }
--- a/src/tools/fulmarpoint-standin/standin_server.cpp
+++ b/src/tools/fulmarpoint-standin/standin_server.cpp
@@ -33,6 +33,19 @@
   return parsed;
 }
 
+std::string PercentDecode(const std::string& text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      decoded += static_cast<char>(std::strtol(text.substr(i + 1, 2).c_str(), nullptr, 16));
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
 std::uint64_t QueryNumber(const Target& target, const std::string& name) {
   const auto found = target.query.find(name);
   return found == target.query.end() ? 0 : std::strtoull(found->second.c_str(), nullptr, 10);
--- a/src/tools/fulmarpoint-standin/standin_server.h
+++ b/src/tools/fulmarpoint-standin/standin_server.h
@@ -21,6 +21,9 @@
 
 Target ParseTarget(const std::string& target);
 
+/// Replaces `%XX` in a path segment.
+std::string PercentDecode(const std::string& text);
+
 /// Returns the number in query parameter `name`, or 0.
 std::uint64_t QueryNumber(const Target& target, const std::string& name);
 
--- a/tests/auto/tools/tst_standin.cpp
+++ b/tests/auto/tools/tst_standin.cpp
@@ -189,7 +189,7 @@
       R"({"operations":[{"table":"t","key":"new","expect":0,"value":1},{"table":"t","key":"a","expect":0,"value":9}]})");
   cr_assert_eq(conflict.reply.status, 409);
   cr_assert_eq(bench.Send("GET", "/tables/t/rows/new", "").reply.status, 404);
-  cr_assert_eq(bench.Json("GET", "/tables/t/rows/b/c", "")["value"].get<int>(), 2);
+  cr_assert_eq(bench.Json("GET", "/tables/t/rows/b%2Fc", "")["value"].get<int>(), 2);
   bench.Send("POST", "/control", R"({"action":"store","service":"tables","state":"lose"})");
   const std::string remove = R"({"operations":[{"table":"t","key":"a","expect":1,"value":null}]})";
   cr_assert(bench.Send("POST", "/transactions", remove).error);
