--- /dev/null
+++ b/tests/support/virtual_network.cpp
@@ -0,0 +1,131 @@
+#include "support/virtual_network.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+}  // namespace
+
+TimePoint VirtualNetwork::Arrival() {
+  const auto spread = static_cast<std::uint64_t>(m_latency.count()) / 2 + 1;
+  return m_queue.Now() + m_latency + Duration(static_cast<Duration::rep>(m_queue.Draw(spread)));
+}
+
+void VirtualNetwork::Run(const NodeName& node, std::uint64_t process, Callback callback) {
+  Node& state = m_nodes[node];
+  if (!state.running || state.process != process) return;
+  if (state.paused) {
+    state.backlog.emplace_back(process, std::move(callback));
+    return;
+  }
+  callback();
+}
+
+void VirtualNetwork::Post(const NodeName& node, TimePoint at, Callback callback) {
+  const std::uint64_t process = m_nodes[node].process;
+  m_queue.At(
+      at, [this, node, process, callback = std::move(callback)] { Run(node, process, callback); });
+}
+
+void VirtualNetwork::Datagram(const NodeName& from, const NodeName& to, Callback deliver) {
+  if (IsCut(from, to)) return;
+  Post(to, Arrival(), std::move(deliver));
+}
+
+void VirtualNetwork::Connect(const NodeName& client, const NodeName& server, ClientEnd end) {
+  if (IsCut(client, server)) {
+    Post(client, m_queue.Now() + kConnectTimeout, end.failed);
+    return;
+  }
+  if (!m_nodes[server].running) {
+    Post(client, Arrival() + m_latency, end.failed);
+    return;
+  }
+  const ConnectionId id = ++m_last_connection;
+  Connection connection;
+  connection.client = client;
+  connection.server = server;
+  connection.client_process = m_nodes[client].process;
+  connection.server_process = m_nodes[server].process;
+  connection.lost = end.lost;
+  m_connections.emplace(id, std::move(connection));
+  Post(client, Arrival() + m_latency, [end, id] { end.connected(id); });
+}
+
+void VirtualNetwork::Send(ConnectionId id, bool to_server, Callback deliver) {
+  const auto found = m_connections.find(id);
+  if (found == m_connections.end() || found->second.silent) return;
+  Connection& connection = found->second;
+  if (IsCut(connection.client, connection.server)) {
+    connection.held.emplace_back(to_server, std::move(deliver));
+    return;
+  }
+  TimePoint& last = connection.last_delivery[to_server ? 1 : 0];
+  last = std::max(Arrival(), last + Duration(1));
+  m_queue.At(last, [this, id, to_server, deliver = std::move(deliver)] {
+    const auto open = m_connections.find(id);
+    if (open == m_connections.end() || open->second.silent) return;
+    const Connection& end = open->second;
+    Run(to_server ? end.server : end.client, to_server ? end.server_process : end.client_process,
+        deliver);
+  });
+}
+
+void VirtualNetwork::Close(ConnectionId connection) { m_connections.erase(connection); }
+
+void VirtualNetwork::Unpause(const NodeName& node) {
+  Node& state = m_nodes[node];
+  state.paused = false;
+  while (!state.backlog.empty() && !state.paused) {
+    const auto [process, callback] = std::move(state.backlog.front());
+    state.backlog.pop_front();
+    Run(node, process, callback);
+  }
+}
+
+void VirtualNetwork::Crash(const NodeName& node) {
+  Node& state = m_nodes[node];
+  state.running = false;
+  state.paused = false;
+  ++state.process;
+  state.backlog.clear();
+  std::vector<ConnectionId> ended;
+  for (const auto& [id, connection] : m_connections) {
+    if (connection.client == node || connection.server == node) ended.push_back(id);
+  }
+  for (const ConnectionId id : ended) {
+    const Connection connection = std::move(m_connections.at(id));
+    m_connections.erase(id);
+    const bool told = connection.server == node && !connection.silent && connection.lost &&
+                      !IsCut(connection.client, connection.server);
+    if (told) Post(connection.client, Arrival(), connection.lost);
+  }
+}
+
+void VirtualNetwork::Heal(const NodeName& a, const NodeName& b) {
+  m_cuts.erase(std::minmax(a, b));
+  for (auto& [id, connection] : m_connections) {
+    const bool between = std::minmax(connection.client, connection.server) == std::minmax(a, b);
+    if (!between) continue;
+    std::deque<std::pair<bool, Callback>> held;
+    held.swap(connection.held);
+    for (auto& [to_server, deliver] : held) Send(id, to_server, std::move(deliver));
+  }
+}
+
+bool VirtualNetwork::IsCut(const NodeName& a, const NodeName& b) const {
+  return m_cuts.contains(std::minmax(a, b));
+}
+
+void VirtualNetwork::SilenceConnections(const NodeName& server) {
+  for (auto& [id, connection] : m_connections) {
+    if (connection.server == server) connection.silent = true;
+  }
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/support/virtual_network.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "verification/event_queue.h"
+
+namespace fulmarpoint {
+
+/// Nodes, connections and datagrams under virtual time, for tests of decision modules. A node can
+/// be paused (its messages and timers wait), crashed (they are lost) and cut off from another node.
+/// All order and loss is drawn from the seed of the queue. Not thread-safe.
+class VirtualNetwork {
+ public:
+  using NodeName = std::string;
+  using Callback = std::function<void()>;
+  using ConnectionId = std::uint64_t;
+
+  /// Events of the client's end of a connection.
+  struct ClientEnd {
+    std::function<void(ConnectionId)> connected;
+    /// The connection could not be made; no byte was sent.
+    Callback failed;
+    /// The server's process ended.
+    Callback lost;
+  };
+
+  VirtualNetwork(EventQueue& queue, Duration latency) : m_queue(queue), m_latency(latency) {}
+
+  /// Runs `callback` in the context of a node; later if it is paused, never if it crashes before.
+  void Post(const NodeName& node, TimePoint at, Callback callback);
+  /// Sends a datagram; lost if the nodes are cut off.
+  void Datagram(const NodeName& from, const NodeName& to, Callback deliver);
+
+  void Connect(const NodeName& client, const NodeName& server, ClientEnd end);
+  /// Delivers in order per direction. While the nodes are cut off, messages wait, as TCP would
+  /// send them again. Lost if the connection is closed or silent or the receiver has crashed.
+  void Send(ConnectionId connection, bool to_server, Callback deliver);
+  void Close(ConnectionId connection);
+
+  void Pause(const NodeName& node) { m_nodes[node].paused = true; }
+  void Unpause(const NodeName& node);
+  void Crash(const NodeName& node);
+  void Restart(const NodeName& node) { m_nodes[node].running = true; }
+  void Cut(const NodeName& a, const NodeName& b) { m_cuts.insert(std::minmax(a, b)); }
+  void Heal(const NodeName& a, const NodeName& b);
+  bool IsCut(const NodeName& a, const NodeName& b) const;
+  bool IsRunning(const NodeName& node) { return m_nodes[node].running; }
+  bool IsPaused(const NodeName& node) { return m_nodes[node].paused; }
+  /// Lets the open connections of a server go silent for ever, as if a middlebox lost their state.
+  void SilenceConnections(const NodeName& server);
+
+ private:
+  struct Node {
+    bool running = true;
+    bool paused = false;
+    std::uint64_t process = 0;
+    std::deque<std::pair<std::uint64_t, Callback>> backlog;
+  };
+  struct Connection {
+    NodeName client;
+    NodeName server;
+    std::uint64_t client_process = 0;
+    std::uint64_t server_process = 0;
+    bool silent = false;
+    Callback lost;
+    TimePoint last_delivery[2];
+    std::deque<std::pair<bool, Callback>> held;
+  };
+
+  void Run(const NodeName& node, std::uint64_t process, Callback callback);
+  TimePoint Arrival();
+
+  EventQueue& m_queue;
+  Duration m_latency;
+  std::map<NodeName, Node> m_nodes;
+  std::set<std::pair<NodeName, NodeName>> m_cuts;
+  std::map<ConnectionId, Connection> m_connections;
+  ConnectionId m_last_connection = 0;
+};
+
+}  // namespace fulmarpoint
