--- /dev/null
+++ b/src/libs/coordination/catalogue_writer.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/catalogue_replica.h"
+#include "coordination/membership.h"
+#include "protocol/catalogue_diff.h"
+#include "protocol/catalogue_item.h"
+#include "protocol/table_messages.h"
+#include "utils/enum_names.h"
+#include "utils/random.h"
+
+namespace fulmarpoint {
+
+enum class ApplyStatus {
+  /// In effect at so many voters that every daemon has it, or refuses new work, within 12 s.
+  kAccepted,
+  /// Nothing in the catalogue differs from the request.
+  kUnchanged,
+  /// Written, but too few voters confirmed it: daemons without the table service may still run the
+  /// revision before.
+  kCommittedNotAccepted,
+  /// Another change came first. Nothing was written.
+  kConflict,
+  /// This daemon does not reach enough voters. Nothing was written.
+  kNoMajority,
+  /// Another change of this daemon is in progress, or it has not caught up. Nothing was written.
+  kBusy,
+  /// The table service did not answer; the write may or may not have taken effect.
+  kOutcomeUnknown,
+};
+
+inline constexpr std::array<EnumName<ApplyStatus>, 7> kApplyStatusNames = {{
+    {ApplyStatus::kAccepted, "accepted"},
+    {ApplyStatus::kUnchanged, "unchanged"},
+    {ApplyStatus::kCommittedNotAccepted, "committed_not_accepted"},
+    {ApplyStatus::kConflict, "conflict"},
+    {ApplyStatus::kNoMajority, "no_majority"},
+    {ApplyStatus::kBusy, "busy"},
+    {ApplyStatus::kOutcomeUnknown, "outcome_unknown"},
+}};
+
+/// The answer to an operator's change.
+struct ApplyReport {
+  ApplyStatus status = ApplyStatus::kBusy;
+  std::uint64_t revision = 0;
+  /// Daemons that stated that they have the revision, or a later one, in effect.
+  std::vector<InstanceId> in_effect;
+  /// Daemons that stated that they refuse new work and do not have the revision yet.
+  std::vector<InstanceId> fenced;
+  /// Known daemons that did not answer, or answered with an older revision. If the status is
+  /// `kAccepted`, each has the revision or refuses new work `kUnknownLimit` after the answer, but
+  /// for entries with `when_stale = "serve"`.
+  std::vector<InstanceId> unknown;
+  /// `kConflict`: what differs between the catalogue and the request.
+  std::vector<FieldDifference> differences;
+};
+
+/// Writes catalogue changes: one transaction compares the head row and writes the changed items, a
+/// history record and the new head. A lost answer is resolved by reading the history record back.
+/// A change is accepted when the voters that have it leave the others of the current set, and of
+/// the set before, too few to form a majority; voters that are certainly gone count as having it. A
+/// daemon that relies on a majority then always hears of the change from one of them.
+///
+/// The set of voters is itself an item of the catalogue. It is changed only when the revision
+/// before is accepted, so that two consecutive sets always overlap as required; that is what makes
+/// the majority rule safe although daemons know different members. Not thread-safe.
+class CatalogueWriter {
+ public:
+  struct Options {
+    Duration write_deadline = std::chrono::seconds(10);
+    Duration confirm_deadline = std::chrono::seconds(12);
+    Duration retry_interval = std::chrono::milliseconds(500);
+    Duration voter_check_interval = std::chrono::seconds(10);
+    /// Switches of the test driver that break one rule each.
+    bool mutate_accept_without_majority = false;
+    bool mutate_report_all_in_effect = false;
+    bool mutate_trust_lost_answer = false;
+    bool mutate_change_voters_unconfirmed = false;
+  };
+
+  struct Apply {
+    std::uint64_t id = 0;
+    std::vector<CatalogueEntry> entries;
+    std::vector<ServiceName> removed;
+    /// Revision that the operator has seen; the daemon's own if absent.
+    std::optional<std::uint64_t> expected_revision;
+    std::string author;
+    UnixMillis at = 0;
+  };
+  struct TimerFired {};
+  struct WriteResult {
+    std::uint64_t token = 0;
+    TableOutcome outcome = TableOutcome::kUnknown;
+  };
+  /// Result of `ReadHistory`. `row` is absent if the row does not exist.
+  struct HistoryRead {
+    std::uint64_t token = 0;
+    bool ok = false;
+    std::optional<TableRow> row;
+  };
+  struct PeerHead {
+    InstanceId peer;
+    CatalogueHead head;
+  };
+  using Event = std::variant<Apply, TimerFired, WriteResult, HistoryRead, PeerHead>;
+
+  struct WriteTransaction {
+    std::uint64_t token = 0;
+    std::vector<TableOperation> operations;
+  };
+  struct ReadHistory {
+    std::uint64_t token = 0;
+    std::string key;
+  };
+  struct PingMember {
+    InstanceId member;
+  };
+  /// The replica is to read the new revision, or the head.
+  struct Committed {
+    std::uint64_t revision = 0;
+  };
+  struct RefreshReplica {};
+  struct ApplyFinished {
+    std::uint64_t id = 0;
+    ApplyReport report;
+  };
+  using Action = std::variant<WriteTransaction, ReadHistory, PingMember, Committed, RefreshReplica,
+                              ApplyFinished>;
+
+  /// `replica` and `membership` are those of the same daemon and must outlive the writer.
+  CatalogueWriter(const CatalogueReplica& replica, const Membership& membership, Options options,
+                  std::uint64_t seed);
+
+  void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
+
+  /// Interval at which `TimerFired` is expected.
+  static constexpr Duration kTimerInterval = std::chrono::milliseconds(250);
+
+ private:
+  enum class Phase { kIdle, kConfirmBase, kWrite, kReadBack, kCatchUp, kConfirm };
+  using Actions = std::vector<Action>;
+
+  /// The change in progress: an operator's, or one of the voters if `request` is absent.
+  struct Change {
+    std::optional<Apply> request;
+    std::vector<InstanceId> new_voters;
+    std::uint64_t base = 0;
+    std::uint64_t write = 0;
+    std::uint64_t token = 0;
+    std::uint64_t revision = 0;
+    /// An earlier attempt got no answer and may have taken effect.
+    bool uncertain = false;
+    std::vector<TableOperation> operations;
+    TimePoint deadline{};
+    TimePoint retry_at{};
+  };
+
+  void On(const Apply& event, TimePoint now, Actions& actions);
+  void On(const TimerFired& event, TimePoint now, Actions& actions);
+  void On(const WriteResult& event, TimePoint now, Actions& actions);
+  void On(const HistoryRead& event, TimePoint now, Actions& actions);
+  void On(const PeerHead& event, TimePoint now, Actions& actions);
+
+  void ConsiderVoters(TimePoint now, Actions& actions);
+  std::vector<InstanceId> WantedVoters() const;
+  bool IsElectedToChangeVoters() const;
+
+  /// Prepares the transaction on top of the replica's revision and sends it, or finishes.
+  void StartWrite(TimePoint now, Actions& actions);
+  std::map<std::string, std::string> ChangedItems() const;
+  void AddItem(std::vector<TableOperation>& operations, const std::string& key,
+               const std::string& value) const;
+  void SendWrite(TimePoint now, Actions& actions);
+  void ReadBack(TimePoint now, Actions& actions);
+  void OnCommitted(TimePoint now, Actions& actions);
+  void OnConflict(TimePoint now, Actions& actions);
+  void ContinueCatchUp(TimePoint now, Actions& actions);
+  void ContinueConfirm(TimePoint now, Actions& actions);
+  void PingUnconfirmed(std::uint64_t revision, TimePoint now, Actions& actions);
+  bool EntriesChangedSince(std::uint64_t revision) const;
+  std::vector<FieldDifference> Differences() const;
+
+  bool HasRevision(const InstanceId& id, std::uint64_t revision) const;
+  bool IsAccepted(std::uint64_t revision) const;
+  bool ReachesEnoughVoters() const;
+  ApplyReport Report(ApplyStatus status) const;
+  void Finish(ApplyStatus status, Actions& actions);
+
+  const CatalogueReplica& m_replica;
+  const Membership& m_membership;
+  Options m_options;
+  Random m_random;
+  Phase m_phase = Phase::kIdle;
+  Change m_change;
+  /// Latest head that each daemon stated; kept only while a change is in progress.
+  std::map<InstanceId, CatalogueHead> m_heads;
+  std::size_t m_next_ping = 0;
+  TimePoint m_next_voter_check{};
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -92,6 +92,13 @@
   m_notices.Add(event.notice);
 }
 
+void Membership::On(const PingMember& event, TimePoint now, Actions& actions) {
+  if (m_superseded || m_self.state == MemberState::kLeft) return;
+  const auto member = m_members.find(event.member.name);
+  if (member == m_members.end() || member->second.info.id != event.member) return;
+  Ping(event.member, member->second.info.address, 0, now, actions);
+}
+
 void Membership::On(const Leave& event, TimePoint now, Actions& actions) {
   m_self.leaving = true;
   ++m_self.epoch;
@@ -105,7 +112,12 @@
 
 void Membership::On(const InstanceListRead& event, TimePoint now, Actions& actions) {
   std::map<std::string, const ListedDaemon*> listed;
-  for (const ListedDaemon& daemon : event.daemons) listed[daemon.name] = &daemon;
+  m_lists.emplace_front();
+  for (const ListedDaemon& daemon : event.daemons) {
+    listed[daemon.name] = &daemon;
+    m_lists.front().insert(daemon.name);
+  }
+  if (m_lists.size() > kListsForUnknown) m_lists.pop_back();
   for (auto& [name, member] : m_members) {
     const auto row = listed.find(name);
     MergeListed(member, row == listed.end() ? nullptr : row->second);
@@ -471,6 +483,8 @@
   return reachable;
 }
 
+bool Membership::RunsOnTime(TimePoint now) const { return now - m_last_tick <= kOwnPause; }
+
 bool Membership::Reaches(const InstanceId& id) const {
   if (id == m_self.id) return !m_superseded;
   const auto member = m_members.find(id.name);
@@ -481,7 +495,11 @@
   if (id == m_self.id) return false;
   if (id.name == m_self.id.name) return id.incarnation < m_self.id.incarnation;
   const auto found = m_members.find(id.name);
-  if (found == m_members.end()) return false;
+  if (found == m_members.end()) {
+    const auto names_it = [&id](const auto& list) { return list.contains(id.name); };
+    return m_lists.size() == kListsForUnknown &&
+           std::none_of(m_lists.begin(), m_lists.end(), names_it);
+  }
   const Member& member = found->second;
   if (member.info.id.incarnation != id.incarnation)
     return member.info.id.incarnation > id.incarnation;
--- a/src/libs/coordination/membership.h
+++ b/src/libs/coordination/membership.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -73,12 +74,16 @@
     std::optional<TimePoint> proof;
     bool fenced = true;
   };
+  /// Asks one member, whose answer is reported as `PeerHead`.
+  struct PingMember {
+    InstanceId member;
+  };
   /// Announces that this daemon is about to leave (`gone` false) or has left.
   struct Leave {
     bool gone = false;
   };
   using Event = std::variant<Start, DatagramReceived, TimerFired, InstanceListRead, PublishNotice,
-                             HeadChanged, Leave>;
+                             HeadChanged, PingMember, Leave>;
 
   struct SendDatagram {
     std::string address;
@@ -108,6 +113,10 @@
   using Action =
       std::variant<SendDatagram, SetTimer, MemberChanged, NoticeReceived, PeerHead, Superseded>;
 
+  /// Instance lists in a row that must omit a process that this daemon has never heard of before it
+  /// counts as gone. Lists lag, and the process may be newer than the list.
+  static constexpr std::size_t kListsForUnknown = 6;
+
   /// `self` describes this process; `seed` starts the random choices.
   Membership(MemberUpdate self, Options options, std::uint64_t seed);
 
@@ -119,11 +128,16 @@
   /// Returns whether `id` is this process or a member that is alive or only suspected.
   bool Reaches(const InstanceId& id) const;
   /// Returns whether it is certain that the process `id` no longer runs: it announced that it left,
-  /// a process with a higher incarnation replaced it, or it failed and the instance list confirms.
+  /// a process with a higher incarnation replaced it, or it failed and the instance list confirms,
+  /// or it is unknown here and no recent instance list names it.
   bool IsGone(const InstanceId& id) const;
   /// Members including this process that are not certainly gone, and those of them that are alive.
   std::size_t KnownCount() const;
   std::size_t ReachableCount() const;
+  /// Returns whether the instance list has been read.
+  bool HasInstanceList() const { return !m_lists.empty(); }
+  /// Returns whether this process has not been paused since its last timer.
+  bool RunsOnTime(TimePoint now) const;
   bool IsSuperseded() const { return m_superseded; }
   /// Returns whether all members and notices have been read from others since the start or since
   /// this process was paused.
@@ -166,6 +180,7 @@
   void On(const InstanceListRead& event, TimePoint now, Actions& actions);
   void On(const PublishNotice& event, TimePoint now, Actions& actions);
   void On(const HeadChanged& event, TimePoint now, Actions& actions);
+  void On(const PingMember& event, TimePoint now, Actions& actions);
   void On(const Leave& event, TimePoint now, Actions& actions);
 
   void OnAck(const DatagramReceived& event, TimePoint now, Actions& actions);
@@ -208,6 +223,8 @@
   std::deque<std::pair<std::string, int>> m_queue;
   std::map<std::string, bool> m_queued;
   std::vector<std::string> m_suspects;
+  /// Names on the last `kListsForUnknown` instance lists.
+  std::deque<std::set<std::string>> m_lists;
   NoticeBoard m_notices;
   TimePoint m_last_tick{};
   TimePoint m_next_probe{};
--- a/src/libs/protocol/peer_messages.h
+++ b/src/libs/protocol/peer_messages.h
@@ -28,11 +28,11 @@
   }
 }
 
-/// Serializes a text of at most 65,535 bytes with a two-byte length, in pieces of at most 512 bytes
-/// for the same reason.
-template <typename Archive>
+/// Serializes a text with a length of type `Size`, in pieces of at most 512 bytes for the same
+/// reason.
+template <typename Size = std::uint16_t, typename Archive>
 void SerializeText(Archive& archive, std::string& text) {
-  std::uint16_t size = static_cast<std::uint16_t>(text.size());
+  Size size = static_cast<Size>(text.size());
   archive(size);
   if constexpr (Archive::is_loading::value) text.clear();
   for (std::size_t done = 0; done < size;) {
