--- /dev/null
+++ b/src/libs/simulation/fleet.cpp
@@ -0,0 +1,262 @@
+#include "simulation/fleet.h"
+
+#include <algorithm>
+
+#include "utils/overloaded.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr std::size_t kUdpOverheadBytes = 28;
+/// Headers of a request and its answer over an open connection.
+constexpr std::size_t kRequestOverheadBytes = 300;
+
+std::size_t SizeOf(const CatalogueDelta& delta) {
+  std::size_t size = 16;
+  for (const CatalogueItem& item : delta.items) size += item.key.size() + item.value.size() + 24;
+  return size;
+}
+
+}  // namespace
+
+Fleet::Fleet(Options options, std::uint64_t seed) : m_options(options), m_random(seed) {
+  is_cut = [](int, int) { return false; };
+  read_fault = write_fault = [](int) { return StoreFault::kNone; };
+  m_lists.push_back({m_now, {}});
+}
+
+int Fleet::Add(const std::string& failure_domain, const std::string& region) {
+  const int index = Size();
+  Daemon daemon;
+  daemon.self.id.name = "d" + std::to_string(index);
+  daemon.self.address = "10." + std::to_string(index / 65536) + "." +
+                        std::to_string(index / 256 % 256) + "." + std::to_string(index % 256) +
+                        ":7100";
+  daemon.self.http_port = 7000;
+  daemon.self.failure_domain = failure_domain;
+  daemon.self.region = region;
+  m_by_address[daemon.self.address] = index;
+  m_daemons.push_back(std::move(daemon));
+  m_listed.push_back(true);
+  ChangeList();
+  StartProcess(index);
+  return index;
+}
+
+void Fleet::AddMany(int count) {
+  static constexpr std::array<const char*, 4> kDomains = {"buda-a", "pest-b", "mobile-bay",
+                                                          "jackson-ms"};
+  for (int i = 0; i < count; ++i) {
+    const int domain = i % 4;
+    Add(kDomains[static_cast<std::size_t>(domain)], domain < 2 ? "hu-central" : "gulf-south");
+  }
+}
+
+void Fleet::StartProcess(int index) {
+  Daemon& daemon = At(index);
+  ++daemon.process;
+  daemon.self.id.incarnation = static_cast<std::uint64_t>(daemon.process);
+  daemon.running = true;
+  daemon.paused = false;
+  daemon.held.clear();
+  daemon.control = std::make_unique<ControlPlane>(daemon.self, m_options.control, m_random());
+  Handle(index, ControlPlane::Start{});
+}
+
+void Fleet::Crash(int index) { At(index).running = false; }
+
+void Fleet::Pause(int index) { At(index).paused = true; }
+
+void Fleet::Resume(int index) {
+  Daemon& daemon = At(index);
+  daemon.paused = false;
+  if (daemon.running && after_event) after_event(index);
+  const std::deque<std::function<void()>> held = std::move(daemon.held);
+  daemon.held.clear();
+  for (const std::function<void()>& run : held) run();
+}
+
+void Fleet::Replace(int index) { StartProcess(index); }
+
+void Fleet::Remove(int index) {
+  Crash(index);
+  m_listed[static_cast<std::size_t>(index)] = false;
+  ChangeList();
+}
+
+void Fleet::ChangeList() {
+  ListVersion list{m_now, {}};
+  for (int i = 0; i < Size(); ++i) {
+    if (!m_listed[static_cast<std::size_t>(i)]) continue;
+    list.daemons.push_back({At(i).self.id.name, At(i).self.address, false});
+  }
+  m_lists.push_back(std::move(list));
+  while (m_lists.size() > 1 && m_lists[1].at + m_options.list_lag < m_now) m_lists.pop_front();
+}
+
+std::uint64_t Fleet::Apply(int index, CatalogueWriter::Apply change) {
+  change.id = m_next_change++;
+  const std::uint64_t id = change.id;
+  Give(index, std::move(change));
+  return id;
+}
+
+void Fleet::Give(int index, const ControlPlane::Event& event) {
+  GiveLater(index, Duration(0), event);
+}
+
+void Fleet::GiveLater(int index, Duration delay, ControlPlane::Event event) {
+  Schedule(delay, [this, index, process = At(index).process, event = std::move(event)] {
+    if (At(index).process != process || !At(index).running) return;
+    if (At(index).paused) {
+      At(index).held.push_back([this, index, event] { Handle(index, event); });
+      return;
+    }
+    Handle(index, event);
+  });
+}
+
+void Fleet::Schedule(Duration delay, std::function<void()> run) {
+  m_queue.push({m_now + delay, m_order++, std::move(run)});
+}
+
+void Fleet::RunFor(Duration duration) {
+  const TimePoint end = m_now + duration;
+  while (!m_queue.empty() && m_queue.top().at <= end) {
+    const std::function<void()> run = std::move(const_cast<Scheduled&>(m_queue.top()).run);
+    m_now = m_queue.top().at;
+    m_queue.pop();
+    run();
+  }
+  m_now = end;
+}
+
+void Fleet::Handle(int index, const ControlPlane::Event& event) {
+  ++m_events_handled;
+  std::vector<ControlPlane::Action> actions;
+  Of(index).Handle(event, m_now, actions);
+  for (ControlPlane::Action& action : actions) {
+    if (on_action) on_action(index, action);
+    Perform(index, action);
+  }
+  if (after_event) after_event(index);
+}
+
+void Fleet::Perform(int index, ControlPlane::Action& action) {
+  std::visit(
+      Overloaded{
+          [&](const ControlPlane::SetTimer& timer) {
+            GiveLater(index, std::max(Duration(0), timer.at - m_now),
+                      ControlPlane::TimerFired{timer.timer});
+          },
+          [&](const Membership::SendDatagram& send) { Send(index, send); },
+          [&](const ControlPlane::ReadRow& read) { Read(index, read); },
+          [&](const ControlPlane::ReadRows& read) { Read(index, read); },
+          [&](const ControlPlane::WriteRows& write) { Write(index, write); },
+          [&](const ControlPlane::FetchDelta& fetch) { Fetch(index, fetch); },
+          [&](const ControlPlane::ReadInstanceList&) { ReadList(index); },
+          [&](const CatalogueWriter::ApplyFinished& done) { reports[done.id] = done.report; },
+          [&](const Membership::Superseded&) { Crash(index); },
+          [](const auto&) {},
+      },
+      action);
+}
+
+Duration Fleet::Delay() {
+  const Duration::rep base = m_options.datagram_delay.count();
+  return Duration(base + static_cast<Duration::rep>(m_random() % base));
+}
+
+void Fleet::Send(int index, const Membership::SendDatagram& send) {
+  const Parsed<std::string> bytes = m_codec.Encode(send.datagram);
+  if (!bytes) throw std::logic_error("a datagram exceeds the limit");
+  const std::size_t size = bytes.Value().size() + kUdpOverheadBytes;
+  At(index).bytes_sent += size;
+  ++At(index).datagrams_sent;
+  const auto to = m_by_address.find(send.address);
+  if (to == m_by_address.end() || is_cut(index, to->second)) return;
+  if (static_cast<double>(m_random() % 1000000) < m_options.datagram_loss * 1e6) return;
+  At(to->second).bytes_received += size;
+  ++At(to->second).datagrams_received;
+  Parsed<PeerDatagram> datagram = m_codec.Decode(bytes.Value());
+  if (!datagram) throw std::logic_error("a datagram cannot be decoded");
+  GiveLater(to->second, Delay(),
+            Membership::DatagramReceived{At(index).self.address, std::move(datagram.Value())});
+}
+
+void Fleet::Read(int index, const ControlPlane::ReadRow& read) {
+  const StoreFault fault = read_fault(index);
+  ++m_store.reads;
+  if (fault == StoreFault::kDown || fault == StoreFault::kAnswerLost) {
+    return GiveLater(index, m_options.request_timeout, ControlPlane::RowRead{read.token});
+  }
+  const Duration delay =
+      fault == StoreFault::kSlow ? m_options.slow_store_delay : m_options.store_delay;
+  // The row is read when the request arrives; a slow answer is then out of date.
+  Schedule(m_options.store_delay / 2, [this, index, read, delay] {
+    const std::optional<TableRow> row = m_table.Read(read.table, read.key);
+    m_store.bytes += kRequestOverheadBytes + (row ? row->value.size() : 0);
+    GiveLater(index, delay, ControlPlane::RowRead{read.token, true, row});
+  });
+}
+
+void Fleet::Read(int index, const ControlPlane::ReadRows& read) {
+  const StoreFault fault = read_fault(index);
+  ++m_store.reads;
+  if (fault == StoreFault::kDown || fault == StoreFault::kAnswerLost) {
+    return GiveLater(index, m_options.request_timeout, ControlPlane::RowsRead{read.token});
+  }
+  const Duration delay =
+      fault == StoreFault::kSlow ? m_options.slow_store_delay : m_options.store_delay;
+  ControlPlane::RowsRead answer{read.token, true, m_table.ReadSince(read.table, read.since),
+                                m_table.Version()};
+  std::size_t size = kRequestOverheadBytes;
+  for (const TableRow& row : answer.rows) size += row.key.size() + row.value.size() + 40;
+  m_store.bytes += size;
+  At(index).delta_bytes += size;
+  GiveLater(index, delay, std::move(answer));
+}
+
+void Fleet::Write(int index, const ControlPlane::WriteRows& write) {
+  const StoreFault fault = write_fault(index);
+  ++m_store.writes;
+  if (fault == StoreFault::kDown) {
+    return GiveLater(index, m_options.request_timeout, ControlPlane::TransactionDone{write.token});
+  }
+  const Duration delay =
+      fault == StoreFault::kSlow ? m_options.slow_store_delay : m_options.store_delay;
+  Schedule(delay / 2, [this, index, write, delay, fault] {
+    const bool done = m_table.Transact(write.operations).has_value();
+    TableOutcome outcome = done ? TableOutcome::kDone : TableOutcome::kConflict;
+    if (fault == StoreFault::kAnswerLost) outcome = TableOutcome::kUnknown;
+    const Duration rest = fault == StoreFault::kAnswerLost ? m_options.request_timeout : delay / 2;
+    GiveLater(index, rest, ControlPlane::TransactionDone{write.token, outcome});
+  });
+}
+
+void Fleet::Fetch(int index, const ControlPlane::FetchDelta& fetch) {
+  const auto peer = m_by_address.find(fetch.address);
+  const bool reached = peer != m_by_address.end() && !is_cut(index, peer->second) &&
+                       !is_cut(peer->second, index) && IsActive(peer->second);
+  if (!reached) {
+    return GiveLater(index, m_options.request_timeout / 2, ControlPlane::DeltaRead{fetch.token});
+  }
+  ControlPlane::DeltaRead answer{fetch.token, true,
+                                 Of(peer->second).Replica().DeltaSince(fetch.from)};
+  const std::size_t size = SizeOf(answer.delta) + kRequestOverheadBytes;
+  At(index).delta_bytes += size;
+  At(peer->second).delta_bytes += size;
+  GiveLater(index, 2 * Delay(), std::move(answer));
+}
+
+void Fleet::ReadList(int index) {
+  if (list_is_frozen) return;
+  const ListVersion* read = &m_lists.front();
+  for (const ListVersion& list : m_lists) {
+    if (list.at + m_options.list_lag <= m_now) read = &list;
+  }
+  GiveLater(index, m_options.store_delay, Membership::InstanceListRead{read->daemons});
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/simulation/fleet.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "coordination/control_plane.h"
+#include "protocol/datagram_codec.h"
+#include "simulation/table_service.h"
+#include "utils/random.h"
+
+namespace fulmarpoint {
+
+/// What happens to requests to the table service.
+enum class StoreFault { kNone, kDown, kSlow, kAnswerLost };
+
+inline constexpr std::array<EnumName<StoreFault>, 4> kStoreFaultNames = {{
+    {StoreFault::kNone, "none"},
+    {StoreFault::kDown, "down"},
+    {StoreFault::kSlow, "slow"},
+    {StoreFault::kAnswerLost, "answer_lost"},
+}};
+
+/// A fleet of control planes in one process and in virtual time, with a network, the table service
+/// and the instance list. Runs with the same seed are identical. Not thread-safe.
+class Fleet {
+ public:
+  struct Options {
+    ControlPlane::Options control;
+    Duration datagram_delay = std::chrono::microseconds(500);
+    Duration store_delay = std::chrono::milliseconds(4);
+    Duration slow_store_delay = std::chrono::seconds(3);
+    /// Time after which a request without an answer fails.
+    Duration request_timeout = std::chrono::seconds(2);
+    /// Age of the instance list that daemons read.
+    Duration list_lag = std::chrono::seconds(15);
+    double datagram_loss = 0.0;
+  };
+
+  struct Daemon {
+    std::unique_ptr<ControlPlane> control;
+    MemberUpdate self;
+    bool running = true;
+    bool paused = false;
+    /// Grows with each process on the instance; messages for an earlier process are dropped.
+    int process = 0;
+    std::deque<std::function<void()>> held;
+    std::uint64_t datagrams_sent = 0;
+    std::uint64_t datagrams_received = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+    std::uint64_t delta_bytes = 0;
+  };
+
+  struct StoreCounts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t bytes = 0;
+  };
+
+  Fleet(Options options, std::uint64_t seed);
+
+  /// Starts a daemon on a new instance; returns its index.
+  int Add(const std::string& failure_domain, const std::string& region);
+  /// Starts `count` daemons spread over four failure domains and two regions.
+  void AddMany(int count);
+  void Crash(int index);
+  void Pause(int index);
+  /// Delivers what arrived during the pause.
+  void Resume(int index);
+  /// Ends the process and starts another on the same instance, name and address.
+  void Replace(int index);
+  /// Ends the process and removes the instance from the list.
+  void Remove(int index);
+
+  /// Gives a change to daemon `index`; the report appears under the returned number.
+  std::uint64_t Apply(int index, CatalogueWriter::Apply change);
+  void Give(int index, const ControlPlane::Event& event);
+
+  void RunFor(Duration duration);
+  TimePoint Now() const { return m_now; }
+  void Schedule(Duration delay, std::function<void()> run);
+
+  Daemon& At(int index) { return m_daemons[static_cast<std::size_t>(index)]; }
+  ControlPlane& Of(int index) { return *At(index).control; }
+  int Size() const { return static_cast<int>(m_daemons.size()); }
+  bool IsActive(int index) { return At(index).running && !At(index).paused; }
+  SimulatedTableService& Table() { return m_table; }
+  const StoreCounts& Store() const { return m_store; }
+  std::uint64_t Events() const { return m_events_handled; }
+
+  /// Answers to changes by number.
+  std::map<std::uint64_t, ApplyReport> reports;
+  /// Datagrams and deltas from one daemon to another for which this returns true are lost.
+  std::function<bool(int, int)> is_cut;
+  /// The fault of the table service as a daemon sees it, for reads and for writes.
+  std::function<StoreFault(int)> read_fault;
+  std::function<StoreFault(int)> write_fault;
+  bool list_is_frozen = false;
+  /// Called for each action of a daemon before it is performed, and after each event.
+  std::function<void(int, const ControlPlane::Action&)> on_action;
+  std::function<void(int)> after_event;
+
+ private:
+  struct Scheduled {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Scheduled& other) const {
+      return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+  };
+  struct ListVersion {
+    TimePoint at;
+    std::vector<ListedDaemon> daemons;
+  };
+
+  void StartProcess(int index);
+  void Handle(int index, const ControlPlane::Event& event);
+  /// Schedules an event for the current process of a daemon.
+  void GiveLater(int index, Duration delay, ControlPlane::Event event);
+  void Perform(int index, ControlPlane::Action& action);
+  void Send(int index, const Membership::SendDatagram& send);
+  void Read(int index, const ControlPlane::ReadRow& read);
+  void Read(int index, const ControlPlane::ReadRows& read);
+  void Write(int index, const ControlPlane::WriteRows& write);
+  void Fetch(int index, const ControlPlane::FetchDelta& fetch);
+  void ReadList(int index);
+  void ChangeList();
+  Duration Delay();
+
+  Options m_options;
+  Random m_random;
+  DatagramCodec m_codec{"0123456789abcdef0123456789abcdef"};
+  TimePoint m_now{std::chrono::hours(1)};
+  std::uint64_t m_order = 0;
+  std::uint64_t m_next_change = 1;
+  std::uint64_t m_events_handled = 0;
+  std::deque<Daemon> m_daemons;
+  std::map<std::string, int> m_by_address;
+  std::priority_queue<Scheduled> m_queue;
+  SimulatedTableService m_table;
+  StoreCounts m_store;
+  std::deque<ListVersion> m_lists;
+  std::vector<bool> m_listed;
+};
+
+}  // namespace fulmarpoint
