--- /dev/null
+++ b/src/libs/coordination/version_comparison.cpp
@@ -0,0 +1,204 @@
+#include "coordination/version_comparison.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kBaselineWindow = std::chrono::seconds(60);
+/// Shows the start of a brown-out before the long window does.
+constexpr Duration kShortWindow = std::chrono::seconds(5);
+constexpr double kMinShortRequests = 8;
+constexpr double kMinShortBad = 2;
+constexpr double kMinBaselineRequests = 20;
+constexpr double kMinErrorRate = 0.005;
+constexpr double kMinSlowRate = 0.05;
+constexpr double kMaxRate = 0.6;
+/// A version is bad if it is this many times as bad as the old one.
+constexpr double kBadRatio = 3.0;
+constexpr double kMaxBadRate = 0.95;
+constexpr double kMinAlarmRequests = 50;
+/// An endpoint with this many times the bad outcomes of the mean of the others is itself at fault.
+constexpr double kConcentration = 5;
+constexpr std::uint64_t kMinConcentratedBad = 3;
+/// Rarely used routes do not hold up acceptance while they have at most this share of the requests.
+constexpr double kMaxPendingShare = 0.1;
+constexpr std::size_t kMaxEndpointsTracked = 1024;
+
+double LogLikelihoodRatio(double bad, double all, double good_rate, double bad_rate) {
+  return bad * std::log(bad_rate / good_rate) +
+         (all - bad) * std::log((1.0 - bad_rate) / (1.0 - good_rate));
+}
+
+}  // namespace
+
+void VersionComparison::Add(const std::vector<StratumCounts>& strata,
+                            const std::vector<EndpointCounts>& endpoints, int new_version_endpoints,
+                            TimePoint now) {
+  Decay(now);
+  for (const StratumCounts& stratum : strata) AddBaseline(stratum);
+  if (m_result == ComparisonResult::kBad) return;
+  for (const StratumCounts& stratum : strata) {
+    if (stratum.new_version.requests == 0) continue;
+    m_new_requests += stratum.new_version.requests;
+    AddNew(stratum, Measure::kErrors);
+    AddNew(stratum, Measure::kSlow);
+  }
+  AddEndpoints(endpoints);
+  Evaluate(new_version_endpoints);
+}
+
+void VersionComparison::RestartAcceptance() {
+  for (auto& [key, sums] : m_sums) {
+    sums.acceptance = 0;
+    sums.requests = 0;
+    sums.bad = 0;
+  }
+  if (m_result == ComparisonResult::kGood) m_result = ComparisonResult::kUndecided;
+}
+
+std::uint64_t VersionComparison::RequestsUntilAccepted() const {
+  const double target = -std::log(m_settings.miss_rate / (1.0 - m_settings.false_alarm_rate));
+  const double per_request = -std::log((1.0 - m_settings.bad_error_rate) / (1.0 - kMinErrorRate));
+  double missing = m_sums.empty() ? target : 0;
+  for (const auto& [key, sums] : m_sums) {
+    if (key.second == Measure::kErrors) missing = std::max(missing, target + sums.acceptance);
+  }
+  return static_cast<std::uint64_t>(std::ceil(std::max(0.0, missing) / per_request));
+}
+
+void VersionComparison::Decay(TimePoint now) {
+  if (!m_decayed_at) m_decayed_at = now;
+  const Duration elapsed = now - *m_decayed_at;
+  if (elapsed < std::chrono::seconds(1)) return;
+  m_decayed_at = now;
+  const double elapsed_us = static_cast<double>(elapsed.count());
+  const double factor = std::exp(-elapsed_us / kBaselineWindow.count());
+  const double short_factor = std::exp(-elapsed_us / kShortWindow.count());
+  const auto shrink = [](OldOutcomes& outcomes, double by) {
+    outcomes.requests *= by;
+    outcomes.errors *= by;
+    outcomes.timed *= by;
+    outcomes.slow *= by;
+  };
+  const auto shrink_both = [&](Baseline& baseline) {
+    shrink(baseline.window, factor);
+    shrink(baseline.short_window, short_factor);
+  };
+  for (auto& [key, baseline] : m_strata) shrink_both(baseline);
+  for (auto& [key, baseline] : m_routes) shrink_both(baseline);
+}
+
+void VersionComparison::AddBaseline(const StratumCounts& stratum) {
+  const auto add = [&stratum](OldOutcomes& outcomes) {
+    outcomes.requests += stratum.old_version.requests;
+    outcomes.errors += stratum.old_version.errors;
+    outcomes.timed += stratum.old_version.timed;
+    outcomes.slow += stratum.old_version.slow;
+  };
+  for (Baseline* baseline :
+       {&m_strata[{stratum.route, stratum.failure_domain}], &m_routes[stratum.route]}) {
+    add(baseline->window);
+    add(baseline->short_window);
+  }
+}
+
+double VersionComparison::OldRate(const StratumCounts& stratum, Measure measure) const {
+  const bool errors = measure == Measure::kErrors;
+  const auto all = [errors](const OldOutcomes& old) { return errors ? old.requests : old.timed; };
+  const auto bad = [errors](const OldOutcomes& old) { return errors ? old.errors : old.slow; };
+  const Baseline& own = m_strata.at({stratum.route, stratum.failure_domain});
+  const Baseline& route = m_routes.at(stratum.route);
+  const OldOutcomes& window = all(own.window) >= kMinBaselineRequests ? own.window : route.window;
+  double result = (bad(window) + 0.5) / (all(window) + 10.0);
+  for (const OldOutcomes& recent : {own.short_window, route.short_window}) {
+    if (all(recent) < kMinShortRequests || bad(recent) < kMinShortBad) continue;
+    result = std::max(result, bad(recent) / all(recent));
+  }
+  return std::clamp(result, errors ? kMinErrorRate : kMinSlowRate, kMaxRate);
+}
+
+void VersionComparison::AddNew(const StratumCounts& stratum, Measure measure) {
+  const bool errors = measure == Measure::kErrors;
+  const OutcomeCounts& outcome = stratum.new_version;
+  const double all = errors ? outcome.requests : outcome.timed;
+  const double bad = errors ? outcome.errors : outcome.slow;
+  if (all == 0) return;
+  const double good_rate = OldRate(stratum, measure);
+  const double floor = errors ? m_settings.bad_error_rate : m_settings.bad_slow_rate;
+  const double bad_rate = std::min(kMaxBadRate, std::max(floor, kBadRatio * good_rate));
+  const double ratio = LogLikelihoodRatio(bad, all, good_rate, bad_rate);
+  Sums& sums = m_sums[{stratum.route, measure}];
+  sums.alarm = std::max(0.0, sums.alarm + ratio);
+  sums.acceptance += ratio;
+  sums.requests += static_cast<std::uint64_t>(all);
+  sums.bad += static_cast<std::uint64_t>(bad);
+}
+
+void VersionComparison::AddEndpoints(const std::vector<EndpointCounts>& endpoints) {
+  for (const EndpointCounts& counts : endpoints) {
+    const bool known = m_endpoints.contains(counts.endpoint);
+    if (!known && m_endpoints.size() >= kMaxEndpointsTracked) continue;
+    m_endpoints[counts.endpoint] += counts.new_version;
+  }
+}
+
+double VersionComparison::AlarmLimit(const Sums& sums) const {
+  const double requests = std::max(kMinAlarmRequests, static_cast<double>(sums.requests));
+  const double streams = static_cast<double>(m_sums.size());
+  return std::log(requests * streams / m_settings.false_alarm_rate);
+}
+
+void VersionComparison::Evaluate(int new_version_endpoints) {
+  for (auto& [key, sums] : m_sums) {
+    if (sums.alarm < AlarmLimit(sums)) continue;
+    if (ExcludeConcentratedEndpoint(key.second, new_version_endpoints)) return;
+    m_result = ComparisonResult::kBad;
+    m_reason = std::string(key.second == Measure::kErrors ? "errors" : "slow") + " on route " +
+               std::to_string(key.first) + ": " + std::to_string(sums.bad) + " of " +
+               std::to_string(sums.requests) + " requests";
+    return;
+  }
+  if (Accepted()) m_result = ComparisonResult::kGood;
+}
+
+bool VersionComparison::ExcludeConcentratedEndpoint(Measure measure, int new_version_endpoints) {
+  const int others = new_version_endpoints - static_cast<int>(m_excluded.size()) - 1;
+  const bool may_exclude =
+      static_cast<int>(m_excluded.size()) < m_settings.max_excluded_endpoints && others >= 1;
+  if (!may_exclude || m_endpoints.empty()) return false;
+  const auto bad = [measure](const OutcomeCounts& counts) {
+    return measure == Measure::kErrors ? counts.errors : counts.slow;
+  };
+  std::uint64_t total = 0;
+  auto worst = m_endpoints.begin();
+  for (auto item = m_endpoints.begin(); item != m_endpoints.end(); ++item) {
+    total += bad(item->second);
+    if (bad(item->second) > bad(worst->second)) worst = item;
+  }
+  const std::uint64_t worst_bad = bad(worst->second);
+  const double mean_of_others = static_cast<double>(total - worst_bad) / others;
+  if (worst_bad < kMinConcentratedBad) return false;
+  if (static_cast<double>(worst_bad) < kConcentration * mean_of_others) return false;
+  m_excluded.insert(worst->first);
+  m_endpoints.erase(worst);
+  for (auto& [key, sums] : m_sums) sums = Sums{};
+  return true;
+}
+
+bool VersionComparison::Accepted() const {
+  const double limit = std::log(m_settings.miss_rate / (1.0 - m_settings.false_alarm_rate));
+  std::uint64_t all = 0;
+  std::uint64_t pending = 0;
+  for (const auto& [key, sums] : m_sums) {
+    all += sums.requests;
+    if (sums.acceptance <= limit) continue;
+    if (sums.alarm > AlarmLimit(sums) / 2) return false;
+    pending += sums.requests;
+  }
+  return all > 0 && static_cast<double>(pending) <= kMaxPendingShare * static_cast<double>(all);
+}
+
+}  // namespace fulmarpoint
