--- a/src/libs/simulation/fleet.cpp
+++ b/src/libs/simulation/fleet.cpp
@@ -194,8 +194,9 @@
   const Duration delay =
       fault == StoreFault::kSlow ? m_options.slow_store_delay : m_options.store_delay;
   // The row is read when the request arrives; a slow answer is then out of date.
-  Schedule(m_options.store_delay / 2, [this, index, read, delay] {
-    const std::optional<TableRow> row = m_table.Read(read.table, read.key);
+  Schedule(m_options.store_delay / 2, [this, index, read, delay, fault] {
+    const SimulatedTableService& table = fault == StoreFault::kStale ? m_stale_table : m_table;
+    const std::optional<TableRow> row = table.Read(read.table, read.key);
     m_store.bytes += kRequestOverheadBytes + (row ? row->value.size() : 0);
     GiveLater(index, delay, ControlPlane::RowRead{read.token, true, row});
   });
@@ -209,8 +210,9 @@
   }
   const Duration delay =
       fault == StoreFault::kSlow ? m_options.slow_store_delay : m_options.store_delay;
-  ControlPlane::RowsRead answer{read.token, true, m_table.ReadSince(read.table, read.since),
-                                m_table.Version()};
+  const SimulatedTableService& table = fault == StoreFault::kStale ? m_stale_table : m_table;
+  ControlPlane::RowsRead answer{read.token, true, table.ReadSince(read.table, read.since),
+                                table.Version()};
   std::size_t size = kRequestOverheadBytes;
   for (const TableRow& row : answer.rows) size += row.key.size() + row.value.size() + 40;
   m_store.bytes += size;
--- a/src/libs/simulation/fleet.h
+++ b/src/libs/simulation/fleet.h
@@ -17,13 +17,15 @@
 namespace fulmarpoint {
 
 /// What happens to requests to the table service.
-enum class StoreFault { kNone, kDown, kSlow, kAnswerLost };
+/// `kStale` answers reads from the state at `Fleet::KeepTableForStaleReads`.
+enum class StoreFault { kNone, kDown, kSlow, kAnswerLost, kStale };
 
-inline constexpr std::array<EnumName<StoreFault>, 4> kStoreFaultNames = {{
+inline constexpr std::array<EnumName<StoreFault>, 5> kStoreFaultNames = {{
     {StoreFault::kNone, "none"},
     {StoreFault::kDown, "down"},
     {StoreFault::kSlow, "slow"},
     {StoreFault::kAnswerLost, "answer_lost"},
+    {StoreFault::kStale, "stale"},
 }};
 
 /// A fleet of control planes in one process and in virtual time, with a network, the table service
@@ -82,6 +84,8 @@
   std::uint64_t Apply(int index, CatalogueWriter::Apply change);
   void Give(int index, const ControlPlane::Event& event);
 
+  void KeepTableForStaleReads() { m_stale_table = m_table; }
+
   void RunFor(Duration duration);
   TimePoint Now() const { return m_now; }
   void Schedule(Duration delay, std::function<void()> run);
@@ -145,6 +149,7 @@
   std::map<std::string, int> m_by_address;
   std::priority_queue<Scheduled> m_queue;
   SimulatedTableService m_table;
+  SimulatedTableService m_stale_table;
   StoreCounts m_store;
   std::deque<ListVersion> m_lists;
   std::vector<bool> m_listed;
