--- a/src/libs/coordination/rollout_controller.cpp
+++ b/src/libs/coordination/rollout_controller.cpp
@@ -86,6 +86,7 @@
 void RolloutController::OnRowRead(const RowRead& read, TimePoint now,
                                   std::vector<Action>& actions) {
   m_storage = Storage::kIdle;
+  m_loaded = true;
   if (read.row && read.row->controller_token > m_token) {
     m_active = false;
     return;
@@ -133,7 +134,7 @@
 
 void RolloutController::OnReport(const RolloutReport& report, TimePoint now,
                                  std::vector<Action>& actions) {
-  if (report.rollout != m_rollout.id || m_storage == Storage::kUnread) return;
+  if (report.rollout != m_rollout.id || !m_loaded) return;
   const bool known_sender = m_last_sequence.contains(report.sender);
   if (!known_sender && m_last_sequence.size() >= kMaxSenders) {
     m_last_sequence.erase(m_last_sequence.begin());
--- a/src/libs/coordination/rollout_controller.h
+++ b/src/libs/coordination/rollout_controller.h
@@ -133,6 +133,8 @@
 
   bool m_active = true;
   Storage m_storage = Storage::kUnread;
+  /// False until the row was read once; before that no directive is given.
+  bool m_loaded = false;
   RolloutRow m_row;
   std::uint64_t m_row_version = 0;
   std::optional<RolloutRow> m_target;
--- a/src/libs/coordination/rollout_participant.cpp
+++ b/src/libs/coordination/rollout_participant.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr double kMillion = 1e6;
+/// Every daemon tests the version on its own requests, so each gets a part of the fleet's rate of
+/// false alarms. The controller, which sees all requests, finds what one daemon cannot.
+constexpr double kFalseAlarmRatePerDaemon = 0.001;
 /// Keeps a daemon with a burst of requests from saving up a burst for the new version.
 constexpr double kMaxShareSaved = 1.0;
 constexpr std::uint32_t kMaxPermitsWanted = 4;
@@ -34,7 +37,7 @@
     : m_self(std::move(self)),
       m_service(std::move(service)),
       m_rollout(std::move(rollout)),
-      m_comparison(VersionComparison::Settings{}) {
+      m_comparison(VersionComparison::Settings{.false_alarm_rate = kFalseAlarmRatePerDaemon}) {
   m_pending.rollout = m_rollout.id;
   m_pending.sender = m_self;
 }
--- a/src/libs/coordination/version_comparison.cpp
+++ b/src/libs/coordination/version_comparison.cpp
@@ -8,14 +8,18 @@
 namespace {
 
 constexpr Duration kBaselineWindow = std::chrono::seconds(60);
-/// Shows the start of a brown-out before the long window does.
-constexpr Duration kShortWindow = std::chrono::seconds(5);
-constexpr double kMinShortRequests = 8;
-constexpr double kMinShortBad = 2;
+/// Requests of the old version after which the recent rates have followed a change. Counting
+/// requests and not seconds shows the start of a brown-out within the same few requests at any
+/// load.
+constexpr double kRecentRequests = 12;
+/// The recent rate replaces the baseline if it is at least this high and this many times as high.
+constexpr double kMinRecentRate = 0.1;
+constexpr double kRecentRatio = 2;
 constexpr double kMinBaselineRequests = 20;
 constexpr double kMinErrorRate = 0.005;
 constexpr double kMinSlowRate = 0.05;
-constexpr double kMaxRate = 0.6;
+/// While the old version itself is this bad, a comparison says nothing about the new one.
+constexpr double kMaxComparableRate = 0.5;
 /// A version is bad if it is this many times as bad as the old one.
 constexpr double kBadRatio = 3.0;
 constexpr double kMaxBadRate = 0.95;
@@ -74,50 +78,49 @@
   const Duration elapsed = now - *m_decayed_at;
   if (elapsed < std::chrono::seconds(1)) return;
   m_decayed_at = now;
-  const double elapsed_us = static_cast<double>(elapsed.count());
-  const double factor = std::exp(-elapsed_us / kBaselineWindow.count());
-  const double short_factor = std::exp(-elapsed_us / kShortWindow.count());
-  const auto shrink = [](OldOutcomes& outcomes, double by) {
-    outcomes.requests *= by;
-    outcomes.errors *= by;
-    outcomes.timed *= by;
-    outcomes.slow *= by;
+  const double factor = std::exp(-static_cast<double>(elapsed.count()) / kBaselineWindow.count());
+  const auto shrink = [factor](Baseline& baseline) {
+    baseline.requests *= factor;
+    baseline.errors *= factor;
+    baseline.timed *= factor;
+    baseline.slow *= factor;
   };
-  const auto shrink_both = [&](Baseline& baseline) {
-    shrink(baseline.window, factor);
-    shrink(baseline.short_window, short_factor);
-  };
-  for (auto& [key, baseline] : m_strata) shrink_both(baseline);
-  for (auto& [key, baseline] : m_routes) shrink_both(baseline);
+  for (auto& [key, baseline] : m_strata) shrink(baseline);
+  for (auto& [key, baseline] : m_routes) shrink(baseline);
 }
 
 void VersionComparison::AddBaseline(const StratumCounts& stratum) {
-  const auto add = [&stratum](OldOutcomes& outcomes) {
-    outcomes.requests += stratum.old_version.requests;
-    outcomes.errors += stratum.old_version.errors;
-    outcomes.timed += stratum.old_version.timed;
-    outcomes.slow += stratum.old_version.slow;
+  const OutcomeCounts& old = stratum.old_version;
+  const auto follow = [](double& recent, double bad, double all) {
+    if (all == 0) return;
+    const double keep = std::pow(1.0 - 1.0 / kRecentRequests, all);
+    recent = keep * recent + (1.0 - keep) * bad / all;
   };
   for (Baseline* baseline :
        {&m_strata[{stratum.route, stratum.failure_domain}], &m_routes[stratum.route]}) {
-    add(baseline->window);
-    add(baseline->short_window);
+    baseline->requests += old.requests;
+    baseline->errors += old.errors;
+    baseline->timed += old.timed;
+    baseline->slow += old.slow;
+    follow(baseline->recent_error_rate, old.errors, old.requests);
+    follow(baseline->recent_slow_rate, old.slow, old.timed);
   }
 }
 
 double VersionComparison::OldRate(const StratumCounts& stratum, Measure measure) const {
   const bool errors = measure == Measure::kErrors;
-  const auto all = [errors](const OldOutcomes& old) { return errors ? old.requests : old.timed; };
-  const auto bad = [errors](const OldOutcomes& old) { return errors ? old.errors : old.slow; };
   const Baseline& own = m_strata.at({stratum.route, stratum.failure_domain});
   const Baseline& route = m_routes.at(stratum.route);
-  const OldOutcomes& window = all(own.window) >= kMinBaselineRequests ? own.window : route.window;
-  double result = (bad(window) + 0.5) / (all(window) + 10.0);
-  for (const OldOutcomes& recent : {own.short_window, route.short_window}) {
-    if (all(recent) < kMinShortRequests || bad(recent) < kMinShortBad) continue;
-    result = std::max(result, bad(recent) / all(recent));
+  const Baseline& used = (errors ? own.requests : own.timed) >= kMinBaselineRequests ? own : route;
+  const double rate = errors ? (used.errors + 0.5) / (used.requests + 10.0)
+                             : (used.slow + 0.5) / (used.timed + 10.0);
+  double result = std::max(rate, errors ? kMinErrorRate : kMinSlowRate);
+  const double threshold = std::max(kMinRecentRate, kRecentRatio * result);
+  for (const Baseline* baseline : {&own, &route}) {
+    const double recent = errors ? baseline->recent_error_rate : baseline->recent_slow_rate;
+    if (recent >= threshold) result = std::max(result, recent);
   }
-  return std::clamp(result, errors ? kMinErrorRate : kMinSlowRate, kMaxRate);
+  return result;
 }
 
 void VersionComparison::AddNew(const StratumCounts& stratum, Measure measure) {
@@ -127,6 +130,7 @@
   const double bad = errors ? outcome.errors : outcome.slow;
   if (all == 0) return;
   const double good_rate = OldRate(stratum, measure);
+  if (good_rate > kMaxComparableRate) return;
   const double floor = errors ? m_settings.bad_error_rate : m_settings.bad_slow_rate;
   const double bad_rate = std::min(kMaxBadRate, std::max(floor, kBadRatio * good_rate));
   const double ratio = LogLikelihoodRatio(bad, all, good_rate, bad_rate);
--- a/src/libs/coordination/version_comparison.h
+++ b/src/libs/coordination/version_comparison.h
@@ -23,8 +23,8 @@
 /// any time, also after much good evidence; its alarm limit grows with the number of requests, so
 /// that the probability of a false alarm in a whole rollout stays below `false_alarm_rate`. A plain
 /// sum accepts the version as good. The old version's rate is taken from the same route and failure
-/// domain, and from the last seconds if that is higher, so that a general brown-out or the loss
-/// of a failure domain is not charged to the new version.
+/// domain, and from the last few requests if that is higher, so that a general brown-out or the
+/// loss of a failure domain is not charged to the new version.
 ///
 /// Not thread-safe.
 class VersionComparison {
@@ -65,16 +65,14 @@
 
  private:
   enum class Measure { kErrors, kSlow };
-  /// Outcomes of the old version, decayed over time.
-  struct OldOutcomes {
+  /// Outcomes of the old version, decayed over time, and its rates over the last few requests.
+  struct Baseline {
     double requests = 0;
     double errors = 0;
     double timed = 0;
     double slow = 0;
-  };
-  struct Baseline {
-    OldOutcomes window;
-    OldOutcomes short_window;
+    double recent_error_rate = 0;
+    double recent_slow_rate = 0;
   };
   struct Sums {
     double alarm = 0;
