Add the daemon: HTTP front, registry, dispatcher, lookup, planned stop

Cause: a first whole path from the caller to a model engine is needed by all drivers. Change: HTTP front with key, organisation and path checks, endpoint registry and dispatcher over endpoint_health and router, lookup (entry_selection), planned stop (drain), operator routes, fulmarpointd; a simple generation session and a catalogue reader hold the place of the drivers.

--- /dev/null
+++ b/src/libs/server/admin_routes.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "server/services.h"
+#include "transport/http_message.h"
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+/// Routes of operators below /v1/admin. Drivers register theirs; members of this class answer those
+/// that concern only this daemon. Thread-safe.
+class AdminRoutes {
+ public:
+  using Handler = std::function<Task<HttpReply>(HttpRequest request)>;
+
+  explicit AdminRoutes(Services& services) : m_services(services) {}
+
+  /// Registers a handler for "METHOD /v1/admin/NAME". It also gets the paths below it.
+  void Register(const std::string& route, Handler handler);
+  /// Answers a request; checks the operator's key first.
+  Task<HttpReply> Answer(HttpRequest request);
+
+ private:
+  bool IsOperator(const HttpHeaders& headers) const;
+  std::optional<Handler> Find(std::string_view method, std::string_view path) const;
+
+  Services& m_services;
+  mutable std::mutex m_mutex;
+  std::map<std::string, Handler, std::less<>> m_handlers;
+};
+
+/// Registers /v1/admin/endpoints and /v1/admin/requests/ID.
+void RegisterLocalRoutes(AdminRoutes& routes, Services& services);
+
+}  // namespace fulmarpoint
--- a/src/libs/server/generation_session.h
+++ b/src/libs/server/generation_session.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "protocol/catalogue.h"
+#include "protocol/result_code.h"
 #include "protocol/resume_point.h"
 #include "protocol/suspect_messages.h"
 #include "server/running_requests.h"
--- /dev/null
+++ b/src/libs/server/http_front.cpp
@@ -0,0 +1,160 @@
+#include "server/http_front.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "server/api_key.h"
+#include "server/call_session.h"
+#include "server/endpoint_registry.h"
+#include "server/generation_session.h"
+#include "server/lookup.h"
+#include "server/metrics.h"
+#include "server/problem_reply.h"
+#include "server/request_checks.h"
+#include "server/request_log.h"
+#include "server/running_requests.h"
+#include "server/url.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kServicesPath = "/v1/services/";
+constexpr std::string_view kAdminPath = "/v1/admin/";
+constexpr Duration kRetryElsewhere = std::chrono::seconds(1);
+
+bool StartsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+HttpReply ToReply(const Refusal& refusal) {
+  return ProblemReply(refusal.code, refusal.detail, refusal.retry_after);
+}
+
+/// Refusals that concern the whole daemon.
+std::optional<Refusal> CheckDaemon(const Services& services, const CatalogueEntry& entry,
+                                   bool refusing, const RunningRequests::Entry& running) {
+  if (refusing) {
+    return Refusal{ResultCode::kDraining, "this daemon is stopping; use another of the lookup",
+                   kRetryElsewhere};
+  }
+  if (!services.catalogue.MayServe(entry)) {
+    return Refusal{
+        ResultCode::kStale,
+        "this daemon can't prove that its catalogue is current; use another of the lookup",
+        kRetryElsewhere};
+  }
+  if (!running.Accepted()) {
+    return Refusal{ResultCode::kOverloaded, "this daemon has no room for another request",
+                   kRetryElsewhere};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+HttpFront::HttpFront(Services& services, AdminRoutes& admin)
+    : m_services(services), m_admin(admin) {}
+
+Task<void> HttpFront::Handle(HttpExchange& exchange) {
+  const std::string path(PathOf(exchange.Request().target));
+  if (path == "/v1/completions" && exchange.Request().method == "POST") {
+    co_await Complete(exchange);
+  } else if (StartsWith(path, kServicesPath)) {
+    co_await Call(exchange);
+  } else if (StartsWith(path, kAdminPath)) {
+    HttpReply reply = co_await m_admin.Answer(exchange.Request());
+    co_await exchange.Respond(std::move(reply));
+  } else {
+    HttpReply reply = AnswerOther(exchange, path);
+    co_await exchange.Respond(std::move(reply));
+  }
+}
+
+Task<void> HttpFront::Complete(HttpExchange& exchange) {
+  Checked<GenerationRequest> checked = CheckGeneration(m_services, exchange.Request());
+  RunningRequests::Entry running = m_services.running.Begin();
+  GenerationRequest* request = std::get_if<GenerationRequest>(&checked);
+  std::optional<Refusal> refusal;
+  if (request == nullptr) {
+    refusal = std::get<Refusal>(checked);
+  } else {
+    refusal = CheckDaemon(m_services, *request->entry, m_refusing, running);
+  }
+  if (refusal) {
+    m_services.metrics.Count("requests", InfoOf(refusal->code).name);
+    HttpReply reply = ToReply(*refusal);
+    co_await exchange.Respond(std::move(reply));
+    co_return;
+  }
+  // The prompt is in the request; the body would stay in memory for the whole stream.
+  exchange.TakeBody();
+  request->running = &running;
+  const RequestId id = request->id;
+  m_services.request_log.Begin(id, request->organisation, request->entry->service);
+  const SessionResult result = co_await RunGeneration(m_services, std::move(*request), exchange);
+  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
+  m_services.metrics.Count("requests", name);
+  m_services.request_log.End(id, name);
+}
+
+Task<void> HttpFront::Call(HttpExchange& exchange) {
+  Checked<CallRequest> checked = CheckCall(m_services, exchange.Request());
+  RunningRequests::Entry running = m_services.running.Begin();
+  CallRequest* request = std::get_if<CallRequest>(&checked);
+  std::optional<Refusal> refusal;
+  if (request == nullptr) {
+    refusal = std::get<Refusal>(checked);
+  } else {
+    refusal = CheckDaemon(m_services, *request->entry, m_refusing, running);
+  }
+  if (refusal) {
+    m_services.metrics.Count("requests", InfoOf(refusal->code).name);
+    HttpReply reply = ToReply(*refusal);
+    co_await exchange.Respond(std::move(reply));
+    co_return;
+  }
+  exchange.TakeBody();
+  const RequestId id = request->id;
+  m_services.request_log.Begin(id, request->organisation, request->entry->service);
+  const SessionResult result = co_await RunCall(m_services, std::move(*request), exchange);
+  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
+  m_services.metrics.Count("requests", name);
+  m_services.request_log.End(id, name);
+}
+
+HttpReply HttpFront::AnswerOther(const HttpExchange& exchange, std::string_view path) const {
+  const HttpRequest& request = exchange.Request();
+  const bool is_get = request.method == "GET";
+  if (is_get && path == "/healthz") return JsonReply(200, Json{{"status", "ok"}});
+  if (is_get && path == "/readyz") return Ready();
+  if (is_get && path == "/metrics") {
+    HttpReply reply;
+    reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    reply.body = m_services.metrics.Text();
+    return reply;
+  }
+  if (is_get && path == "/v1/lookup") {
+    const std::string ip = request.peer_address.substr(0, request.peer_address.rfind(':'));
+    return AnswerLookup(m_services, request.target, KeyHashOf(request.headers).value_or(ip));
+  }
+  return ProblemReply(ResultCode::kNotFound,
+                      request.method + " " + std::string(path) + " is not a route of this daemon");
+}
+
+HttpReply HttpFront::Ready() const {
+  const bool has_catalogue = m_services.catalogue.Current()->revision > 0;
+  const bool has_endpoints = m_services.endpoints.Ready();
+  const bool ready = has_catalogue && has_endpoints && !m_refusing;
+  const Json body = {{"ready", ready},
+                     {"catalogue", has_catalogue},
+                     {"instance_list", has_endpoints},
+                     {"draining", m_services.lookup.Leaving()}};
+  return JsonReply(ready ? 200 : 503, body);
+}
+
+}  // namespace fulmarpoint
--- a/src/libs/server/services.h
+++ b/src/libs/server/services.h
@@ -14,6 +14,7 @@
 class EndpointRegistry;
 class HttpClient;
 class InstanceListClient;
+class LookupDirectory;
 class Metrics;
 class ObjectClient;
 class RequestLog;
@@ -27,7 +28,8 @@
 /// - `generation_session.h`, `call_session.h`: one coroutine for each request, on the strand of its
 ///   connection; they choose endpoints with `dispatcher`.
 /// - Peer service and catalogue driver: objects that `Daemon` owns, started after the clients; the
-///   catalogue driver calls `catalogue.Apply` and `catalogue.SetFreshness`.
+///   catalogue driver calls `catalogue.Apply` and `catalogue.SetFreshness`, the peer service
+///   `lookup.SetDaemons`.
 struct Services {
   const Settings& settings;
   /// Identity of this process.
@@ -41,6 +43,7 @@
   EndpointRegistry& endpoints;
   Dispatcher& dispatcher;
   CatalogueView& catalogue;
+  LookupDirectory& lookup;
   Metrics& metrics;
   RequestLog& request_log;
   RunningRequests& running;
--- a/src/libs/transport/worker_pool.cpp
+++ b/src/libs/transport/worker_pool.cpp
@@ -4,16 +4,30 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace fulmarpoint {
 
+namespace {
+
+/// Makes the first phase of the destruction available, which destroys pending work.
+class Context : public boost::asio::io_context {
+ public:
+  using boost::asio::io_context::io_context;
+
+  void DestroyPendingWork() { shutdown(); }
+};
+
+}  // namespace
+
 struct WorkerPool::State {
   explicit State(int count) : context(count), work(context.get_executor()) {}
 
-  boost::asio::io_context context;
+  Context context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::vector<std::thread> threads;
+  bool stopped = false;
 };
 
 WorkerPool::WorkerPool(int threads) : m_state(std::make_unique<State>(std::max(threads, 1))) {
@@ -31,6 +45,8 @@
   for (std::thread& thread : m_state->threads) {
     if (thread.joinable()) thread.join();
   }
+  if (std::exchange(m_state->stopped, true)) return;
+  m_state->context.DestroyPendingWork();
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/transport/worker_pool.h
+++ b/src/libs/transport/worker_pool.h
@@ -17,7 +17,8 @@
   WorkerPool& operator=(const WorkerPool&) = delete;
 
   Executor GetExecutor() const;
-  /// Drops work that has not started and joins the threads. Must not be called by one of them.
+  /// Joins the threads and destroys unfinished coroutines. What these refer to must still exist;
+  /// sockets and timers may be destroyed later. Must not be called by one of the threads.
   void Stop();
 
  private:
