Refuse malformed requests in the stand-ins; accept named priorities

Cause: the daemon sends priorities by name, and a field of the wrong type ended the handler. Change: both forms of priority; JSON type errors give 400.

--- a/src/tools/fulmarpoint-standin/engine_standin.cpp
+++ b/src/tools/fulmarpoint-standin/engine_standin.cpp
@@ -29,6 +29,13 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+/// Higher values are served first.
+int PriorityOf(const nlohmann::json& priority) {
+  if (priority.is_number_integer()) return priority.get<int>();
+  if (priority == "high") return 1;
+  return priority == "low" ? -1 : 0;
+}
+
 std::string TokenLine(std::uint64_t position, const std::string& token) {
   const nlohmann::json data = {{"position", position}, {"token", token}};
   return "data: " + data.dump() + "\n\n";
@@ -140,7 +147,7 @@
   stream->prompt = request.value("prompt", std::string());
   stream->seed = request.value("seed", std::uint64_t{0});
   stream->total = request.value("max_tokens", std::uint64_t{16});
-  stream->priority = request.value("priority", 0);
+  stream->priority = PriorityOf(request.value("priority", nlohmann::json()));
   const auto prefix = request.value("prefix_tokens", std::vector<std::string>());
   stream->start = prefix.size();
   stream->generated = prefix.size();
--- a/src/tools/fulmarpoint-standin/standin_server.cpp
+++ b/src/tools/fulmarpoint-standin/standin_server.cpp
@@ -135,7 +135,14 @@
     co_await exchange.Respond(ErrorReply(503, "refused"));
     co_return;
   }
-  co_await m_callbacks.handle(exchange);
+  bool malformed = false;
+  try {
+    co_await m_callbacks.handle(exchange);
+  } catch (const nlohmann::json::exception&) {
+    // A field of the request has the wrong type.
+    malformed = true;
+  }
+  if (malformed && !exchange.Started()) co_await exchange.Respond(ErrorReply(400, "malformed"));
 }
 
 bool StandinServer::Act(const std::string& action, const nlohmann::json& request) {
--- a/tests/auto/tools/tst_standin.cpp
+++ b/tests/auto/tools/tst_standin.cpp
@@ -127,6 +127,14 @@
   cr_assert_eq(bench.Send("GET", "/v1/streams/a?from=4", "").reply.status, 404);
 }
 
+// Guards against a malformed request that looks like a failure of the engine.
+Test(standin, malformed_requests_are_refused) {
+  EngineBench bench(FastEngine());
+  cr_assert_eq(bench.Send("POST", "/v1/streams", "{").reply.status, 400);
+  cr_assert_eq(bench.Send("POST", "/v1/streams", R"({"stream":"a","model":5})").reply.status, 400);
+  cr_assert_eq(bench.Send("POST", "/control", R"({"action":"none"})").reply.status, 400);
+}
+
 // Guards against a resumption with wrong tokens that looks correct.
 Test(standin, wrong_prefix_gives_other_tokens) {
   EngineBench bench(FastEngine());
