--- /dev/null
+++ b/src/tools/fulmarpointctl/commands.cpp
@@ -0,0 +1,104 @@
+#include "commands.h"
+
+#include <iostream>
+
+#include "table_printer.h"
+#include "transport/address.h"
+
+namespace fulmarpoint::ctl {
+
+namespace {
+
+constexpr int kFirstFailureStatus = 300;
+constexpr int kNotFoundStatus = 404;
+
+AdminClient ClientOf(const CommandContext& context) {
+  return {context.daemons, context.key, context.timeout};
+}
+
+int ShowEndpoints(const CommandContext& context) {
+  const AdminAnswer answer = ClientOf(context).Send("GET", "/v1/admin/endpoints");
+  const int status = ReportFailure(answer);
+  if (status != kSuccess || PrintedAsJson(context, answer)) return status;
+  const nlohmann::json body = ParseBody(answer);
+  std::cout << "seen by " << answer.address << "\n"
+            << FormatTable(body.value("endpoints", nlohmann::json::array()),
+                           {"name", "kind", "address", "failure_domain", "state", "slots", "active",
+                            "queued", "report_age_ms"});
+  return kSuccess;
+}
+
+/// The decisions about a request are kept by the daemon that ran it.
+int ExplainRequest(const CommandContext& context) {
+  AdminAnswer answer;
+  for (const std::string& daemon : context.daemons) {
+    AdminClient client({daemon}, context.key, context.timeout);
+    const AdminAnswer one = client.Send("GET", "/v1/admin/requests/" + context.arguments[0]);
+    const bool better = one.reached == Reached::kAnswered && one.status != kNotFoundStatus;
+    if (better || answer.reached != Reached::kAnswered) answer = one;
+    if (better) break;
+  }
+  const int status = ReportFailure(answer);
+  if (status != kSuccess || PrintedAsJson(context, answer)) return status;
+  nlohmann::json body = ParseBody(answer);
+  const nlohmann::json decisions = body.value("decisions", nlohmann::json::array());
+  body.erase("decisions");
+  std::cout << FormatFields(body) << FormatTable(decisions, {"after_ms", "decision", "reason"});
+  return kSuccess;
+}
+
+int Drain(const CommandContext& context) {
+  const std::string& address = context.arguments[0];
+  if (!ParseSocketAddress(address)) {
+    std::cerr << address << ": name the instance by its ip:port\n";
+    return kUsage;
+  }
+  AdminClient client({address}, context.key, context.timeout);
+  const AdminAnswer answer = client.Send("POST", "/v1/admin/drain");
+  const int status = ReportFailure(answer);
+  if (status != kSuccess || PrintedAsJson(context, answer)) return status;
+  std::cout << address << " drains\n";
+  return kSuccess;
+}
+
+}  // namespace
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> kCommands = {
+      {"endpoints", "", "health and load of the endpoints", 0, 0, ShowEndpoints},
+      {"requests explain", "ID", "decisions about a request, with reasons", 1, 1, ExplainRequest},
+      {"drain", "IP:PORT", "planned shutdown of one daemon", 1, 1, Drain},
+  };
+  return kCommands;
+}
+
+nlohmann::json ParseBody(const AdminAnswer& answer) {
+  nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, /*allow_exceptions=*/false);
+  return body.is_object() ? body : nlohmann::json::object();
+}
+
+bool PrintedAsJson(const CommandContext& context, const AdminAnswer& answer) {
+  if (context.json) std::cout << answer.body << "\n";
+  return context.json;
+}
+
+int ReportFailure(const AdminAnswer& answer) {
+  if (answer.reached == Reached::kUnreachable) {
+    std::cerr << "no daemon can be reached; check --daemon (last tried: " << answer.address
+              << ")\n";
+    return kUnreachable;
+  }
+  if (answer.reached == Reached::kUnknown) {
+    std::cerr << answer.address
+              << " may have carried out the command; its answer was lost. Read the state again\n";
+    return kUnknownOutcome;
+  }
+  if (answer.status < kFirstFailureStatus) return kSuccess;
+  const nlohmann::json problem = ParseBody(answer);
+  std::cerr << answer.address << ": "
+            << problem.value("name", "status " + std::to_string(answer.status)) << ": "
+            << problem.value("detail", answer.body) << "\n";
+  return kRefused;
+}
+
+}  // namespace fulmarpoint::ctl
