--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -9,6 +9,7 @@
 import subprocess
 import tempfile
 import time
+import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")) / "bin"
@@ -140,6 +141,17 @@
             time.sleep(0.05)
         raise RuntimeError(f"{name} is not ready ({path}): {self.log_path(name).read_text()[-2000:]}")
 
+    def apply_catalogue(self, path: pathlib.Path) -> None:
+        """Writes the entries as rows; the daemon has no route for it yet."""
+        entries = tomllib.loads(path.read_text())["service"]
+        operations = [{"table": "catalogue", "key": entry["service"], "expect": 0,
+                       "value": json.dumps(entry)} for entry in entries]
+        status, text = request(self.platform, "POST", "/transactions", {"operations": operations})
+        if status != 200:
+            raise RuntimeError(f"{path} was not stored: {text}")
+        for name in self.daemons:
+            self.wait_ready(name, "/readyz")
+
     def ctl(self, *arguments) -> subprocess.CompletedProcess:
         """Runs fulmarpointctl against all daemons."""
         options = [item for address in self.daemons.values() for item in ("--daemon", address)]
@@ -162,3 +174,93 @@
                 process.wait()
             if process.stdout:
                 process.stdout.close()
+
+
+class StreamResult:
+    """What a caller received of one generation."""
+
+    def __init__(self):
+        self.positions = []
+        self.tokens = []
+        self.times = []
+        self.total = None
+        self.error = None
+        self.event_id = None
+        self.sends = 0
+
+    def longest_pause(self) -> float:
+        return max((b - a for a, b in zip(self.times, self.times[1:])), default=0.0)
+
+
+def lookup(cluster: Cluster, service: str, key: str) -> dict:
+    """Asks the daemons in turn for the addresses to use."""
+    for address in cluster.daemons.values():
+        try:
+            status, text = request(address, "GET", f"/v1/lookup?service={service}",
+                                   headers={"Authorization": f"Bearer {key}"}, timeout=2)
+        except OSError:
+            continue
+        if status == 200:
+            return json.loads(text)
+    raise RuntimeError(f"no daemon answers the lookup of {service}")
+
+
+def _read_events(reply, result: StreamResult, on_token) -> bool:
+    """Reads server-sent events until the stream ends; returns whether it is complete."""
+    event = {}
+    for raw in reply:
+        line = raw.decode().rstrip("\r\n")
+        if line:
+            field, _, value = line.partition(": ")
+            event[field] = value
+            continue
+        if not event:
+            continue
+        data = json.loads(event.get("data", "{}"))
+        kind = event.get("event")
+        if kind == "done":
+            result.total = data["total"]
+            return True
+        if kind == "error":
+            result.error = data
+            return True
+        if kind is None:
+            result.event_id = event.get("id", result.event_id)
+            result.positions.append(data["position"])
+            result.tokens.append(data["token"])
+            result.times.append(time.monotonic())
+            if on_token:
+                on_token(result)
+        event = {}
+    return False
+
+
+def generate(cluster: Cluster, body: dict, key: str, on_token=None) -> StreamResult:
+    """Runs one generation as a caller does: follows the lookup, and after a lost connection resumes at
+    the next daemon with the event id and the tokens that it holds."""
+    result = StreamResult()
+    addresses = [item["address"] for item in lookup(cluster, body["service"], key)["daemons"]]
+    for attempt in range(6):
+        headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        sent = dict(body)
+        if result.event_id:
+            headers["Last-Event-ID"] = result.event_id
+            sent["prefix_tokens"] = result.tokens
+        host, port = addresses[attempt % len(addresses)].rsplit(":", 1)
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        result.sends += 1
+        try:
+            connection.request("POST", "/v1/completions", json.dumps(sent), headers)
+            reply = connection.getresponse()
+            if reply.status != 200:
+                result.error = json.loads(reply.read())
+                return result
+            if _read_events(reply, result, on_token):
+                return result
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        time.sleep(0.1)
+    result.error = {"name": "gave_up"}
+    return result
