Add fault matrix of requests: single faults

Cause: P1, P2, P4, P5 and P6 were not shown under failure. Change: simulated callers, daemons and application engines in tests/support; each of 24 faults at each step of six kinds of request.

--- /dev/null
+++ b/tests/support/request_plan.h
@@ -0,0 +1,182 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "utils/enum_names.h"
+#include "utils/time.h"
+#include "verification/checker.h"
+
+namespace fulmarpoint {
+
+enum class ScenarioKind {
+  kGenerationResource,
+  kGenerationLatency,
+  /// The version of the first attempt has no endpoint any more when another is selected.
+  kGenerationVersionGone,
+  kCallClaimed,
+  kCallIssued,
+  kCallIdempotent,
+};
+
+inline constexpr std::array<EnumName<ScenarioKind>, 6> kScenarioNames = {{
+    {ScenarioKind::kGenerationResource, "generation_resource"},
+    {ScenarioKind::kGenerationLatency, "generation_latency"},
+    {ScenarioKind::kGenerationVersionGone, "generation_version_gone"},
+    {ScenarioKind::kCallClaimed, "call_claimed"},
+    {ScenarioKind::kCallIssued, "call_issued"},
+    {ScenarioKind::kCallIdempotent, "call_idempotent"},
+}};
+
+enum class Step {
+  kLookup,
+  kAdmission,
+  kClaim,
+  kSend,
+  kFirstToken,
+  kMidStream,
+  kLastToken,
+  kOutcome,
+  kAnswer,
+};
+
+inline constexpr std::array<EnumName<Step>, 9> kStepNames = {{
+    {Step::kLookup, "lookup"},
+    {Step::kAdmission, "admission"},
+    {Step::kClaim, "claim"},
+    {Step::kSend, "send"},
+    {Step::kFirstToken, "first_token"},
+    {Step::kMidStream, "mid_stream"},
+    {Step::kLastToken, "last_token"},
+    {Step::kOutcome, "outcome"},
+    {Step::kAnswer, "answer"},
+}};
+
+enum class Fault {
+  kEndpointCrash,
+  kEndpointPause,
+  kEndpointSlow,
+  kEndpointRefuses,
+  kSilentConnection,
+  kDaemonCrash,
+  kDaemonPause,
+  kDaemonDrain,
+  kPartitionDaemons,
+  kPartitionEndpoint,
+  kPartitionStore,
+  kStoreDown,
+  kStoreSlow,
+  kStoreResponseLost,
+  kStoreDelayedWrite,
+  kAnswerLost,
+  kAnswerLate,
+  kAnswerCrossed,
+  kAnswerDoubled,
+  kCallerGone,
+  kCallerSlow,
+  kCallerElsewhere,
+  kStaleList,
+  kWrongList,
+};
+
+inline constexpr std::array<EnumName<Fault>, 24> kFaultNames = {{
+    {Fault::kEndpointCrash, "endpoint_crash"},
+    {Fault::kEndpointPause, "endpoint_pause"},
+    {Fault::kEndpointSlow, "endpoint_slow"},
+    {Fault::kEndpointRefuses, "endpoint_refuses"},
+    {Fault::kSilentConnection, "silent_connection"},
+    {Fault::kDaemonCrash, "daemon_crash"},
+    {Fault::kDaemonPause, "daemon_pause"},
+    {Fault::kDaemonDrain, "daemon_drain"},
+    {Fault::kPartitionDaemons, "partition_daemons"},
+    {Fault::kPartitionEndpoint, "partition_endpoint"},
+    {Fault::kPartitionStore, "partition_store"},
+    {Fault::kStoreDown, "store_down"},
+    {Fault::kStoreSlow, "store_slow"},
+    {Fault::kStoreResponseLost, "store_response_lost"},
+    {Fault::kStoreDelayedWrite, "store_delayed_write"},
+    {Fault::kAnswerLost, "answer_lost"},
+    {Fault::kAnswerLate, "answer_late"},
+    {Fault::kAnswerCrossed, "answer_crossed"},
+    {Fault::kAnswerDoubled, "answer_doubled"},
+    {Fault::kCallerGone, "caller_gone"},
+    {Fault::kCallerSlow, "caller_slow"},
+    {Fault::kCallerElsewhere, "caller_elsewhere"},
+    {Fault::kStaleList, "stale_list"},
+    {Fault::kWrongList, "wrong_list"},
+}};
+
+/// Defects that the driver of the simulated daemon can contain, to show that the checks find them.
+enum class Mutation {
+  kNone,
+  kAcceptAnyAttempt,
+  kAcceptAnyPosition,
+  kFinishEarly,
+  kOtherSeedOnResume,
+  kOtherVersionOnResume,
+  kEventIdTooFar,
+  kSendBeforeClaim,
+  kExpireClaimEarly,
+  kTakeForeignClaim,
+  kTakeOverUnreachable,
+  kNotRunAfterSend,
+  kRepeatAfterFailure,
+  kForgetIssuedOutcome,
+  kRunForeignIssuedKey,
+  kAcceptCrossedAnswer,
+};
+
+inline constexpr std::array<EnumName<Mutation>, 16> kMutationNames = {{
+    {Mutation::kNone, "none"},
+    {Mutation::kAcceptAnyAttempt, "accept_any_attempt"},
+    {Mutation::kAcceptAnyPosition, "accept_any_position"},
+    {Mutation::kFinishEarly, "finish_early"},
+    {Mutation::kOtherSeedOnResume, "other_seed_on_resume"},
+    {Mutation::kOtherVersionOnResume, "other_version_on_resume"},
+    {Mutation::kEventIdTooFar, "event_id_too_far"},
+    {Mutation::kSendBeforeClaim, "send_before_claim"},
+    {Mutation::kExpireClaimEarly, "expire_claim_early"},
+    {Mutation::kTakeForeignClaim, "take_foreign_claim"},
+    {Mutation::kTakeOverUnreachable, "take_over_unreachable"},
+    {Mutation::kNotRunAfterSend, "not_run_after_send"},
+    {Mutation::kRepeatAfterFailure, "repeat_after_failure"},
+    {Mutation::kForgetIssuedOutcome, "forget_issued_outcome"},
+    {Mutation::kRunForeignIssuedKey, "run_foreign_issued_key"},
+    {Mutation::kAcceptCrossedAnswer, "accept_crossed_answer"},
+}};
+
+struct PlannedFault {
+  Fault fault = Fault::kEndpointCrash;
+  Step step = Step::kLookup;
+};
+
+/// One simulated run. The faults strike when the first request reaches their steps.
+struct RequestPlan {
+  ScenarioKind kind = ScenarioKind::kGenerationResource;
+  std::vector<PlannedFault> faults;
+  std::uint64_t seed = 1;
+  Mutation mutation = Mutation::kNone;
+};
+
+struct RequestRun {
+  History history;
+  std::vector<Violation> violations;
+  /// "answer", "gone", or the name of the result code that the caller of the first request got.
+  std::string result;
+  /// Whether each fault of the plan struck.
+  std::vector<bool> struck;
+  /// Longest time between two tokens at the first caller.
+  Duration longest_gap = Duration::zero();
+};
+
+inline bool IsGeneration(ScenarioKind kind) { return kind <= ScenarioKind::kGenerationVersionGone; }
+
+/// Returns the plan as text that identifies the run.
+std::string Describe(const RequestPlan& plan);
+
+/// Runs a plan under virtual time and checks its history.
+RequestRun RunRequests(const RequestPlan& plan);
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/support/request_world.cpp
@@ -0,0 +1,354 @@
+#include "support/request_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "support/simulated_daemon.h"
+#include "verification/token_function.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kRunTime = std::chrono::minutes(3);
+constexpr Duration kAnswerDelay = seconds(4);
+
+}  // namespace
+
+RequestWorld::RequestWorld(RequestPlan plan)
+    : queue(plan.seed),
+      network(queue, milliseconds(1)),
+      store(network, queue),
+      m_plan(std::move(plan)),
+      m_struck(m_plan.faults.size(), false) {
+  for (const char* name : {"e0", "e1", "e2", "e3"}) {
+    const bool first =
+        m_plan.kind == ScenarioKind::kGenerationVersionGone ? name < "e2" : name < "e3";
+    SimulatedEngineConfig config{name, kModel, first ? "v1" : "v2"};
+    engines.emplace(name, SimulatedEngine(config, queue));
+  }
+  for (const char* name : {"d0", "d1", "d2"}) {
+    daemons[name] = std::make_unique<SimulatedDaemon>(*this, InstanceId{name, 1});
+  }
+}
+
+RequestWorld::~RequestWorld() = default;
+
+RequestRun RequestWorld::Run() {
+  for (int i = 0; i < 2; ++i) {
+    Caller caller;
+    caller.name = "r" + std::to_string(i);
+    caller.seed = 100 + static_cast<std::uint64_t>(i);
+    caller.key = "key-" + std::to_string(i);
+    caller.sends_tokens_back = queue.Draw(5) != 0;
+    m_callers.push_back(caller);
+  }
+  for (Caller& caller : m_callers) {
+    queue.After(milliseconds(queue.Draw(20)), [this, &caller] { Lookup(caller); });
+  }
+  queue.RunUntil(TimePoint(kRunTime));
+  RequestRun run;
+  run.violations = CheckHistory(m_history);
+  for (std::size_t i = 0; i < m_history.size(); ++i) {
+    const auto* answer = std::get_if<AnswerReceived>(&m_history[i].event);
+    if (answer == nullptr || !IsGeneration(m_plan.kind) || answer->total == kTokens) continue;
+    run.violations.push_back({Guarantee::kP4, answer->request + ": answer is cut short", {i}});
+  }
+  run.history = std::move(m_history);
+  run.result = m_callers[0].result;
+  run.struck = m_struck;
+  run.longest_gap = m_callers[0].longest_gap;
+  return run;
+}
+
+void RequestWorld::Reach(Step step, const RequestName& request) {
+  if (request != "r0") return;
+  for (std::size_t i = 0; i < m_plan.faults.size(); ++i) {
+    if (m_struck[i] || m_plan.faults[i].step != step) continue;
+    m_struck[i] = true;
+    Strike(m_plan.faults[i].fault);
+  }
+}
+
+void RequestWorld::AtStep(Step step, const RequestName& request, const std::string& node,
+                          std::function<void()> next) {
+  Reach(step, request);
+  network.Post(node, queue.Now(), std::move(next));
+}
+
+void RequestWorld::ReachToken(std::uint64_t position, const RequestName& request) {
+  std::optional<Step> step;
+  if (position == 0) step = Step::kFirstToken;
+  if (position == kTokens / 2) step = Step::kMidStream;
+  if (position == kTokens - 1) step = Step::kLastToken;
+  if (!step || request != "r0") return;
+  for (std::size_t i = 0; i < m_plan.faults.size(); ++i) {
+    const Fault fault = m_plan.faults[i].fault;
+    if (m_struck[i] || m_plan.faults[i].step != *step) continue;
+    m_struck[i] = true;
+    const bool of_message = fault >= Fault::kAnswerLost && fault <= Fault::kAnswerDoubled;
+    if (of_message) {
+      Strike(fault);
+    } else {
+      // The engine is in the middle of its stream; it is changed when it has returned.
+      queue.After(Duration::zero(), [this, fault] { Strike(fault); });
+    }
+  }
+}
+
+void RequestWorld::Use(const RequestName& request, const EndpointId& endpoint) {
+  if (request == "r0") endpoint_in_use = endpoint;
+}
+
+std::string RequestWorld::EndpointInUse() const {
+  if (!endpoint_in_use.empty()) return endpoint_in_use;
+  return IsGeneration(m_plan.kind) ? "e0" : "a0";
+}
+
+void RequestWorld::Activate(Fault fault, Duration duration) {
+  m_active.insert(fault);
+  queue.After(duration, [this, fault] { m_active.erase(fault); });
+}
+
+void RequestWorld::Strike(Fault fault) {
+  const std::string endpoint = EndpointInUse();
+  const auto engine = engines.find(endpoint);
+  const bool model = engine != engines.end();
+  switch (fault) {
+    case Fault::kEndpointCrash:
+      network.Crash(endpoint);
+      Record(EndpointCrashed{endpoint});
+      if (model) engine->second.Crash();
+      queue.After(seconds(5), [this, endpoint] {
+        network.Restart(endpoint);
+        const auto restarted = engines.find(endpoint);
+        if (restarted != engines.end()) restarted->second.Restart();
+      });
+      return;
+    case Fault::kEndpointPause:
+      network.Pause(endpoint);
+      if (model) engine->second.Pause();
+      queue.After(seconds(4), [this, endpoint] {
+        const auto paused = engines.find(endpoint);
+        if (paused != engines.end()) paused->second.Unpause();
+        network.Unpause(endpoint);
+      });
+      return;
+    case Fault::kEndpointSlow:
+      slow.insert(endpoint);
+      if (model) engine->second.SetSlowFactor(40);
+      queue.After(seconds(4), [this, endpoint] {
+        slow.erase(endpoint);
+        const auto slowed = engines.find(endpoint);
+        if (slowed != engines.end()) slowed->second.SetSlowFactor(1);
+      });
+      return;
+    case Fault::kEndpointRefuses:
+      refusing.insert(endpoint);
+      if (model) engine->second.SetRefusing(true);
+      queue.After(seconds(3), [this, endpoint] {
+        refusing.erase(endpoint);
+        const auto refused = engines.find(endpoint);
+        if (refused != engines.end()) refused->second.SetRefusing(false);
+      });
+      return;
+    case Fault::kSilentConnection:
+      return network.SilenceConnections(endpoint);
+    case Fault::kPartitionEndpoint:
+      network.Cut(daemon_in_use, endpoint);
+      queue.After(seconds(5),
+                  [this, daemon = daemon_in_use, endpoint] { network.Heal(daemon, endpoint); });
+      return;
+    case Fault::kStoreDown:
+      return StrikeStore(FakeTableService::Mode::kDown);
+    case Fault::kStoreSlow:
+      return StrikeStore(FakeTableService::Mode::kSlow);
+    case Fault::kStoreResponseLost:
+      return StrikeStore(FakeTableService::Mode::kResponseLost);
+    case Fault::kStoreDelayedWrite:
+      return StrikeStore(FakeTableService::Mode::kDelayedWrite);
+    case Fault::kAnswerLost:
+    case Fault::kAnswerLate:
+    case Fault::kAnswerCrossed:
+    case Fault::kAnswerDoubled:
+    case Fault::kWrongList:
+      return Activate(fault, seconds(3));
+    case Fault::kStaleList:
+      return BreakList();
+    case Fault::kCallerGone:
+    case Fault::kCallerSlow:
+    case Fault::kCallerElsewhere:
+      return StrikeCaller(fault);
+    case Fault::kDaemonCrash:
+    case Fault::kDaemonPause:
+    case Fault::kDaemonDrain:
+    case Fault::kPartitionDaemons:
+    case Fault::kPartitionStore:
+      return StrikeDaemon(fault);
+  }
+}
+
+void RequestWorld::StrikeStore(FakeTableService::Mode mode) {
+  store.SetMode(mode);
+  queue.After(seconds(4), [this] { store.SetMode(FakeTableService::Mode::kUp); });
+}
+
+void RequestWorld::StrikeDaemon(Fault fault) {
+  const std::string daemon = daemon_in_use;
+  if (fault == Fault::kDaemonCrash) {
+    CrashDaemon(daemon, seconds(2));
+  } else if (fault == Fault::kDaemonPause) {
+    network.Pause(daemon);
+    Record(DaemonPaused{daemon});
+    queue.After(seconds(6), [this, daemon] {
+      if (!network.IsPaused(daemon)) return;
+      Record(DaemonUnpaused{daemon});
+      network.Unpause(daemon);
+    });
+  } else if (fault == Fault::kDaemonDrain) {
+    Record(DrainStarted{daemon});
+    daemons.at(daemon)->Drain();
+    queue.After(seconds(1), [this, daemon] { ExitWhenIdle(daemon); });
+  } else if (fault == Fault::kPartitionDaemons) {
+    for (const auto& [other, object] : daemons) {
+      if (other == daemon) continue;
+      network.Cut(daemon, other);
+      queue.After(seconds(5), [this, daemon, other = other] { network.Heal(daemon, other); });
+    }
+  } else {
+    network.Cut(daemon, FakeTableService::kNode);
+    queue.After(seconds(5), [this, daemon] { network.Heal(daemon, FakeTableService::kNode); });
+  }
+}
+
+void RequestWorld::CrashDaemon(const std::string& daemon, std::optional<Duration> restart_after) {
+  if (!network.IsRunning(daemon)) return;
+  network.Crash(daemon);
+  Record(DaemonStopped{daemon});
+  daemons.at(daemon)->Die();
+  if (!restart_after) return;
+  queue.After(*restart_after, [this, daemon] {
+    m_ended_daemons.push_back(std::move(daemons.at(daemon)));
+    const auto process = static_cast<std::uint64_t>(queue.Now().time_since_epoch().count());
+    daemons[daemon] = std::make_unique<SimulatedDaemon>(*this, InstanceId{daemon, process});
+    network.Restart(daemon);
+    Record(DaemonStarted{daemon});
+  });
+}
+
+void RequestWorld::ExitWhenIdle(const std::string& daemon) {
+  if (!network.IsRunning(daemon)) return;
+  if (network.IsPaused(daemon) || daemons.at(daemon)->HasRunningCalls()) {
+    queue.After(seconds(1), [this, daemon] { ExitWhenIdle(daemon); });
+    return;
+  }
+  CrashDaemon(daemon, std::nullopt);
+}
+
+void RequestWorld::BreakList() {
+  Activate(Fault::kStaleList, seconds(3));
+  for (const char* endpoint : {"e1", "a1"}) {
+    network.Crash(endpoint);
+    const auto engine = engines.find(endpoint);
+    if (engine != engines.end()) engine->second.Crash();
+  }
+}
+
+void RequestWorld::StrikeCaller(Fault fault) {
+  Caller& caller = m_callers[0];
+  if (caller.ended) return;
+  const auto serial = caller.serial;
+  const auto tell = [this, &caller](auto action) {
+    const std::string daemon = caller.connected_to;
+    if (daemon.empty() || caller.session == 0) return;
+    network.Datagram("c-r0", daemon, [this, daemon, session = caller.session, action] {
+      action(*daemons.at(daemon), session);
+    });
+  };
+  if (fault == Fault::kCallerSlow) {
+    tell([](SimulatedDaemon& daemon, std::uint64_t id) { daemon.CallerReads(id, false); });
+    queue.After(seconds(5), [this, &caller, serial, tell] {
+      if (caller.serial != serial) return;
+      tell([](SimulatedDaemon& daemon, std::uint64_t id) { daemon.CallerReads(id, true); });
+      caller.last_data = queue.Now();
+    });
+    caller.last_data = queue.Now() + seconds(5);
+    return;
+  }
+  tell([](SimulatedDaemon& daemon, std::uint64_t id) { daemon.CallerGone(id); });
+  if (fault == Fault::kCallerGone) {
+    Record(RequestAbandoned{caller.name});
+    EndCaller(caller, "gone");
+    return;
+  }
+  ++caller.serial;
+  NextDaemon(caller, Duration::zero());
+}
+
+void RequestWorld::SendAnswer(VirtualNetwork::ConnectionId connection, const std::string& endpoint,
+                              const std::string& daemon, const std::function<void()>& deliver,
+                              const std::function<void()>& lost) {
+  if (endpoint != EndpointInUse()) return network.Send(connection, false, deliver);
+  if (IsActive(Fault::kAnswerLost)) {
+    network.Close(connection);
+    return network.Post(daemon, queue.Now() + milliseconds(1), lost);
+  }
+  if (IsActive(Fault::kAnswerLate)) {
+    // The message waits in the daemon, so that closing the connection does not remove it.
+    return network.Post(daemon, queue.Now() + kAnswerDelay, deliver);
+  }
+  if (IsActive(Fault::kAnswerCrossed) && IsGeneration(m_plan.kind)) {
+    if (!m_held_message) {
+      m_held_message = [this, connection, deliver] { network.Send(connection, false, deliver); };
+      queue.After(milliseconds(100), [this] {
+        if (m_held_message) std::exchange(m_held_message, nullptr)();
+      });
+      return;
+    }
+    network.Send(connection, false, deliver);
+    return std::exchange(m_held_message, nullptr)();
+  }
+  network.Send(connection, false, deliver);
+  if (IsActive(Fault::kAnswerDoubled)) network.Send(connection, false, deliver);
+}
+
+void RequestWorld::OpenStream(SimulatedEngine& engine, const SimulatedEngine::StreamRequest& stream,
+                              const SimulatedEngine::Sink& sink, const RequestName& request,
+                              bool again) {
+  const EndpointId endpoint = engine.Config().endpoint;
+  if (!refusing.contains(endpoint)) {
+    Record(RequestStarted{request, endpoint, kService, engine.Config().version,
+                          again ? WorkKind::kResumed : WorkKind::kNew});
+  }
+  engine.Open(stream, sink);
+  version_gone = m_plan.kind == ScenarioKind::kGenerationVersionGone;
+}
+
+void RequestWorld::ServeCall(const std::string& endpoint, const RequestName& request,
+                             const std::string& body,
+                             const std::function<void(int, std::string, RequestName)>& reply) {
+  if (refusing.contains(endpoint) || IsActive(Fault::kWrongList)) return reply(503, "", request);
+  Record(RequestStarted{request, endpoint, kService, "v1"});
+  const Duration work = milliseconds(100) * (slow.contains(endpoint) ? 20 : 1);
+  network.Post(endpoint, queue.Now() + work, [this, endpoint, request, body, reply] {
+    Record(EffectApplied{request, endpoint});
+    const std::string answer = AnswerTo("POST", "/order", body);
+    if (!IsActive(Fault::kAnswerCrossed)) return reply(200, answer, request);
+    if (m_held_answer && m_held_answer->request != request) {
+      const HeldAnswer held = *std::exchange(m_held_answer, std::nullopt);
+      held.reply(200, answer, request);
+      return reply(200, held.body, held.request);
+    }
+    m_held_answer = HeldAnswer{answer, request, reply};
+    queue.After(seconds(1), [this, request] {
+      if (!m_held_answer || m_held_answer->request != request) return;
+      const HeldAnswer held = *std::exchange(m_held_answer, std::nullopt);
+      held.reply(200, held.body, held.request);
+    });
+  });
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/support/request_world.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/claim_record.h"
+#include "protocol/resume_point.h"
+#include "support/fake_table_service.h"
+#include "support/request_plan.h"
+#include "support/virtual_network.h"
+#include "verification/event_queue.h"
+#include "verification/simulated_engine.h"
+
+namespace fulmarpoint {
+
+class SimulatedDaemon;
+
+/// What a caller sends to a daemon.
+struct SimulatedRequest {
+  RequestName name;
+  int send = 0;
+  std::string key;
+  std::string body;
+  std::uint64_t seed = 0;
+  std::optional<ResumePoint> resume;
+  std::vector<std::string> prefix_tokens;
+};
+
+/// What a daemon sends to a caller.
+struct CallerMessage {
+  enum class Kind { kToken, kDone, kAnswer, kError, kMove };
+  Kind kind = Kind::kToken;
+  std::uint64_t position = 0;
+  std::string text;
+  ResumePoint point;
+  int status = 200;
+  ResultCode code = ResultCode::kOk;
+};
+
+/// State shared by the parts of one run: nodes d0 to d2 (daemons), e0 to e3 (model engines), a0 and
+/// a1 (application engines), the store and two callers.
+class RequestWorld {
+ public:
+  static constexpr std::uint64_t kTokens = 30;
+  static constexpr const char* kService = "service";
+  static constexpr const char* kModel = "model";
+
+  explicit RequestWorld(RequestPlan plan);
+  ~RequestWorld();
+
+  RequestRun Run();
+
+  /// Lets the faults of a step strike if `request` is the first one.
+  void Reach(Step step, const RequestName& request);
+  /// Reaches the step and then runs `next` at the node, unless the node has crashed; after its
+  /// pause if it is paused.
+  void AtStep(Step step, const RequestName& request, const std::string& node,
+              std::function<void()> next);
+  void Record(HistoryEvent event) { m_history.push_back({queue.Now(), std::move(event)}); }
+  bool IsActive(Fault fault) const { return m_active.contains(fault); }
+  Mutation ActiveMutation() const { return m_plan.mutation; }
+  ScenarioKind Kind() const { return m_plan.kind; }
+
+  /// Sends a message of an endpoint to a daemon, as the active faults of answers say.
+  void SendAnswer(VirtualNetwork::ConnectionId connection, const std::string& endpoint,
+                  const std::string& daemon, const std::function<void()>& deliver,
+                  const std::function<void()>& lost);
+  /// Runs a call at an application engine and answers it with its body and request name.
+  void ServeCall(const std::string& endpoint, const RequestName& request, const std::string& body,
+                 const std::function<void(int, std::string, RequestName)>& reply);
+
+  /// Notes the endpoint on which a request works.
+  void Use(const RequestName& request, const EndpointId& endpoint);
+  /// Lets the faults of the step that the emission of this token is strike afterwards.
+  void ReachToken(std::uint64_t position, const RequestName& request);
+  void OpenStream(SimulatedEngine& engine, const SimulatedEngine::StreamRequest& stream,
+                  const SimulatedEngine::Sink& sink, const RequestName& request, bool again);
+  UnixMillis WallTime() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(queue.Now().time_since_epoch())
+        .count();
+  }
+
+  EventQueue queue;
+  VirtualNetwork network;
+  FakeTableService store;
+  std::map<EndpointId, SimulatedEngine> engines;
+  std::map<std::string, std::unique_ptr<SimulatedDaemon>> daemons;
+  /// Endpoint and daemon that last worked on the first request.
+  std::string endpoint_in_use;
+  std::string daemon_in_use = "d0";
+  std::set<EndpointId> refusing;
+  std::set<EndpointId> slow;
+  /// No endpoint has version v1 any more.
+  bool version_gone = false;
+
+ private:
+  struct Caller {
+    RequestName name;
+    std::uint64_t seed = 0;
+    std::string key;
+    std::vector<std::string> daemons;
+    std::size_t daemon = 0;
+    int send = -1;
+    int refusals = 0;
+    /// Counts connections, so that messages of earlier ones are recognised.
+    std::uint64_t serial = 0;
+    VirtualNetwork::ConnectionId connection = 0;
+    std::string connected_to;
+    std::uint64_t session = 0;
+    std::vector<std::string> tokens;
+    std::optional<ResumePoint> point;
+    TimePoint last_data;
+    bool sends_tokens_back = true;
+    bool ended = false;
+    std::string result = "none";
+    Duration longest_gap = Duration::zero();
+  };
+
+  void Strike(Fault fault);
+  void StrikeDaemon(Fault fault);
+  void StrikeStore(FakeTableService::Mode mode);
+  void Activate(Fault fault, Duration duration);
+  void CrashDaemon(const std::string& daemon, std::optional<Duration> restart_after);
+  void ExitWhenIdle(const std::string& daemon);
+  void StrikeCaller(Fault fault);
+  void BreakList();
+  void Lookup(Caller& caller);
+  void SendRequest(Caller& caller);
+  void Deliver(Caller& caller, std::uint64_t serial, const CallerMessage& message);
+  void OnRefusal(Caller& caller, const CallerMessage& message);
+  void OnLost(Caller& caller, std::uint64_t serial, bool moved);
+  void Watch(Caller& caller);
+  void NextDaemon(Caller& caller, Duration delay);
+  void EndCaller(Caller& caller, const std::string& result);
+  std::string EndpointInUse() const;
+
+  RequestPlan m_plan;
+  std::vector<bool> m_struck;
+  std::set<Fault> m_active;
+  std::vector<Caller> m_callers;
+  History m_history;
+  std::vector<std::unique_ptr<SimulatedDaemon>> m_ended_daemons;
+  std::function<void()> m_held_message;
+  struct HeldAnswer {
+    std::string body;
+    RequestName request;
+    std::function<void(int, std::string, RequestName)> reply;
+  };
+  std::optional<HeldAnswer> m_held_answer;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/support/simulated_daemon.cpp
@@ -0,0 +1,452 @@
+#include "support/simulated_daemon.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "utils/overloaded.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr const char* kScope = "org/service";
+constexpr Duration kCallDeadline = std::chrono::seconds(6);
+constexpr Duration kSlotReleaseDelay = std::chrono::seconds(2);
+constexpr Duration kFailedFor = std::chrono::seconds(1);
+
+CallerMessage ErrorMessage(ResultCode code) {
+  CallerMessage message;
+  message.kind = CallerMessage::Kind::kError;
+  message.code = code;
+  return message;
+}
+
+CallerMessage AnswerMessage(const CallAnswer& answer) {
+  CallerMessage message;
+  message.kind = CallerMessage::Kind::kAnswer;
+  message.status = answer.status;
+  message.text = answer.body;
+  return message;
+}
+
+CallerMessage OutcomeMessage(const ClaimRecord& outcome) {
+  if (outcome.state == ClaimState::kDone) return AnswerMessage(outcome.answer);
+  return ErrorMessage(ResultCode::kOutcomeUnknown);
+}
+
+}  // namespace
+
+SimulatedDaemon::SimulatedDaemon(RequestWorld& world, InstanceId self)
+    : m_world(world),
+      m_self(self),
+      m_last_session(self.incarnation * 1000),
+      m_batcher(ClaimBatcherConfig{}),
+      m_issuer(std::move(self), KeyIssuerConfig{}),
+      m_budget(ResumeBudgetConfig{}, Random(world.queue.Draw(1000))) {}
+
+void SimulatedDaemon::Post(Duration delay, std::function<void()> callback) {
+  m_world.network.Post(m_self.name, m_world.queue.Now() + delay, std::move(callback));
+}
+
+SimulatedDaemon::Session* SimulatedDaemon::Find(std::uint64_t id) {
+  const auto found = m_sessions.find(id);
+  return found == m_sessions.end() ? nullptr : &found->second;
+}
+
+std::string SimulatedDaemon::IssueKeyPrefix() { return m_issuer.Issue(m_world.queue.Now()); }
+
+std::uint64_t SimulatedDaemon::Accept(const SimulatedRequest& request, Reply reply) {
+  const std::uint64_t id = ++m_last_session;
+  m_sessions[id].request = request;
+  m_sessions[id].reply = std::move(reply);
+  m_world.daemon_in_use = m_self.name;
+  m_world.AtStep(Step::kAdmission, request.name, m_self.name, [this, id] {
+    if (m_dead || m_draining) return ToCaller(id, ErrorMessage(ResultCode::kDraining));
+    if (IsGeneration(m_world.Kind())) return StartGeneration(id);
+    if (m_world.Kind() == ScenarioKind::kCallClaimed) {
+      return StartCall(id, CallProtection::kClaimed);
+    }
+    if (m_world.Kind() == ScenarioKind::kCallIdempotent) {
+      return StartCall(id, CallProtection::kIdempotent);
+    }
+    StartIssued(m_sessions[id].request, m_sessions[id].reply);
+  });
+  return id;
+}
+
+void SimulatedDaemon::CallerGone(std::uint64_t session) {
+  if (Session* found = Find(session)) {
+    if (found->generation) FeedGeneration(session, generation::CallerGone{});
+    if (found->call) FeedCall(session, call::CallerGone{});
+  }
+}
+
+void SimulatedDaemon::CallerReads(std::uint64_t id, bool reads) {
+  Session* session = Find(id);
+  if (m_dead || session == nullptr || !session->generation) return;
+  session->reads = reads;
+  if (!reads) {
+    FeedGeneration(id, generation::ReaderPaused{});
+    Post(kSlotReleaseDelay, [this, id] {
+      Session* slow = Find(id);
+      if (m_dead || slow->reads || slow->generation->Ended()) return;
+      std::uint64_t position = slow->generation->NextPosition();
+      if (!slow->buffer.empty()) position = slow->buffer.front().position;
+      slow->buffer.clear();
+      FeedGeneration(id, generation::SlotReleased{position});
+    });
+    return;
+  }
+  std::vector<CallerMessage> buffer;
+  buffer.swap(session->buffer);
+  for (const CallerMessage& message : buffer) ToCaller(id, message);
+  FeedGeneration(id, generation::ReaderDrained{});
+}
+
+void SimulatedDaemon::Drain() {
+  m_draining = true;
+  for (const auto& [id, session] : m_sessions) {
+    if (!session.generation) continue;
+    Post(std::chrono::milliseconds(200),
+         [this, session_id = id] { FeedGeneration(session_id, generation::HandOff{}); });
+  }
+}
+
+bool SimulatedDaemon::HasRunningCalls() const {
+  return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto& entry) {
+    return entry.second.call && !entry.second.call->Answered();
+  });
+}
+
+void SimulatedDaemon::ToCaller(std::uint64_t id, const CallerMessage& message) {
+  Session* session = Find(id);
+  if (m_dead || session == nullptr) return;
+  if (session->reads) return session->reply(message);
+  session->buffer.push_back(message);
+}
+
+void SimulatedDaemon::StartGeneration(std::uint64_t id) {
+  Session& session = m_sessions[id];
+  GenerationConfig config;
+  config.request = RequestId{1, id};
+  config.service_class = m_world.Kind() == ScenarioKind::kGenerationResource
+                             ? ServiceClass::kResource
+                             : ServiceClass::kLatency;
+  config.model = RequestWorld::kModel;
+  config.seed = session.request.seed;
+  config.max_tokens = RequestWorld::kTokens;
+  config.request_hash = GenerationRequestHash(config.model, "", session.request.body, 0);
+  config.prefix_tokens = session.request.prefix_tokens;
+  config.resume = session.request.resume;
+  if (config.resume && m_world.ActiveMutation() == Mutation::kEventIdTooFar) {
+    ++config.resume->position;
+    config.prefix_tokens.clear();
+  }
+  session.generation = std::make_unique<Generation>(config, Random(m_world.queue.Draw(1 << 30)));
+  FeedGeneration(id, generation::Start{});
+}
+
+void SimulatedDaemon::StartCall(std::uint64_t id, CallProtection protection) {
+  Session& session = m_sessions[id];
+  CallConfig config;
+  config.protection = protection;
+  if (m_world.ActiveMutation() == Mutation::kRepeatAfterFailure) {
+    config.protection = CallProtection::kIdempotent;
+  }
+  config.claim_key = std::string(kScope) + "/" + session.request.key;
+  config.claim.claim_token =
+      m_self.name + "-" + std::to_string(m_self.incarnation) + "-" + std::to_string(id);
+  config.claim.owner = m_self;
+  config.claim.request_hash = StableHash(session.request.body);
+  config.claim.created = m_world.WallTime();
+  config.deadline = m_world.queue.Now() + kCallDeadline;
+  session.call = std::make_unique<Call>(config);
+  FeedCall(id, call::Start{});
+}
+
+std::uint64_t SimulatedDaemon::StartIssued(const SimulatedRequest& request, const Reply& reply) {
+  if (m_dead) return 0;
+  const IssuedKeyResult result =
+      m_issuer.Begin(kScope, request.key, StableHash(request.body), m_world.queue.Now());
+  const bool foreign = result.state == IssuedKeyState::kOtherOwner;
+  if (foreign && m_world.ActiveMutation() != Mutation::kRunForeignIssuedKey) {
+    Forward(result.owner, request, reply);
+    return 0;
+  }
+  switch (result.state) {
+    case IssuedKeyState::kFinished:
+      reply(OutcomeMessage(result.outcome));
+      return 0;
+    case IssuedKeyState::kRunning:
+      m_waiters[request.key].push_back(
+          [reply](const ClaimRecord& outcome) { reply(OutcomeMessage(outcome)); });
+      return 0;
+    case IssuedKeyState::kRun:
+    case IssuedKeyState::kOtherOwner:
+      break;
+    case IssuedKeyState::kReused:
+      reply(ErrorMessage(ResultCode::kKeyReused));
+      return 0;
+    case IssuedKeyState::kExpired:
+      reply(ErrorMessage(ResultCode::kKeyExpired));
+      return 0;
+    case IssuedKeyState::kMalformed:
+      reply(ErrorMessage(ResultCode::kBadRequest));
+      return 0;
+    case IssuedKeyState::kFull:
+      reply(ErrorMessage(ResultCode::kMemoryLimit));
+      return 0;
+  }
+  const std::uint64_t id = ++m_last_session;
+  m_sessions[id].request = request;
+  m_sessions[id].reply = reply;
+  StartCall(id, CallProtection::kIssued);
+  return id;
+}
+
+void SimulatedDaemon::Forward(const InstanceId& owner, const SimulatedRequest& request,
+                              const Reply& reply) {
+  const auto unreachable = [reply] { reply(ErrorMessage(ResultCode::kOwnerUnreachable)); };
+  if (owner.name == m_self.name) return unreachable();
+  VirtualNetwork::ClientEnd end;
+  end.failed = unreachable;
+  end.lost = unreachable;
+  end.connected = [this, owner, request, reply](VirtualNetwork::ConnectionId connection) {
+    m_world.network.Send(connection, true, [this, owner, request, reply, connection] {
+      m_world.daemons.at(owner.name)
+          ->RunIssued(request, [this, reply, connection](const CallerMessage& message) {
+            m_world.network.Send(connection, false, [reply, message] { reply(message); });
+          });
+    });
+  };
+  m_world.network.Connect(m_self.name, owner.name, end);
+}
+
+void SimulatedDaemon::FeedGeneration(std::uint64_t id, const Generation::Event& event) {
+  Session* session = Find(id);
+  if (m_dead || session == nullptr || !session->generation) return;
+  std::vector<Generation::Action> actions;
+  session->generation->Handle(event, m_world.queue.Now(), actions);
+  for (const Generation::Action& action : actions) {
+    std::visit([&](const auto& specific) { Do(id, specific); }, action);
+  }
+}
+
+void SimulatedDaemon::FeedCall(std::uint64_t id, const Call::Event& event) {
+  Session* session = Find(id);
+  if (m_dead || session == nullptr || !session->call) return;
+  std::vector<Call::Action> actions;
+  session->call->Handle(event, m_world.queue.Now(), actions);
+  for (const Call::Action& action : actions) {
+    std::visit([&](const auto& specific) { Do(id, specific); }, action);
+  }
+}
+
+void SimulatedDaemon::FeedBatcher(const ClaimBatcher::Event& event) {
+  if (m_dead) return;
+  std::vector<ClaimBatcher::Action> actions;
+  m_batcher.Handle(event, m_world.queue.Now(), actions);
+  for (const ClaimBatcher::Action& action : actions) {
+    std::visit([&](const auto& specific) { Do(specific); }, action);
+  }
+}
+
+std::optional<EndpointId> SimulatedDaemon::Choose(const std::vector<EndpointId>& candidates) {
+  if (candidates.empty()) return std::nullopt;
+  if (m_world.IsActive(Fault::kStaleList)) {
+    for (const EndpointId& candidate : candidates) {
+      if (!m_world.network.IsRunning(candidate)) return candidate;
+    }
+  }
+  std::vector<EndpointId> healthy;
+  for (const EndpointId& candidate : candidates) {
+    if (m_failed_until[candidate] <= m_world.queue.Now()) healthy.push_back(candidate);
+  }
+  const std::vector<EndpointId>& pool = healthy.empty() ? candidates : healthy;
+  return pool[m_world.queue.Draw(pool.size())];
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::SelectEndpoint& action) {
+  const bool gone = m_world.version_gone && action.version == "v1";
+  if (gone) {
+    Post(Duration::zero(), [this, id, selection = action.selection] {
+      FeedGeneration(id, generation::NoEndpoint{selection, true});
+    });
+    return;
+  }
+  VersionName version = action.version.value_or(m_world.version_gone ? "v2" : "v1");
+  const bool other =
+      action.resumption && m_world.ActiveMutation() == Mutation::kOtherVersionOnResume;
+  std::vector<EndpointId> candidates;
+  for (const auto& [endpoint, engine] : m_world.engines) {
+    const bool excluded = std::count(action.excluded.begin(), action.excluded.end(), endpoint) > 0;
+    if (!excluded && engine.Config().version == (other ? "v2" : version)) {
+      candidates.push_back(endpoint);
+    }
+  }
+  const std::optional<EndpointId> chosen = Choose(candidates);
+  generation::EndpointSelected selected;
+  selected.selection = action.selection;
+  selected.version = version;
+  selected.predicted_wait = std::chrono::milliseconds(200);
+  selected.endpoint = chosen.value_or("");
+  const TimePoint now = m_world.queue.Now();
+  selected.not_before =
+      action.resumption ? m_budget.Take("service", selected.endpoint, now).value_or(now) : now;
+  Post(Duration::zero(), [this, id, chosen, selected] {
+    if (chosen) return FeedGeneration(id, selected);
+    FeedGeneration(id, generation::NoEndpoint{selected.selection});
+  });
+}
+
+void SimulatedDaemon::ConnectEngine(
+    std::uint64_t id, const EndpointId& endpoint, std::uint32_t attempt, std::uint32_t connection,
+    const std::function<void(SimulatedEngine&, SimulatedEngine::Sink)>& ask) {
+  const auto fail = [this, id, endpoint, attempt, connection](AttemptFailure failure) {
+    m_failed_until[endpoint] = m_world.queue.Now() + kFailedFor;
+    FeedGeneration(id, generation::AttemptFailed{attempt, connection, failure});
+  };
+  const auto lost = [fail] { fail(AttemptFailure::kConnectionLost); };
+  const RequestName name = Find(id)->request.name;
+  VirtualNetwork::ClientEnd end;
+  end.failed = [fail] { fail(AttemptFailure::kNotConnected); };
+  end.lost = lost;
+  end.connected = [this, id, endpoint, attempt, connection, ask, lost,
+                   name](VirtualNetwork::ConnectionId link) {
+    Session* session = Find(id);
+    session->connections[connection] = link;
+    session->attempt_connections.emplace(attempt, connection);
+    const SimulatedEngine::Sink sink = [this, id, endpoint, attempt, connection, lost, name,
+                                        link](const SimulatedEngine::Message& message) {
+      if (const auto* token = std::get_if<simulated_engine::Token>(&message)) {
+        m_world.ReachToken(token->position, name);
+      }
+      m_world.SendAnswer(
+          link, endpoint, m_self.name,
+          [this, id, attempt, connection, message] {
+            OnEngineMessage(id, attempt, connection, message);
+          },
+          lost);
+    };
+    m_world.network.Send(link, true, [this, endpoint, ask, sink] {
+      if (m_world.IsActive(Fault::kWrongList)) return sink(simulated_engine::Refused{});
+      ask(m_world.engines.at(endpoint), sink);
+    });
+  };
+  m_world.network.Connect(m_self.name, endpoint, end);
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::OpenAttempt& action) {
+  const RequestName name = Find(id)->request.name;
+  m_world.Use(name, action.endpoint);
+  SimulatedEngine::StreamRequest request;
+  request.stream = action.stream;
+  request.prompt = Find(id)->request.body;
+  request.seed = action.seed;
+  request.prefix_tokens = action.prefix_tokens.size();
+  request.total = RequestWorld::kTokens;
+  const bool again = action.attempt > 1;
+  if (again && m_world.ActiveMutation() == Mutation::kOtherSeedOnResume) ++request.seed;
+  m_world.AtStep(Step::kSend, name, m_self.name, [this, id, action, request, name, again] {
+    if (m_dead) return;
+    ConnectEngine(
+        id, action.endpoint, action.attempt, action.connection,
+        [this, request, name, again](SimulatedEngine& engine, const SimulatedEngine::Sink& sink) {
+          m_world.OpenStream(engine, request, sink, name, again);
+        });
+  });
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::ReconnectAttempt& action) {
+  ConnectEngine(id, action.endpoint, action.attempt, action.connection,
+                [action](SimulatedEngine& engine, const SimulatedEngine::Sink& sink) {
+                  engine.Reconnect(action.stream, action.from, sink);
+                });
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::CloseConnection& action) {
+  m_world.network.Close(Find(id)->connections[action.connection]);
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::CancelAttempt& action) {
+  Session* session = Find(id);
+  const auto [first, last] = session->attempt_connections.equal_range(action.attempt);
+  for (auto entry = first; entry != last; ++entry) {
+    m_world.network.Close(session->connections[entry->second]);
+  }
+  if (!action.at_engine) return;
+  VirtualNetwork::ClientEnd end;
+  end.failed = end.lost = [] {};
+  end.connected = [this, action](VirtualNetwork::ConnectionId link) {
+    m_world.network.Send(
+        link, true, [this, action] { m_world.engines.at(action.endpoint).Cancel(action.stream); });
+  };
+  m_world.network.Connect(m_self.name, action.endpoint, end);
+}
+
+void SimulatedDaemon::OnEngineMessage(std::uint64_t id, std::uint32_t attempt,
+                                      std::uint32_t connection,
+                                      const SimulatedEngine::Message& message) {
+  Session* session = Find(id);
+  if (m_dead || session == nullptr) return;
+  const Mutation mutation = m_world.ActiveMutation();
+  const std::uint64_t next = session->generation->NextPosition();
+  if (mutation == Mutation::kAcceptAnyAttempt) attempt = session->generation->Point().attempt;
+  std::visit(
+      Overloaded{[&](const simulated_engine::Head&) {
+                   FeedGeneration(id, generation::Reconnected{attempt, connection});
+                 },
+                 [&](const simulated_engine::Refused&) {
+                   FeedGeneration(id, generation::AttemptFailed{attempt, connection,
+                                                                AttemptFailure::kRefused});
+                 },
+                 [&](const simulated_engine::NotHeld&) {
+                   FeedGeneration(id, generation::AttemptFailed{attempt, connection,
+                                                                AttemptFailure::kStreamNotHeld});
+                 },
+                 [&](const simulated_engine::Token& token) {
+                   const bool any = mutation == Mutation::kAcceptAnyPosition;
+                   FeedGeneration(id, generation::TokenReceived{
+                                          attempt, any ? next : token.position, token.token});
+                 },
+                 [&](const simulated_engine::Done& done) {
+                   const bool early = mutation == Mutation::kFinishEarly;
+                   FeedGeneration(id, generation::StreamEnded{attempt, early ? next : done.total});
+                 }},
+      message);
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::DeliverToken& action) {
+  CallerMessage message;
+  message.kind = CallerMessage::Kind::kToken;
+  message.position = action.position;
+  message.text = action.token;
+  message.point = action.point;
+  ToCaller(id, message);
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::Finish& action) {
+  CallerMessage message;
+  message.kind = CallerMessage::Kind::kDone;
+  message.position = action.total;
+  m_world.AtStep(Step::kAnswer, Find(id)->request.name, m_self.name,
+                 [this, id, message] { ToCaller(id, message); });
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::Fail& action) {
+  ToCaller(id, ErrorMessage(action.code));
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::Move&) {
+  CallerMessage message;
+  message.kind = CallerMessage::Kind::kMove;
+  ToCaller(id, message);
+}
+
+void SimulatedDaemon::Do(std::uint64_t id, const generation::SetTimer& action) {
+  m_world.network.Post(m_self.name, action.at, [this, id, timer = action.id] {
+    FeedGeneration(id, generation::TimerFired{timer, EngineActivity::kUnknown});
+  });
+}
+
+}  // namespace fulmarpoint
