--- /dev/null
+++ b/src/libs/protocol/body_codec.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <exception>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "protocol/parse_error.h"
+#include "protocol/result_code.h"
+
+namespace fulmarpoint::internal {
+
+/// Returns the body of a message without header or authentication. Thread-safe.
+template <typename Message>
+std::string EncodeBody(const Message& message) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(message);
+  }
+  return stream.str();
+}
+
+/// Returns the message, or `kBadRequest` if the body is cut short or followed by other bytes.
+/// Thread-safe.
+template <typename Message>
+Parsed<Message> DecodeBody(std::string_view body, const char* name) {
+  std::istringstream stream{std::string(body)};
+  Message message;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(message);
+  } catch (const std::exception&) {
+    return ParseError{make_error_code(ResultCode::kBadRequest), name, 0, "a complete message"};
+  }
+  if (stream.peek() != std::istringstream::traits_type::eof()) {
+    return ParseError{make_error_code(ResultCode::kBadRequest), name, 0, "no trailing bytes"};
+  }
+  return message;
+}
+
+}  // namespace fulmarpoint::internal
--- a/src/libs/protocol/suspect_messages.cpp
+++ b/src/libs/protocol/suspect_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "protocol/body_codec.h"
+
 namespace fulmarpoint {
 
 Fingerprint FingerprintOf(const OrganisationId& organisation, const ServiceName& service,
@@ -14,4 +16,12 @@
   return StableHash(endpoint, incarnation);
 }
 
+std::string EncodeSuspectNotice(const SuspectNotice& notice) {
+  return internal::EncodeBody(notice);
+}
+
+Parsed<SuspectNotice> DecodeSuspectNotice(std::string_view body) {
+  return internal::DecodeBody<SuspectNotice>(body, "suspect notice");
+}
+
 }  // namespace fulmarpoint
