--- /dev/null
+++ b/src/libs/coordination/burn_counters.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "protocol/burn_report.h"
+#include "protocol/catalogue.h"
+#include "protocol/result_code.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// One finished request, as far as objectives are concerned. A zero duration was not measured.
+struct FinishedRequest {
+  OrganisationId organisation;
+  ServiceName service;
+  ServiceKind kind = ServiceKind::kModel;
+  ResultCode code = ResultCode::kOk;
+  VersionName version;
+  EndpointId endpoint;
+  std::string failure_domain;
+  Duration first_token{};
+  Duration token_interval{};
+  Duration longest_resume{};
+  Duration call{};
+};
+
+/// Counts requests against the objectives of their service, per organisation and service, in
+/// memory that does not grow with the number of organisations: a fixed number of rows, and one row
+/// "(other)" per service for those that found no place. A row that had no request for a day is
+/// reused. Not thread-safe.
+class BurnCounters {
+ public:
+  static constexpr std::size_t kMaxRows = 1024;
+  static constexpr std::size_t kMaxActions = 64;
+
+  void Add(const FinishedRequest& request, const ServiceObjectives& objectives, TimePoint now);
+  /// Counts something that the fleet did by itself.
+  void AddAction(const std::string& what);
+  BurnReport Report(const std::string& daemon, TimePoint now) const;
+  /// Returns an estimate of the memory held, in bytes.
+  std::size_t StateBytes() const;
+
+ private:
+  /// Ring of equal slots that covers one window.
+  struct Ring {
+    static constexpr std::size_t kSlots = 12;
+    struct Slot {
+      std::int64_t period = -1;
+      std::uint32_t requests = 0;
+      std::uint32_t missed = 0;
+    };
+    std::array<Slot, kSlots> slots;
+  };
+  struct Row {
+    int target_ppm = 0;
+    TimePoint last_used{};
+    std::array<Ring, 3> rings;
+    std::vector<BurnCause> causes;
+  };
+  using Key = std::pair<ServiceName, OrganisationId>;
+
+  Row& FindRow(const FinishedRequest& request, TimePoint now);
+  static void AddCause(const FinishedRequest& request, Objective objective, Row& row);
+
+  std::map<Key, Row> m_rows;
+  std::vector<FleetAction> m_actions;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/protocol/field_reader.h
+++ b/src/libs/protocol/field_reader.h
@@ -64,6 +64,8 @@
   const std::map<std::string, int>* Lines() const { return m_lines; }
   /// Returns the first error without checking for unknown keys.
   const std::optional<ParseError>& FirstError() const { return m_error; }
+  /// Returns the first error so far; keys that were not read are no error.
+  const std::optional<ParseError>& Error() const { return m_error; }
   /// Returns the first error, after checking for unknown keys.
   const std::optional<ParseError>& Finish();
 
