--- a/src/tools/fulmarpoint-load/endpoint_observer.cpp
+++ b/src/tools/fulmarpoint-load/endpoint_observer.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 EndpointObserver::EndpointObserver(RunContext& context,
-                                   std::map<std::string, std::string> endpoints)
+                                   const std::map<std::string, std::string>& endpoints)
     : m_context(context) {
   for (const auto& [name, address] : endpoints) m_endpoints[name].address = address;
 }
--- a/src/tools/fulmarpoint-load/endpoint_observer.h
+++ b/src/tools/fulmarpoint-load/endpoint_observer.h
@@ -13,7 +13,7 @@
 class EndpointObserver {
  public:
   /// `endpoints` maps names to addresses.
-  EndpointObserver(RunContext& context, std::map<std::string, std::string> endpoints);
+  EndpointObserver(RunContext& context, const std::map<std::string, std::string>& endpoints);
 
   /// Reads all events that were not read before.
   Task<void> Poll();
--- a/src/tools/fulmarpoint-load/generation_caller.cpp
+++ b/src/tools/fulmarpoint-load/generation_caller.cpp
@@ -45,7 +45,7 @@
   Random& random = context.random;
   // Half of the range keeps the number within every JSON parser's signed integers.
   m_seed = random() >> 1;
-  const auto range = static_cast<std::uint64_t>(load.max_tokens - load.min_tokens + 1);
+  const auto range = static_cast<std::uint64_t>(load.max_tokens - load.min_tokens) + 1;
   m_max_tokens = load.min_tokens + static_cast<int>(random() % range);
   if (random() % 100 < static_cast<std::uint64_t>(load.slow_reader_percent)) {
     m_read_delay = load.slow_reader_delay;
--- a/src/tools/fulmarpoint-load/load_run.cpp
+++ b/src/tools/fulmarpoint-load/load_run.cpp
@@ -19,6 +19,7 @@
 
 std::vector<std::string> AddressesOf(const std::map<std::string, std::string>& daemons) {
   std::vector<std::string> addresses;
+  addresses.reserve(daemons.size());
   for (const auto& [name, address] : daemons) addresses.push_back(address);
   return addresses;
 }
--- a/src/tools/fulmarpoint-load/report.cpp
+++ b/src/tools/fulmarpoint-load/report.cpp
@@ -1,6 +1,7 @@
 #include "report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <sstream>
@@ -18,7 +19,7 @@
 double Percentile(const std::vector<Duration>& sorted, double share) {
   if (sorted.empty()) return 0;
   const auto last = static_cast<double>(sorted.size() - 1);
-  return Milliseconds(sorted[static_cast<std::size_t>(share * last + 0.5)]);
+  return Milliseconds(sorted[static_cast<std::size_t>(std::lround(share * last))]);
 }
 
 /// Counts durations in buckets whose limits double, from 1 ms.
--- a/src/tools/fulmarpoint-standin/engine_standin.cpp
+++ b/src/tools/fulmarpoint-standin/engine_standin.cpp
@@ -273,7 +273,8 @@
   const auto fault = m_version_faults.find(version);
   if (fault != m_version_faults.end()) factor *= fault->second.slow;
   const std::size_t held = static_cast<std::size_t>(m_active) + m_waiting.size();
-  const auto capacity = static_cast<std::size_t>(m_options.slots + m_options.queue);
+  const auto capacity =
+      static_cast<std::size_t>(m_options.slots) + static_cast<std::size_t>(m_options.queue);
   return held > capacity ? factor * kCollapseFactor : factor;
 }
 
--- a/src/tools/fulmarpoint-standin/standin_server.cpp
+++ b/src/tools/fulmarpoint-standin/standin_server.cpp
@@ -72,7 +72,7 @@
 
 void StandinServer::Open() {
   HttpServerLimits limits;
-  limits.body_bytes = 16 * 1024 * 1024;
+  limits.body_bytes = std::size_t{16} * 1024 * 1024;
   m_server = std::make_unique<HttpServer>(
       m_executor, limits, [this](HttpExchange& exchange) { return Handle(exchange); },
       [](HttpRejection) {
--- a/src/tools/fulmarpointctl/commands.cpp
+++ b/src/tools/fulmarpointctl/commands.cpp
@@ -64,12 +64,12 @@
 }  // namespace
 
 const std::vector<Command>& Commands() {
-  static const std::vector<Command> kCommands = {
+  static const std::vector<Command> commands = {
       {"endpoints", "", "health and load of the endpoints", 0, 0, ShowEndpoints},
       {"requests explain", "ID", "decisions about a request, with reasons", 1, 1, ExplainRequest},
       {"drain", "IP:PORT", "planned shutdown of one daemon", 1, 1, Drain},
   };
-  return kCommands;
+  return commands;
 }
 
 nlohmann::json ParseBody(const AdminAnswer& answer) {
--- a/src/tools/fulmarpointctl/table_printer.cpp
+++ b/src/tools/fulmarpointctl/table_printer.cpp
@@ -60,6 +60,7 @@
 
 std::string FormatTable(const nlohmann::json& rows, const std::vector<std::string>& columns) {
   std::vector<std::vector<std::string>> lines(1);
+  lines.front().reserve(columns.size());
   for (const std::string& column : columns) lines.front().push_back(Heading(column));
   for (const nlohmann::json& row : rows) {
     std::vector<std::string> cells;
