--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -75,15 +75,17 @@
     def log_path(self, name: str) -> pathlib.Path:
         return pathlib.Path(self.folder.name) / f"{name}.log"
 
-    def _start(self, name: str, arguments: list) -> subprocess.Popen:
+    def _start(self, name: str, arguments: list, pipe_output: bool = False) -> subprocess.Popen:
         with open(self.log_path(name), "wb") as log:
-            process = subprocess.Popen([str(item) for item in arguments], stdout=subprocess.PIPE,
-                                       stderr=log, stdin=subprocess.DEVNULL)
+            process = subprocess.Popen([str(item) for item in arguments], stderr=log,
+                                       stdout=subprocess.PIPE if pipe_output else log,
+                                       stdin=subprocess.DEVNULL)
         self.processes[name] = process
         return process
 
     def _start_standin(self, name: str, kind: str, *arguments) -> str:
-        process = self._start(name, [BIN / "fulmarpoint-standin", kind, "--name", name, *arguments])
+        command = [BIN / "fulmarpoint-standin", kind, "--name", name, *arguments]
+        process = self._start(name, command, pipe_output=True)
         line = process.stdout.readline().decode().split()
         if len(line) != 2:
             raise RuntimeError(f"{name} did not start: {self.log_path(name).read_text()}")
