--- /dev/null
+++ b/src/libs/coordination/lease.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "protocol/identifiers.h"
+#include "protocol/table_messages.h"
+#include "utils/random.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+inline constexpr char kLeaseTable[] = "leases";
+
+/// One lease, kept in a row of the table service. No clock is compared with another: an observer
+/// takes over when it has seen the same row version for the lease time plus a margin on its own
+/// clock, and the holder stops earlier, counted from the start of its last successful write. A lost
+/// answer is resolved by reading the row back. Not thread-safe.
+class Lease {
+ public:
+  struct Options {
+    Duration lease_time = std::chrono::seconds(10);
+    /// Covers the difference between the rates of two clocks.
+    Duration drift_margin = std::chrono::seconds(2);
+    Duration renew_interval = std::chrono::seconds(3);
+    Duration read_interval = std::chrono::seconds(2);
+    /// Time before the end of the lease from which the holder sends nothing more.
+    Duration send_margin = std::chrono::seconds(2);
+    /// Switches of the test driver that break one rule each.
+    bool mutate_take_over_early = false;
+    bool mutate_skip_send_check = false;
+    bool mutate_count_from_answer = false;
+  };
+
+  struct Start {};
+  struct TimerFired {};
+  /// Only candidates read and acquire the lease, so that its cost does not grow with the fleet.
+  struct CandidateChanged {
+    bool candidate = false;
+  };
+  struct RowRead {
+    std::uint64_t token = 0;
+    bool ok = false;
+    std::optional<TableRow> row;
+  };
+  struct WriteDone {
+    std::uint64_t token = 0;
+    TableOutcome outcome = TableOutcome::kUnknown;
+    /// Version of the row after `kDone`.
+    std::uint64_t version = 0;
+  };
+  /// Gives the lease up, so that a successor need not wait.
+  struct Release {};
+  using Event = std::variant<Start, TimerFired, CandidateChanged, RowRead, WriteDone, Release>;
+
+  struct SetTimer {
+    TimePoint at;
+  };
+  struct ReadRow {
+    std::uint64_t token = 0;
+    std::string key;
+  };
+  struct WriteRow {
+    std::uint64_t token = 0;
+    TableOperation operation;
+  };
+  struct Acquired {
+    std::uint64_t fencing_token = 0;
+  };
+  struct Lost {};
+  using Action = std::variant<SetTimer, ReadRow, WriteRow, Acquired, Lost>;
+
+  Lease(std::string key, InstanceId self, Options options, std::uint64_t seed);
+
+  void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
+
+  /// Returns whether the holder may send at `now`. Call it before each send: the process may have
+  /// been paused since the last event.
+  bool MaySend(TimePoint now) const;
+  /// The time until which `MaySend` holds without a further renewal.
+  TimePoint SendLimit() const {
+    return m_renewed_at + m_options.lease_time - m_options.send_margin;
+  }
+  bool IsHeld() const { return m_held; }
+  /// Row version with which the lease was acquired; higher than that of every earlier holder.
+  std::uint64_t FencingToken() const { return m_fencing_token; }
+
+ private:
+  using Actions = std::vector<Action>;
+  struct Write {
+    std::uint64_t token = 0;
+    std::string value;
+    TimePoint started{};
+    bool is_release = false;
+    /// At least one attempt got no answer.
+    bool was_unanswered = false;
+  };
+
+  void On(const Start& event, TimePoint now, Actions& actions);
+  void On(const TimerFired& event, TimePoint now, Actions& actions);
+  void On(const CandidateChanged& event, TimePoint now, Actions& actions);
+  void On(const RowRead& event, TimePoint now, Actions& actions);
+  void On(const WriteDone& event, TimePoint now, Actions& actions);
+  void On(const Release& event, TimePoint now, Actions& actions);
+
+  void Observe(std::uint64_t version, TimePoint now);
+  void ConsiderTakeOver(const std::optional<TableRow>& row, TimePoint now, Actions& actions);
+  void StartWrite(std::uint64_t expect, bool is_release, TimePoint now, Actions& actions);
+  void SendWrite(std::uint64_t expect, TimePoint now, Actions& actions);
+  void ResolveWrite(const RowRead& event, TimePoint now, Actions& actions);
+  void StartRead(TimePoint now, Actions& actions);
+  void OnWritten(std::uint64_t version, TimePoint now, Actions& actions);
+  void Lose(Actions& actions);
+
+  std::string m_key;
+  InstanceId m_self;
+  Options m_options;
+  Random m_random;
+  bool m_candidate = false;
+  bool m_held = false;
+  std::uint64_t m_fencing_token = 0;
+  /// Version of the row as last seen or written, and since when this daemon has seen it.
+  std::uint64_t m_version = 0;
+  std::optional<TimePoint> m_version_since;
+  TimePoint m_renewed_at{};
+  std::optional<Write> m_write;
+  /// The write in progress got no answer.
+  bool m_write_uncertain = false;
+  std::uint64_t m_read_token = 0;
+  TimePoint m_next_action{};
+};
+
+}  // namespace fulmarpoint
