--- a/src/libs/coordination/generation.cpp
+++ b/src/libs/coordination/generation.cpp
@@ -19,7 +19,10 @@
 constexpr Duration kPauseThreshold = std::chrono::milliseconds(200);
 constexpr Duration kSelectionRetry = std::chrono::milliseconds(200);
 /// Bounds the engines that one request can occupy or crash without producing a token.
-constexpr std::uint32_t kMaxAttemptsWithoutToken = 5;
+constexpr std::uint32_t kMaxAttemptsWithoutToken = 6;
+/// Wait before the third attempt without a token; doubles for each further one. Without it, a
+/// fault that breaks every connection for 3 s uses up all attempts in a fraction of a second.
+constexpr Duration kAttemptBackoff = std::chrono::milliseconds(200);
 
 enum Timer : std::uint32_t {
   kCurrentTimer = 1,
@@ -335,7 +338,12 @@
   }
   actions.push_back(Decided{GenerationDecision::kOtherEngine, m_last_attempt, {}, NextPosition()});
   // A selection for the second attempt that is still open serves as well.
-  if (!m_selecting) Select(EndpointPreference::kCachedPrefix, actions);
+  if (m_selecting) return;
+  if (m_attempts_without_token < 2) return Select(EndpointPreference::kCachedPrefix, actions);
+  m_selecting = true;
+  m_preference = EndpointPreference::kCachedPrefix;
+  const Duration wait = kAttemptBackoff * (1 << (m_attempts_without_token - 2));
+  actions.push_back(SetTimer{kSelectTimer, now + wait});
 }
 
 void Generation::PromoteSecond(TimePoint, std::vector<Action>& actions) {
