--- a/src/tools/fulmarpoint-standin/engine_standin.cpp
+++ b/src/tools/fulmarpoint-standin/engine_standin.cpp
@@ -132,9 +132,9 @@
     co_return;
   }
   const std::string version = request.value("version", std::string());
+  const std::string model = request.value("model", std::string());
   const bool leaving = m_leaving && m_refuses_when_leaving;
-  if (leaving || !m_versions.contains(version) ||
-      request.value("model", std::string()) != m_options.model) {
+  if (leaving || !m_versions.contains(version) || model != m_options.model) {
     m_server.Events().Add("refused", {{"version", version}});
     const char* reason = leaving ? "leaving" : "version not loaded";
     co_await exchange.Respond(ErrorReply(503, reason));
