--- /dev/null
+++ b/tests/auto/coordination/tst_request_faults.cpp
@@ -0,0 +1,224 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <set>
+#include <string>
+
+#include "support/request_plan.h"
+#include "utils/random.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+/// Reads a number from the environment, so that a run can be repeated or enlarged.
+std::uint64_t Setting(const char* name, std::uint64_t standard) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? standard : std::strtoull(text, nullptr, 10);
+}
+
+std::uint64_t FirstSeed() { return Setting("FULMARPOINT_SEED", 1); }
+
+/// Runs a plan and reports its violations; returns the run.
+RequestRun RunAndCheck(const RequestPlan& plan, int& failures) {
+  RequestRun run = RunRequests(plan);
+  for (const Violation& violation : run.violations) {
+    ++failures;
+    if (failures > 5) break;
+    std::fprintf(stderr, "%s: %s\n", Describe(plan).c_str(),
+                 Describe(violation, run.history).c_str());
+  }
+  return run;
+}
+
+/// Why a fault cannot strike at a step; nothing if it can.
+const char* UnreachableReason(ScenarioKind kind, Fault, Step step) {
+  const bool stream_step =
+      step == Step::kFirstToken || step == Step::kMidStream || step == Step::kLastToken;
+  if (IsGeneration(kind)) {
+    if (step == Step::kClaim) return "a generation makes no claim";
+    if (step == Step::kOutcome) return "a generation records no outcome";
+    return nullptr;
+  }
+  if (stream_step) return "a call has one answer and no stream";
+  if (step == Step::kClaim && kind == ScenarioKind::kCallIssued) {
+    return "a daemon-issued key makes no claim";
+  }
+  if (kind != ScenarioKind::kCallIdempotent) return nullptr;
+  if (step == Step::kClaim) return "an idempotent call makes no claim";
+  if (step == Step::kOutcome) return "an idempotent call records no outcome";
+  return nullptr;
+}
+
+struct Cell {
+  std::set<std::string> results;
+  Duration longest_gap = Duration::zero();
+};
+
+using Cells = std::map<std::pair<Fault, Step>, Cell>;
+
+void PrintTable(const Cells& cells, ScenarioKind kind) {
+  std::printf("\n%s\n", std::string(NameOf(kScenarioNames, kind)).c_str());
+  for (const EnumName<Fault>& fault : kFaultNames) {
+    for (const EnumName<Step>& step : kStepNames) {
+      std::printf("  %-20s %-12s", std::string(fault.name).c_str(), std::string(step.name).c_str());
+      if (const char* reason = UnreachableReason(kind, fault.value, step.value)) {
+        std::printf(" - (%s)", reason);
+      }
+      const auto cell = cells.find({fault.value, step.value});
+      if (cell != cells.end()) {
+        for (const std::string& result : cell->second.results) std::printf(" %s", result.c_str());
+        const double gap_ms = static_cast<double>(cell->second.longest_gap.count()) / 1000;
+        if (IsGeneration(kind)) std::printf(" (longest pause %.0f ms)", gap_ms);
+      }
+      std::printf("\n");
+    }
+  }
+}
+
+/// Checks that a generation is completed under every single fault, without a visible wait.
+void ExpectCompletion(const RequestPlan& plan, const RequestRun& run) {
+  if (plan.kind == ScenarioKind::kGenerationVersionGone) return;
+  const Fault fault = plan.faults[0].fault;
+  if (fault == Fault::kCallerGone) return;
+  // A caller without its tokens gets an explicit error when the first daemon cancels the stream.
+  const bool may_end = fault == Fault::kCallerElsewhere && run.result == "cannot_continue";
+  cr_expect(run.result == "answer" || may_end, "%s: %s", Describe(plan).c_str(),
+            run.result.c_str());
+  // The caller waits 4 s for a paused daemon and 5 s for itself; lost answers last for 3 s.
+  const bool longer =
+      fault == Fault::kDaemonPause || fault == Fault::kCallerSlow || fault == Fault::kAnswerLost;
+  const Duration limit = longer ? std::chrono::seconds(6) : std::chrono::seconds(3);
+  cr_expect(run.longest_gap <= limit, "%s: paused for %lld us", Describe(plan).c_str(),
+            static_cast<long long>(run.longest_gap.count()));
+}
+
+/// Runs every fault at every step that the kind of request has.
+void RunSingles(ScenarioKind kind, std::uint64_t runs) {
+  const std::uint64_t first = FirstSeed();
+  int failures = 0;
+  Cells cells;
+  for (const EnumName<Fault>& fault : kFaultNames) {
+    for (const EnumName<Step>& step : kStepNames) {
+      if (UnreachableReason(kind, fault.value, step.value) != nullptr) continue;
+      for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        const RequestPlan plan{kind, {{fault.value, step.value}}, seed};
+        const RequestRun run = RunAndCheck(plan, failures);
+        cr_expect(run.struck[0], "%s: the fault did not strike", Describe(plan).c_str());
+        if (IsGeneration(kind)) ExpectCompletion(plan, run);
+        Cell& cell = cells[{fault.value, step.value}];
+        cell.results.insert(run.result);
+        cell.longest_gap = std::max(cell.longest_gap, run.longest_gap);
+      }
+    }
+  }
+  if (Setting("FULMARPOINT_TABLE", 0) != 0) PrintTable(cells, kind);
+  cr_assert_eq(failures, 0, "%d violations from seed %llu", failures,
+               static_cast<unsigned long long>(first));
+}
+
+}  // namespace
+
+Test(request_faults, singles_generation_resource) {
+  RunSingles(ScenarioKind::kGenerationResource, Setting("FULMARPOINT_RUNS", 10));
+}
+
+Test(request_faults, singles_generation_latency) {
+  RunSingles(ScenarioKind::kGenerationLatency, Setting("FULMARPOINT_RUNS", 10));
+}
+
+Test(request_faults, singles_generation_version_gone) {
+  RunSingles(ScenarioKind::kGenerationVersionGone, Setting("FULMARPOINT_RUNS", 10));
+}
+
+Test(request_faults, singles_call_claimed) {
+  RunSingles(ScenarioKind::kCallClaimed, Setting("FULMARPOINT_RUNS", 10));
+}
+
+Test(request_faults, singles_call_issued) {
+  RunSingles(ScenarioKind::kCallIssued, Setting("FULMARPOINT_RUNS", 10));
+}
+
+Test(request_faults, singles_call_idempotent) {
+  RunSingles(ScenarioKind::kCallIdempotent, Setting("FULMARPOINT_RUNS", 10));
+}
+
+namespace {
+
+RequestPlan DrawPair(std::uint64_t seed) {
+  Random random(seed);
+  const auto draw = [&random](std::size_t limit) { return random() % limit; };
+  RequestPlan plan;
+  plan.kind = kScenarioNames[draw(kScenarioNames.size())].value;
+  plan.seed = seed;
+  while (plan.faults.size() < 2) {
+    const PlannedFault fault{kFaultNames[draw(kFaultNames.size())].value,
+                             kStepNames[draw(kStepNames.size())].value};
+    if (UnreachableReason(plan.kind, fault.fault, fault.step) == nullptr) {
+      plan.faults.push_back(fault);
+    }
+  }
+  return plan;
+}
+
+}  // namespace
+
+// Guards against guarantees that hold under one fault but not when a second one strikes during
+// the recovery from the first. All pairs of the matrix are drawn with equal probability.
+Test(request_faults, pairs) {
+  const std::uint64_t first = FirstSeed();
+  const std::uint64_t runs = Setting("FULMARPOINT_PAIRS", 20000);
+  int failures = 0;
+  std::uint64_t both = 0;
+  for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+    const RequestRun run = RunAndCheck(DrawPair(seed), failures);
+    if (run.struck[0] && run.struck[1]) ++both;
+  }
+  std::fprintf(stderr, "pairs: seeds %llu to %llu, both faults struck in %llu\n",
+               static_cast<unsigned long long>(first),
+               static_cast<unsigned long long>(first + runs - 1),
+               static_cast<unsigned long long>(both));
+  cr_assert_eq(failures, 0);
+  cr_assert_gt(both, runs / 2);
+}
+
+namespace {
+
+/// Runs the matrix of single faults with a mutation until a run has a violation.
+std::string FirstCatch(Mutation mutation, std::uint64_t max_runs, std::uint64_t& runs) {
+  while (runs < max_runs) {
+    for (const EnumName<ScenarioKind>& kind : kScenarioNames) {
+      for (const EnumName<Fault>& fault : kFaultNames) {
+        for (const EnumName<Step>& step : kStepNames) {
+          if (UnreachableReason(kind.value, fault.value, step.value) != nullptr) continue;
+          const RequestPlan plan{
+              kind.value, {{fault.value, step.value}}, FirstSeed() + runs, mutation};
+          const RequestRun run = RunRequests(plan);
+          ++runs;
+          if (run.violations.empty()) continue;
+          return Describe(plan) + ": " + run.violations[0].detail;
+        }
+      }
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+// Guards against a matrix that would pass over a defect: with each mutation, some cell has a
+// violation.
+Test(request_faults, every_mutation_is_caught) {
+  const std::uint64_t max_runs = Setting("FULMARPOINT_MUTATION_RUNS", 10000);
+  for (const EnumName<Mutation>& mutation : kMutationNames) {
+    if (mutation.value == Mutation::kNone) continue;
+    std::uint64_t runs = 0;
+    const std::string caught = FirstCatch(mutation.value, max_runs, runs);
+    std::fprintf(stderr, "caught after %llu runs: %s\n", static_cast<unsigned long long>(runs),
+                 caught.c_str());
+    cr_expect(not caught.empty(), "%s is not caught", std::string(mutation.name).c_str());
+  }
+}
