--- a/src/libs/coordination/crash_suspects.cpp
+++ b/src/libs/coordination/crash_suspects.cpp
@@ -309,7 +309,7 @@
     const SuspicionState state = State(fingerprint);
     if (state == entry.announced) continue;
     entry.announced = state;
-    actions.push_back(SuspicionChanged{fingerprint, state});
+    actions.emplace_back(SuspicionChanged{fingerprint, state});
   }
 }
 
@@ -351,7 +351,7 @@
   std::size_t bytes = 0;
   const auto add = [&](const auto& item, std::size_t size, auto& to) {
     if (bytes + size > kMaxNoticeBytes) {
-      actions.push_back(PublishSuspectNotice{std::exchange(part, {})});
+      actions.emplace_back(PublishSuspectNotice{std::exchange(part, {})});
       bytes = 0;
     }
     to.push_back(item);
@@ -366,7 +366,7 @@
   for (const SuspectPlacement& placement : notice.placements) {
     add(placement, kPlacementBytes, part.placements);
   }
-  if (bytes > 0) actions.push_back(PublishSuspectNotice{std::move(part)});
+  if (bytes > 0) actions.emplace_back(PublishSuspectNotice{std::move(part)});
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/credit_holder.cpp
+++ b/src/libs/coordination/credit_holder.cpp
@@ -169,7 +169,7 @@
       m_self, std::max(now.time_since_epoch().count(), state.last_sent_at + 1), {}};
   const auto send = [&] {
     state.last_sent_at = request.sent_at;
-    actions.push_back(SendCreditRequest{owner, request});
+    actions.emplace_back(SendCreditRequest{owner, request});
     ++request.sent_at;
     request.demands.clear();
   };
@@ -206,7 +206,7 @@
     const auto reported = m_reported.find(service);
     if (reported != m_reported.end() && reported->second == count) continue;
     m_reported[service] = count;
-    actions.push_back(CreditSlotsChanged{service, count});
+    actions.emplace_back(CreditSlotsChanged{service, count});
   }
 }
 
--- a/src/libs/coordination/credit_owner.cpp
+++ b/src/libs/coordination/credit_owner.cpp
@@ -78,7 +78,8 @@
     const int granted = Decide(endpoint, request.holder, demand, now);
     grant.amounts.push_back({demand.endpoint, static_cast<std::uint16_t>(granted)});
   }
-  if (!grant.amounts.empty()) actions.push_back(SendCreditGrant{request.holder, std::move(grant)});
+  if (!grant.amounts.empty())
+    actions.emplace_back(SendCreditGrant{request.holder, std::move(grant)});
 }
 
 int CreditOwner::Decide(Endpoint& endpoint, const InstanceId& id, const CreditDemand& demand,
--- a/src/libs/coordination/endpoint_health.cpp
+++ b/src/libs/coordination/endpoint_health.cpp
@@ -129,7 +129,7 @@
 void EndpointHealth::SetState(const EndpointId& id, Entry& entry, EndpointState state,
                               const char* reason, Actions& actions) {
   if (entry.view.state == state) return;
-  actions.push_back(EndpointStateChanged{id, entry.view.state, state, reason});
+  actions.emplace_back(EndpointStateChanged{id, entry.view.state, state, reason});
   entry.view.state = state;
 }
 
@@ -139,14 +139,14 @@
   SetState(id, entry, EndpointState::kLeaving, reason, actions);
   // Without a report the incarnation is unknown, and a notice without it would hit its successor.
   if (publish && entry.view.reported) {
-    actions.push_back(PublishEndpointLeaving{id, entry.view.incarnation});
+    actions.emplace_back(PublishEndpointLeaving{id, entry.view.incarnation});
   }
 }
 
 void EndpointHealth::StartIncarnation(const EndpointId& id, Entry& entry,
                                       const EndpointLoadReported& report, Actions& actions) {
   const bool was_leaving = entry.view.state == EndpointState::kLeaving;
-  if (!was_leaving) actions.push_back(EndpointCrashed{id, entry.view.incarnation});
+  if (!was_leaving) actions.emplace_back(EndpointCrashed{id, entry.view.incarnation});
   entry.failures = 0;
   entry.latency_mean = 0.0;
   if (report.leaving) return;
