Measure the costs of roles at growing sizes; bound two of them

Two of the first figures were out of line: a request of an organisation without a burn row searched all rows, and one controller read the reports of all daemons. Change: fulmarpoint-measure role-costs; burn_counters searches for a free row at most once a minute; rollout aggregators report once a second; rollout messages encode with bounded memory.

--- a/src/libs/coordination/burn_counters.cpp
+++ b/src/libs/coordination/burn_counters.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t kMaxCauses = 8;
 constexpr Duration kUnusedRowLife = std::chrono::hours(24);
+constexpr Duration kSearchInterval = std::chrono::minutes(1);
 constexpr char kOther[] = "(other)";
 constexpr std::array<Duration, 3> kWindowLengths = {std::chrono::minutes(5), std::chrono::hours(1),
                                                     std::chrono::hours(24)};
@@ -59,17 +60,26 @@
   const Key key{request.service, request.organisation};
   auto found = m_rows.find(key);
   if (found != m_rows.end()) return found->second;
-  if (m_rows.size() >= kMaxRows) {
-    const auto unused = [now](const auto& item) {
-      return now - item.second.last_used >= kUnusedRowLife;
-    };
-    auto reusable = std::find_if(m_rows.begin(), m_rows.end(), unused);
-    if (reusable == m_rows.end()) return m_rows[{request.service, kOther}];
-    m_rows.erase(reusable);
-  }
+  if (m_rows.size() >= kMaxRows && !RemoveUnusedRow(now)) return m_rows[{request.service, kOther}];
   return m_rows[key];
 }
 
+bool BurnCounters::RemoveUnusedRow(TimePoint now) {
+  // With more organisations than rows every request of one without a row comes here, so a search
+  // that found nothing is not repeated at once.
+  if (now < m_next_search) return false;
+  const auto unused = [now](const auto& item) {
+    return now - item.second.last_used >= kUnusedRowLife;
+  };
+  auto reusable = std::find_if(m_rows.begin(), m_rows.end(), unused);
+  if (reusable == m_rows.end()) {
+    m_next_search = now + kSearchInterval;
+    return false;
+  }
+  m_rows.erase(reusable);
+  return true;
+}
+
 void BurnCounters::AddCause(const FinishedRequest& request, Objective objective, Row& row) {
   BurnCause cause{objective,
                   std::string(InfoOf(request.code).name),
--- a/src/libs/coordination/burn_counters.h
+++ b/src/libs/coordination/burn_counters.h
@@ -65,10 +65,12 @@
   using Key = std::pair<ServiceName, OrganisationId>;
 
   Row& FindRow(const FinishedRequest& request, TimePoint now);
+  bool RemoveUnusedRow(TimePoint now);
   static void AddCause(const FinishedRequest& request, Objective objective, Row& row);
 
   std::map<Key, Row> m_rows;
   std::vector<FleetAction> m_actions;
+  TimePoint m_next_search{};
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/rollout_aggregator.h
+++ b/src/libs/coordination/rollout_aggregator.h
@@ -20,7 +20,7 @@
 /// or evidence and never multiplies them. Not thread-safe.
 class RolloutAggregator {
  public:
-  static constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kReportInterval = std::chrono::seconds(1);
 
   struct ReportReceived {
     RolloutReport report;
--- a/src/libs/protocol/rollout_messages.h
+++ b/src/libs/protocol/rollout_messages.h
@@ -5,13 +5,14 @@
 #include <string>
 #include <vector>
 
+#include "protocol/bounded_serialization.h"
 #include "protocol/identifiers.h"
 #include "utils/enum_names.h"
 #include "utils/time.h"
 
 namespace fulmarpoint {
 
-enum class RolloutPhase { kCanary, kRamp, kFull, kDone, kRolledBack };
+enum class RolloutPhase : std::uint8_t { kCanary, kRamp, kFull, kDone, kRolledBack };
 
 inline constexpr std::array<EnumName<RolloutPhase>, 5> kRolloutPhaseNames = {{
     {RolloutPhase::kCanary, "canary"},
@@ -58,7 +59,8 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(endpoint, new_version);
+    internal::SerializeText(archive, endpoint);
+    archive(new_version);
   }
 };
 
@@ -77,7 +79,11 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(rollout, sender, sequence, permits_wanted, requests, strata, endpoints);
+    internal::SerializeText(archive, rollout);
+    internal::SerializeText(archive, sender.name);
+    archive(sender.incarnation, sequence, permits_wanted, requests);
+    internal::SerializeList(archive, strata);
+    internal::SerializeList(archive, endpoints);
   }
 };
 
@@ -100,8 +106,9 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(rollout, sequence, controller_token, phase, share_ppm, permits, excluded_endpoints,
-            age_us);
+    internal::SerializeText(archive, rollout);
+    archive(sequence, controller_token, phase, share_ppm, permits, age_us);
+    internal::SerializeTexts(archive, excluded_endpoints);
   }
 };
 
@@ -115,7 +122,12 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(rollout, service, version, reason, origin);
+    internal::SerializeText(archive, rollout);
+    internal::SerializeText(archive, service);
+    internal::SerializeText(archive, version);
+    internal::SerializeText(archive, reason);
+    internal::SerializeText(archive, origin.name);
+    archive(origin.incarnation);
   }
 };
 
--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -8,6 +8,7 @@
 #include "measure.h"
 #include "measure_admission.h"
 #include "measure_crash_suspects.h"
+#include "measure_role_costs.h"
 #include "measure_rollout.h"
 
 namespace fulmarpoint {
@@ -25,6 +26,8 @@
                 MeasureAdmission},
     Measurement{"crash_suspects", "endpoints lost to a crashing request, false positives",
                 MeasureCrashSuspects},
+    Measurement{"role-costs", "memory, processor time and messages at growing sizes",
+                MeasureRoleCosts},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
