--- a/src/libs/coordination/catalogue_replica.cpp
+++ b/src/libs/coordination/catalogue_replica.cpp
@@ -296,9 +296,11 @@
   return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
 }
 
-bool CatalogueReplica::IsFresh(TimePoint now) const {
-  if (m_options.mutate_skip_fencing) return true;
-  return m_proof && now - *m_proof <= m_options.proof_limit;
+bool CatalogueReplica::IsFresh(TimePoint now) const { return now <= FreshUntil(); }
+
+TimePoint CatalogueReplica::FreshUntil() const {
+  if (m_options.mutate_skip_fencing) return TimePoint::max();
+  return m_proof ? *m_proof + m_options.proof_limit : TimePoint::min();
 }
 
 bool CatalogueReplica::MayServe(const CatalogueEntry& entry, TimePoint now) const {
@@ -325,6 +327,21 @@
   return delta;
 }
 
+CatalogueDelta CatalogueReplica::DeltaPage(std::uint64_t from, const std::string& cursor,
+                                           std::size_t max_bytes, bool& is_last) const {
+  CatalogueDelta delta{from, m_revision, {}};
+  std::size_t bytes = 0;
+  is_last = false;
+  for (auto item = m_items.upper_bound(cursor); item != m_items.end(); ++item) {
+    if (item->second.revision <= from) continue;
+    if (bytes >= max_bytes) return delta;
+    bytes += item->first.size() + item->second.value.size();
+    delta.items.push_back(item->second);
+  }
+  is_last = true;
+  return delta;
+}
+
 std::size_t CatalogueReplica::StateBytes() const {
   constexpr std::size_t kNodeBytes = 64;
   std::size_t bytes = sizeof *this;
--- a/src/libs/coordination/catalogue_replica.h
+++ b/src/libs/coordination/catalogue_replica.h
@@ -126,6 +126,8 @@
   /// Returns whether new work may be taken. Call it for each request: a process that was paused
   /// must not rely on the last `FenceChanged`.
   bool IsFresh(TimePoint now) const;
+  /// The last time at which `IsFresh` holds without another proof.
+  TimePoint FreshUntil() const;
   /// As `IsFresh`, but an entry with `when_stale = "serve"` is always served.
   bool MayServe(const CatalogueEntry& entry, TimePoint now) const;
 
@@ -135,6 +137,10 @@
   const VoterSet& Voters() const { return m_voters; }
   /// Returns the items that changed after `from`, for a peer.
   CatalogueDelta DeltaSince(std::uint64_t from) const;
+  /// Returns those of them with a key after `cursor`, up to about `max_bytes`; sets `is_last` to
+  /// whether none is left.
+  CatalogueDelta DeltaPage(std::uint64_t from, const std::string& cursor, std::size_t max_bytes,
+                           bool& is_last) const;
   const Counters& Counts() const { return m_counters; }
   std::size_t StateBytes() const;
 
--- a/src/libs/coordination/control_plane.cpp
+++ b/src/libs/coordination/control_plane.cpp
@@ -1,5 +1,7 @@
 #include "coordination/control_plane.h"
 
+#include <algorithm>
+
 namespace fulmarpoint {
 
 namespace {
@@ -73,6 +75,9 @@
   if (!Take(event.token)) return;
   CatalogueReplica::StoreDelta delta{event.ok, {}, event.version};
   for (const TableRow& row : event.rows) {
+    const bool is_known =
+        row.key == kHeadKey || row.key == kVotersKey || !ServiceOf(row.key).empty();
+    if (!is_known) continue;
     Parsed<CatalogueItem> item = DecodeRow(row.key, row.version, row.value);
     // One unreadable row makes the whole answer useless, because the revision would be incomplete.
     if (!item) delta.ok = false;
@@ -194,15 +199,9 @@
   std::visit(perform, action);
 }
 
-bool ControlPlane::AcceptsWork(TimePoint now) const {
-  const bool alone = m_membership.Members().empty();
-  return m_replica.IsFresh(now) && m_membership.RunsOnTime(now) && !m_membership.IsSuperseded() &&
-         (alone || m_membership.HasFullList());
-}
-
-bool ControlPlane::MayServe(const CatalogueEntry& entry, TimePoint now) const {
-  if (AcceptsWork(now)) return true;
-  return entry.when_stale == StalePolicy::kServe && !m_membership.IsSuperseded();
+TimePoint ControlPlane::AcceptsUntil() const {
+  if (m_membership.IsSuperseded() || !m_membership.HasFullList()) return TimePoint::min();
+  return std::min(m_replica.FreshUntil(), m_membership.OnTimeUntil());
 }
 
 std::size_t ControlPlane::StateBytes() const {
--- a/src/libs/coordination/control_plane.h
+++ b/src/libs/coordination/control_plane.h
@@ -91,8 +91,10 @@
   /// Returns whether new work may be taken, apart from `when_stale`: the catalogue is proven
   /// current, this process was not paused just now, it knows the notices of its peers, and no other
   /// process has replaced it.
-  bool AcceptsWork(TimePoint now) const;
-  bool MayServe(const CatalogueEntry& entry, TimePoint now) const;
+  bool AcceptsWork(TimePoint now) const { return now <= AcceptsUntil(); }
+  /// The last time at which `AcceptsWork` holds if no event follows. Compare it with the time of
+  /// each request: a process that was paused must not rely on the last event.
+  TimePoint AcceptsUntil() const;
 
   const Membership& Members() const { return m_membership; }
   const CatalogueReplica& Replica() const { return m_replica; }
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -15,6 +15,7 @@
 /// Answers that arrive later are ignored.
 constexpr Duration kAnswerTime = std::chrono::seconds(10);
 constexpr Duration kPageTimeout = std::chrono::seconds(1);
+constexpr Duration kAloneTimeout = std::chrono::seconds(5);
 constexpr std::size_t kMaxRelays = 64;
 constexpr std::size_t kMaxSeeds = 3;
 constexpr std::size_t kIndirectProbes = 3;
@@ -54,6 +55,7 @@
 
 void Membership::On(const Start&, TimePoint now, Actions& actions) {
   m_last_tick = now;
+  m_full_read.started = now;
   m_next_probe = now;
   m_next_page = now + m_options.page_interval;
   m_next_reconnect = now + m_options.reconnect_interval;
@@ -69,6 +71,7 @@
   AdvanceProbe(now, actions);
   if (now >= m_next_reconnect) Reconnect(now, actions);
   if (now >= m_next_page) RequestRandomPage(now, actions);
+  if (m_full_read.alone && ReachableCount() > 1) m_full_read = FullRead{.started = now};
   const bool stopped = now - m_full_read.progress >= kPageTimeout;
   if (!m_full_read.complete && stopped) ContinueFullRead(now, actions);
   ExpireSuspects(now, actions);
@@ -79,7 +82,7 @@
 void Membership::ForgiveOwnPause(TimePoint now) {
   m_probe.reset();
   m_asked.clear();
-  m_full_read = FullRead{};
+  m_full_read = FullRead{.started = now};
   for (const std::string& name : m_suspects) {
     const auto member = m_members.find(name);
     if (member != m_members.end()) member->second.deadline = now + m_options.suspicion;
@@ -236,7 +239,11 @@
 
 void Membership::ContinueFullRead(TimePoint now, Actions& actions) {
   m_full_read.progress = now;
-  for (const Member* member : RandomReachable(1, m_self.id)) {
+  const std::vector<const Member*> reachable = RandomReachable(1, m_self.id);
+  if (reachable.empty() && now - m_full_read.started >= kAloneTimeout) {
+    m_full_read.complete = m_full_read.alone = true;
+  }
+  for (const Member* member : reachable) {
     m_full_read.nonce = m_random();
     PeerDatagram request =
         Compose(DatagramKind::kPageRequest, member->info.id, m_full_read.nonce, now);
@@ -253,7 +260,10 @@
     PeerDatagram request = Compose(DatagramKind::kPageRequest, member->info.id, m_random(), now);
     auto start = m_members.begin();
     std::advance(start, static_cast<std::ptrdiff_t>(m_random() % m_members.size()));
+    // Every fourth page asks for notices, which follow the last member.
+    if (m_random() % 4 == 0) start = std::prev(m_members.end());
     request.cursor = start->first;
+    request.notice_cursor = static_cast<std::uint32_t>(m_random() % (m_notices.Size() + 1));
     actions.emplace_back(SendDatagram{member->info.address, std::move(request)});
   }
 }
@@ -483,7 +493,7 @@
   return reachable;
 }
 
-bool Membership::RunsOnTime(TimePoint now) const { return now - m_last_tick <= kOwnPause; }
+TimePoint Membership::OnTimeUntil() const { return m_last_tick + kOwnPause; }
 
 bool Membership::Reaches(const InstanceId& id) const {
   if (id == m_self.id) return !m_superseded;
--- a/src/libs/coordination/membership.h
+++ b/src/libs/coordination/membership.h
@@ -137,10 +137,12 @@
   /// Returns whether the instance list has been read.
   bool HasInstanceList() const { return !m_lists.empty(); }
   /// Returns whether this process has not been paused since its last timer.
-  bool RunsOnTime(TimePoint now) const;
+  bool RunsOnTime(TimePoint now) const { return now <= OnTimeUntil(); }
+  /// The last time at which `RunsOnTime` holds without another timer.
+  TimePoint OnTimeUntil() const;
   bool IsSuperseded() const { return m_superseded; }
   /// Returns whether all members and notices have been read from others since the start or since
-  /// this process was paused.
+  /// this process was paused, or for 5 s nobody could be reached.
   bool HasFullList() const { return m_full_read.complete; }
   /// Approximate bytes of state.
   std::size_t StateBytes() const;
@@ -167,6 +169,9 @@
   /// Reading all members and notices from others, page after page.
   struct FullRead {
     bool complete = false;
+    /// Complete because nobody could be asked; to be repeated when somebody can.
+    bool alone = false;
+    TimePoint started{};
     std::uint64_t nonce = 0;
     std::string cursor;
     std::uint32_t notice_cursor = 0;
--- a/src/libs/coordination/notice_board.h
+++ b/src/libs/coordination/notice_board.h
@@ -25,6 +25,7 @@
   std::size_t Fill(PeerDatagram& datagram, std::size_t budget, int limit);
   /// Adds stored notices from number `first` on; returns the number of the next, or 0 at the end.
   std::uint32_t FillPage(PeerDatagram& datagram, std::size_t budget, std::uint32_t first) const;
+  std::size_t Size() const { return m_notices.size(); }
   std::size_t StateBytes() const;
 
  private:
