--- a/src/tools/fulmarpoint-standin/engine_standin.cpp
+++ b/src/tools/fulmarpoint-standin/engine_standin.cpp
@@ -132,9 +132,9 @@
     co_return;
   }
   const std::string version = request.value("version", std::string());
+  const std::string model = request.value("model", std::string());
   const bool leaving = m_leaving && m_refuses_when_leaving;
-  if (leaving || !m_versions.contains(version) ||
-      request.value("model", std::string()) != m_options.model) {
+  if (leaving || !m_versions.contains(version) || model != m_options.model) {
     m_server.Events().Add("refused", {{"version", version}});
     const char* reason = leaving ? "leaving" : "version not loaded";
     co_await exchange.Respond(ErrorReply(503, reason));
@@ -273,7 +273,8 @@
   const auto fault = m_version_faults.find(version);
   if (fault != m_version_faults.end()) factor *= fault->second.slow;
   const std::size_t held = static_cast<std::size_t>(m_active) + m_waiting.size();
-  const auto capacity = static_cast<std::size_t>(m_options.slots + m_options.queue);
+  const auto capacity =
+      static_cast<std::size_t>(m_options.slots) + static_cast<std::size_t>(m_options.queue);
   return held > capacity ? factor * kCollapseFactor : factor;
 }
 
