--- a/src/libs/coordination/generation.cpp
+++ b/src/libs/coordination/generation.cpp
@@ -464,7 +464,7 @@
 }
 
 void Generation::On(const SlotReleased& event, TimePoint, std::vector<Action>& actions) {
-  if (m_state != State::kActive) return;
+  if (m_state != State::kActive && m_state != State::kReleased) return;
   // Tokens before the base are not known here, so the stream cannot be generated again.
   if (m_base > 0 || event.position > NextPosition()) return;
   if (m_current) {
@@ -484,6 +484,10 @@
   End(true, actions);
 }
 
+void Generation::On(const DeadlinePassed&, TimePoint, std::vector<Action>& actions) {
+  FailRequest(ResultCode::kDeadlineExceeded, Duration::zero(), actions);
+}
+
 void Generation::On(const HandOff&, TimePoint, std::vector<Action>& actions) {
   DropSecond(actions);
   actions.push_back(Move{});
--- /dev/null
+++ b/src/libs/server/engine_activity.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+
+#include "coordination/generation.h"
+#include "protocol/identifiers.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// When each stream of each engine last produced a token, so that a session can tell a silent
+/// connection from a silent engine. Thread-safe; takes no other lock.
+class EngineActivityTable {
+ public:
+  void Note(const EndpointId& engine, std::uint64_t stream, TimePoint now);
+  void Forget(const EndpointId& engine, std::uint64_t stream);
+  /// Returns what the other streams of the engine do.
+  EngineActivity Others(const EndpointId& engine, std::uint64_t stream, TimePoint now) const;
+
+ private:
+  mutable std::mutex m_mutex;
+  std::map<EndpointId, std::map<std::uint64_t, TimePoint>> m_last_token;
+};
+
+}  // namespace fulmarpoint
