Choose versions of rollouts and count requests against objectives

Cause: the dispatcher used the entry's version only and repeated runs had no spread. Change: the dispatcher asks the rollout table for the version, reports outcomes to it, passes bad version notices to a publisher, and takes repeated runs from the resumption or retry budget. Every accepted request is counted in the burn table; GET /v1/admin/burn reports it. The registry tells a listener whether an endpoint's process answers.

--- a/src/libs/server/admin_routes.cpp
+++ b/src/libs/server/admin_routes.cpp
@@ -9,6 +9,7 @@
 #include "server/problem_reply.h"
 #include "server/request_log.h"
 #include "server/url.h"
+#include "state/burn_table.h"
 
 namespace fulmarpoint {
 
@@ -82,6 +83,13 @@
   co_return JsonReply(200, body);
 }
 
+Task<HttpReply> AnswerBurn(Services& services) {
+  HttpReply reply;
+  reply.headers.push_back({"Content-Type", "application/json"});
+  reply.body = ToJson(services.burn.Report(services.self.name, SteadyNow()));
+  co_return reply;
+}
+
 }  // namespace
 
 void AdminRoutes::Register(const std::string& route, Handler handler) {
@@ -125,6 +133,8 @@
 void RegisterLocalRoutes(AdminRoutes& routes, Services& services) {
   routes.Register("GET /v1/admin/endpoints",
                   [&services](const HttpRequest&) { return AnswerEndpoints(services); });
+  routes.Register("GET /v1/admin/burn",
+                  [&services](const HttpRequest&) { return AnswerBurn(services); });
   routes.Register("GET /v1/admin/requests", [&services](HttpRequest request) {
     return AnswerRequest(services, std::move(request));
   });
--- a/src/libs/server/admin_routes.h
+++ b/src/libs/server/admin_routes.h
@@ -35,7 +35,7 @@
   std::map<std::string, Handler, std::less<>> m_handlers;
 };
 
-/// Registers /v1/admin/endpoints and /v1/admin/requests/ID.
+/// Registers /v1/admin/endpoints, /v1/admin/burn and /v1/admin/requests/ID.
 void RegisterLocalRoutes(AdminRoutes& routes, Services& services);
 
 }  // namespace fulmarpoint
--- a/src/libs/server/catalogue_view.cpp
+++ b/src/libs/server/catalogue_view.cpp
@@ -50,13 +50,18 @@
   for (const std::shared_ptr<const CatalogueEntry>& entry : changed) {
     services.emplace_back(entry->service, MakeServiceEntry(entry));
   }
-  const std::lock_guard<std::mutex> lock(m_mutex);
-  if (revision <= m_current->revision) return;
-  const std::shared_ptr<CatalogueSnapshot> next = std::make_shared<CatalogueSnapshot>(*m_current);
+  const std::lock_guard<std::mutex> apply_lock(m_apply_mutex);
+  const std::shared_ptr<const CatalogueSnapshot> current = Current();
+  if (revision <= current->revision) return;
+  const std::shared_ptr<CatalogueSnapshot> next = std::make_shared<CatalogueSnapshot>(*current);
   next->revision = revision;
   for (const ServiceName& service : removed) next->services.erase(service);
   for (auto& [name, service] : services) next->services[name] = std::move(service);
-  m_current = next;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_current = next;
+  }
+  if (m_listener) m_listener(*next);
 }
 
 void CatalogueView::SetFreshness(Freshness freshness) {
--- a/src/libs/server/catalogue_view.h
+++ b/src/libs/server/catalogue_view.h
@@ -39,6 +39,7 @@
 /// Holds the catalogue in effect. Written by the catalogue driver, read by requests. Thread-safe.
 class CatalogueView {
  public:
+  using Listener = std::function<void(const CatalogueSnapshot&)>;
   /// Decides whether new work of an entry may be accepted.
   using Freshness = std::function<bool(const CatalogueEntry&)>;
 
@@ -50,12 +51,18 @@
              const std::vector<std::shared_ptr<const CatalogueEntry>>& changed,
              const std::vector<ServiceName>& removed);
 
+  /// Receives each revision that is put into effect, in order. Set before the first one.
+  void SetListener(Listener listener) { m_listener = std::move(listener); }
+
   /// Sets the decision of the catalogue driver; without one no work is accepted.
   void SetFreshness(Freshness freshness);
   bool MayServe(const CatalogueEntry& entry) const;
 
  private:
+  /// Serialises `Apply`, so that the listener receives revisions in order.
+  std::mutex m_apply_mutex;
   mutable std::mutex m_mutex;
+  Listener m_listener;
   std::shared_ptr<const CatalogueSnapshot> m_current;
   std::shared_ptr<const Freshness> m_freshness;
 };
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -20,6 +20,8 @@
 #include "server/running_requests.h"
 #include "server/services.h"
 #include "server/table_client.h"
+#include "state/burn_table.h"
+#include "state/rollout_table.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
@@ -62,6 +64,7 @@
   ~State();
 
   const Settings settings;
+  const InstanceId self;
   WorkerPool pool;
   HttpClient http;
   TableClient tables;
@@ -73,6 +76,8 @@
   CatalogueView catalogue;
   LookupDirectory lookup;
   EventIdCodec event_ids;
+  RolloutTable rollouts;
+  BurnTable burn;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
   Services services;
@@ -86,6 +91,7 @@
 
 Daemon::State::State(Settings own_settings)
     : settings(std::move(own_settings)),
+      self{settings.daemon.name, NewIncarnation()},
       pool(settings.daemon.workers),
       http(pool.GetExecutor(), {}),
       tables(http, settings.platform.tables, settings.platform.timeout),
@@ -94,23 +100,12 @@
       request_log(settings.request_records),
       running(settings.limits.requests),
       event_ids(settings.secrets.shared_key, settings.secrets.previous_shared_key),
+      rollouts(self),
       endpoints(http, instances, settings.polling, metrics),
-      dispatcher(endpoints, metrics, request_log, settings.daemon.failure_domain),
-      services{settings,
-               {settings.daemon.name, NewIncarnation()},
-               pool.GetExecutor(),
-               http,
-               tables,
-               objects,
-               instances,
-               endpoints,
-               dispatcher,
-               catalogue,
-               lookup,
-               metrics,
-               request_log,
-               running,
-               event_ids},
+      dispatcher(endpoints, rollouts, metrics, request_log, settings.daemon.failure_domain),
+      services{settings,    self,      pool.GetExecutor(), http,      tables,   objects,
+               instances,   endpoints, dispatcher,         catalogue, lookup,   metrics,
+               request_log, running,   rollouts,           burn,      event_ids},
       admin(services),
       front(services, admin),
       loader(services),
@@ -149,6 +144,13 @@
         "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
     return error;
   }
+  state.catalogue.SetListener([&state](const CatalogueSnapshot& snapshot) {
+    std::vector<CatalogueEntry> entries;
+    for (const auto& [name, service] : snapshot.services) {
+      if (service->entry->rollout) entries.push_back(*service->entry);
+    }
+    state.rollouts.SetEntries(entries);
+  });
   state.loader.Start();
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -1,20 +1,24 @@
 #include "server/dispatcher.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <random>
 #include <utility>
 
+#include "coordination/resume_budget.h"
 #include "coordination/retry_budget.h"
 #include "server/endpoint_registry.h"
 #include "server/metrics.h"
 #include "server/request_log.h"
+#include "state/rollout_table.h"
+#include "utils/logging.h"
 
 namespace fulmarpoint {
 
 namespace {
 
-// Repeated attempts may add a tenth to the traffic of a service.
+// Repeated calls may add a tenth to the traffic of a service.
 constexpr double kRetryShare = 0.1;
 constexpr double kRetryBurst = 20;
 
@@ -22,9 +26,21 @@
 constexpr Duration kPrefillWait = std::chrono::milliseconds(460);
 constexpr Duration kWaitForEachQueued = std::chrono::milliseconds(250);
 
+/// A run that has not ended.
 struct Run {
   EndpointId endpoint;
+  std::string failure_domain;
+  VersionName version;
   ServiceName service;
+  std::string route;
+  bool first = true;
+  bool chosen_by_rollout = false;
+};
+
+/// The version of a request and who chose it.
+struct VersionChoice {
+  VersionName version;
+  bool by_rollout = false;
 };
 
 EndpointOutcomeKind OutcomeOf(DispatchEnd end) {
@@ -38,62 +54,162 @@
   }
 }
 
-bool SaysNothing(DispatchEnd end) {
-  return end == DispatchEnd::kCancelled || end == DispatchEnd::kRefused;
+bool NeverRan(DispatchEnd end) {
+  return end == DispatchEnd::kNotConnected || end == DispatchEnd::kRefused ||
+         end == DispatchEnd::kRefusedLeaving;
+}
+
+bool IsUsable(const EndpointCandidate& candidate) {
+  return candidate.route.health.state == EndpointState::kLive;
+}
+
+DispatchRefusal Refusal(ResultCode code, std::string reason) {
+  DispatchRefusal refusal;
+  refusal.code = code;
+  refusal.reason = std::move(reason);
+  return refusal;
+}
+
+RouteRequest ToRoute(const DispatchRequest& request, const VersionName& version,
+                     const std::string& failure_domain) {
+  RouteRequest route;
+  route.version = version;
+  route.failure_domain = failure_domain;
+  route.avoided_domain = request.avoided_domain;
+  route.prompt_tokens = request.prompt_tokens;
+  route.priority = request.priority;
+  route.excluded = request.excluded;
+  route.may_try_suspect = request.may_try_suspect;
+  return route;
 }
 
 }  // namespace
 
 struct Dispatcher::State {
-  State(EndpointRegistry& registry, Metrics& counters, RequestLog& request_log, std::string domain)
+  State(EndpointRegistry& registry, RolloutTable& rollout_table, Metrics& counters,
+        RequestLog& request_log, std::string domain)
       : endpoints(registry),
+        rollouts(rollout_table),
         metrics(counters),
         log(request_log),
         failure_domain(std::move(domain)),
-        random(std::random_device{}()) {}
+        random(std::random_device{}()),
+        resume_budget({}, Random(random())) {}
 
-  bool TakeRetry(const ServiceName& service);
-  DispatchRefusal Refuse(const DispatchRequest& request, const VersionName& version,
-                         const std::vector<EndpointCandidate>& candidates) const;
-  DispatchChoice Start(const DispatchRequest& request, const EndpointCandidate& candidate);
+  VersionChoice ChooseVersion(const DispatchRequest& request,
+                              const std::vector<EndpointCandidate>& candidates);
+  DispatchResult ChooseOf(const DispatchRequest& request, const VersionChoice& version,
+                          const std::vector<EndpointCandidate>& candidates);
+  std::optional<RouteChoice> Route(const std::vector<RouteCandidate>& routes,
+                                   const RouteRequest& request);
+  /// Takes the budget of a repeated run at an endpoint; returns its earliest time, or nothing.
+  std::optional<TimePoint> TakeBudget(const DispatchRequest& request, const EndpointId& endpoint);
+  DispatchRefusal RefuseVersion(const DispatchRequest& request, const VersionName& version,
+                                const std::vector<EndpointCandidate>& candidates) const;
+  DispatchChoice Start(const DispatchRequest& request, const VersionChoice& version,
+                       const EndpointCandidate& candidate, TimePoint not_before);
+  void ReportToRollout(const Run& run, const RunResult& result);
 
   EndpointRegistry& endpoints;
+  RolloutTable& rollouts;
   Metrics& metrics;
   RequestLog& log;
   const std::string failure_domain;
+  NoticePublisher publisher;
 
   std::mutex mutex;
   Random random;
-  std::map<ServiceName, RetryBudget> budgets;
+  ResumeBudget resume_budget;
+  std::map<ServiceName, RetryBudget> retry_budgets;
   std::uint64_t next_run = 1;
   std::map<std::uint64_t, Run> runs;
 };
 
-bool Dispatcher::State::TakeRetry(const ServiceName& service) {
+VersionChoice Dispatcher::State::ChooseVersion(const DispatchRequest& request,
+                                               const std::vector<EndpointCandidate>& candidates) {
+  const CatalogueEntry& entry = *request.entry;
+  if (request.version) return {*request.version, false};
+  if (!entry.rollout) return {entry.version, false};
+  const VersionName& to = entry.rollout->to;
+  const auto usable =
+      std::count_if(candidates.begin(), candidates.end(), [&](const EndpointCandidate& candidate) {
+        return candidate.route.version == to && IsUsable(candidate) &&
+               rollouts.MayUse(entry.service, to, candidate.route.endpoint);
+      });
+  const VersionName chosen = rollouts.ChooseVersion(entry, static_cast<int>(usable), SteadyNow());
+  return {chosen, chosen == to};
+}
+
+std::optional<RouteChoice> Dispatcher::State::Route(const std::vector<RouteCandidate>& routes,
+                                                    const RouteRequest& request) {
   const std::lock_guard<std::mutex> lock(mutex);
-  return budgets.try_emplace(service, kRetryShare, kRetryBurst).first->second.TryTake();
+  return ChooseEndpoint(routes, request, random);
 }
 
-DispatchRefusal Dispatcher::State::Refuse(const DispatchRequest& request,
-                                          const VersionName& version,
-                                          const std::vector<EndpointCandidate>& candidates) const {
-  DispatchRefusal refusal;
+std::optional<TimePoint> Dispatcher::State::TakeBudget(const DispatchRequest& request,
+                                                       const EndpointId& endpoint) {
+  const TimePoint now = SteadyNow();
+  const CatalogueEntry& entry = *request.entry;
+  const std::lock_guard<std::mutex> lock(mutex);
+  if (entry.kind == ServiceKind::kModel) {
+    if (!request.repeated) return now;
+    return resume_budget.Take(entry.service, endpoint, now);
+  }
+  RetryBudget& budget =
+      retry_budgets.try_emplace(entry.service, kRetryShare, kRetryBurst).first->second;
+  if (!request.repeated) {
+    budget.OnFirstAttempt();
+    return now;
+  }
+  if (!budget.TryTake()) return std::nullopt;
+  return now;
+}
+
+DispatchRefusal Dispatcher::State::RefuseVersion(
+    const DispatchRequest& request, const VersionName& version,
+    const std::vector<EndpointCandidate>& candidates) const {
+  DispatchRefusal refusal =
+      Refusal(ResultCode::kNoEndpoint, "no usable endpoint of version " + version + " among " +
+                                           std::to_string(candidates.size()) + " candidates, " +
+                                           std::to_string(request.excluded.size()) + " excluded");
   refusal.version_gone = true;
   for (const EndpointCandidate& candidate : candidates) {
     if (candidate.route.version != version) continue;
     if (candidate.route.health.state == EndpointState::kLeaving) continue;
     refusal.version_gone = false;
-    if (candidate.route.health.state == EndpointState::kLive)
-      refusal.code = ResultCode::kOverloaded;
+    if (IsUsable(candidate)) refusal.code = ResultCode::kOverloaded;
   }
-  refusal.reason = "no usable endpoint of version " + version + " among " +
-                   std::to_string(candidates.size()) + ", " +
-                   std::to_string(request.excluded.size()) + " excluded";
   return refusal;
 }
 
+DispatchResult Dispatcher::State::ChooseOf(const DispatchRequest& request,
+                                           const VersionChoice& version,
+                                           const std::vector<EndpointCandidate>& candidates) {
+  std::vector<RouteCandidate> routes;
+  for (const EndpointCandidate& candidate : candidates) routes.push_back(candidate.route);
+  RouteRequest route = ToRoute(request, version.version, failure_domain);
+  for (const RouteCandidate& candidate : routes) {
+    if (!rollouts.MayUse(request.entry->service, version.version, candidate.endpoint)) {
+      route.excluded.push_back(candidate.endpoint);
+    }
+  }
+  while (const std::optional<RouteChoice> choice = Route(routes, route)) {
+    const EndpointId& endpoint = routes[choice->index].endpoint;
+    route.excluded.push_back(endpoint);
+    // Another request may have begun the trial meanwhile.
+    if (choice->trial && !endpoints.BeginTrial(endpoint)) continue;
+    const std::optional<TimePoint> not_before = TakeBudget(request, endpoint);
+    if (!not_before) {
+      return Refusal(ResultCode::kOverloaded, "the budget of repeated attempts is used up");
+    }
+    return Start(request, version, candidates[choice->index], *not_before);
+  }
+  return RefuseVersion(request, version.version, candidates);
+}
+
 DispatchChoice Dispatcher::State::Start(const DispatchRequest& request,
-                                        const EndpointCandidate& candidate) {
+                                        const VersionChoice& version,
+                                        const EndpointCandidate& candidate, TimePoint not_before) {
   DispatchChoice choice;
   choice.endpoint = candidate.route.endpoint;
   choice.address = candidate.address;
@@ -101,63 +217,69 @@
   choice.version = candidate.route.version;
   choice.incarnation = candidate.route.health.incarnation;
   choice.predicted_wait = kPrefillWait + candidate.route.health.queued * kWaitForEachQueued;
-  choice.not_before = SteadyNow();
+  choice.not_before = not_before;
   endpoints.CountStarted(choice.endpoint);
   const std::lock_guard<std::mutex> lock(mutex);
   choice.run = next_run++;
-  runs.emplace(choice.run, Run{choice.endpoint, request.entry->service});
-  if (!request.repeated) {
-    budgets.try_emplace(request.entry->service, kRetryShare, kRetryBurst)
-        .first->second.OnFirstAttempt();
-  }
+  runs.emplace(choice.run,
+               Run{choice.endpoint, choice.failure_domain, choice.version, request.entry->service,
+                   request.route, !request.repeated, version.by_rollout});
   return choice;
 }
 
-Dispatcher::Dispatcher(EndpointRegistry& endpoints, Metrics& metrics, RequestLog& log,
-                       std::string failure_domain)
-    : m_state(std::make_unique<State>(endpoints, metrics, log, std::move(failure_domain))) {}
+void Dispatcher::State::ReportToRollout(const Run& run, const RunResult& result) {
+  if (result.end == DispatchEnd::kCancelled) return;
+  if (NeverRan(result.end)) {
+    if (run.chosen_by_rollout && run.first) rollouts.ReturnChoice(run.service);
+    return;
+  }
+  RequestOutcome outcome;
+  outcome.route = run.route;
+  outcome.endpoint = run.endpoint;
+  outcome.failure_domain = run.failure_domain;
+  outcome.error = result.end != DispatchEnd::kCompleted;
+  outcome.latency = result.latency;
+  outcome.token_interval = result.token_interval;
+  const std::optional<BadVersionNotice> notice =
+      rollouts.AddOutcome(run.service, run.version, std::move(outcome), SteadyNow());
+  if (!notice) return;
+  Log(LogLevel::kWarning, "version_bad",
+      "service=" + notice->service + " version=" + notice->version + " reason=\"" + notice->reason +
+          "\"");
+  if (publisher) publisher(*notice);
+}
+
+Dispatcher::Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, Metrics& metrics,
+                       RequestLog& log, std::string failure_domain)
+    : m_state(
+          std::make_unique<State>(endpoints, rollouts, metrics, log, std::move(failure_domain))) {}
 
 Dispatcher::~Dispatcher() = default;
 
+void Dispatcher::SetNoticePublisher(NoticePublisher publisher) {
+  m_state->publisher = std::move(publisher);
+}
+
 DispatchResult Dispatcher::Choose(const DispatchRequest& request) {
-  const CatalogueEntry& entry = *request.entry;
-  if (request.repeated && !m_state->TakeRetry(entry.service)) {
-    m_state->metrics.Count("dispatch_refusals", "retry_budget");
-    m_state->log.Add(request.id, "refused", "retry budget of the service is used up");
-    DispatchRefusal refusal;
-    refusal.code = ResultCode::kOverloaded;
-    refusal.reason = "retry budget of the service is used up";
-    return refusal;
+  const std::vector<EndpointCandidate> candidates = m_state->endpoints.Candidates(*request.entry);
+  VersionChoice version = m_state->ChooseVersion(request, candidates);
+  DispatchResult result = m_state->ChooseOf(request, version, candidates);
+  if (version.by_rollout && std::holds_alternative<DispatchRefusal>(result)) {
+    m_state->rollouts.ReturnChoice(request.entry->service);
+    version = {request.entry->version, false};
+    result = m_state->ChooseOf(request, version, candidates);
   }
-  const VersionName version = request.version.value_or(entry.version);
-  const std::vector<EndpointCandidate> candidates = m_state->endpoints.Candidates(entry);
-  std::vector<RouteCandidate> routes;
-  for (const EndpointCandidate& candidate : candidates) routes.push_back(candidate.route);
-  RouteRequest route;
-  route.version = version;
-  route.failure_domain = m_state->failure_domain;
-  route.avoided_domain = request.avoided_domain;
-  route.prompt_tokens = request.prompt_tokens;
-  route.priority = request.priority;
-  route.excluded = request.excluded;
-  route.may_try_suspect = request.may_try_suspect;
-  std::optional<RouteChoice> choice;
-  {
-    const std::lock_guard<std::mutex> lock(m_state->mutex);
-    choice = ChooseEndpoint(routes, route, m_state->random);
-  }
-  if (!choice ||
-      (choice->trial && !m_state->endpoints.BeginTrial(routes[choice->index].endpoint))) {
-    DispatchRefusal refusal = m_state->Refuse(request, version, candidates);
-    m_state->metrics.Count("dispatch_refusals", InfoOf(refusal.code).name);
-    m_state->log.Add(request.id, "no_endpoint", refusal.reason);
-    return refusal;
+  if (const DispatchRefusal* refusal = std::get_if<DispatchRefusal>(&result)) {
+    m_state->metrics.Count("dispatch_refusals", InfoOf(refusal->code).name);
+    m_state->log.Add(request.id, "no_endpoint", refusal->reason);
+    return result;
   }
-  DispatchChoice started = m_state->Start(request, candidates[choice->index]);
+  const DispatchChoice& choice = std::get<DispatchChoice>(result);
   m_state->log.Add(request.id, "endpoint_selected",
-                   "endpoint=" + started.endpoint + " version=" + started.version +
-                       (choice->trial ? " trial" : ""));
-  return started;
+                   "endpoint=" + choice.endpoint + " version=" + choice.version +
+                       (version.by_rollout ? " by=rollout" : "") +
+                       (request.repeated ? " repeated" : ""));
+  return result;
 }
 
 void Dispatcher::Ended(std::uint64_t run, const RunResult& result) {
@@ -170,11 +292,9 @@
     m_state->runs.erase(found);
   }
   m_state->metrics.Count("runs", NameOf(kDispatchEndNames, result.end));
-  if (result.end == DispatchEnd::kNotConnected || result.end == DispatchEnd::kRefused ||
-      result.end == DispatchEnd::kRefusedLeaving) {
-    m_state->endpoints.CountNotStarted(ended.endpoint);
-  }
-  if (SaysNothing(result.end)) return;
+  if (NeverRan(result.end)) m_state->endpoints.CountNotStarted(ended.endpoint);
+  m_state->ReportToRollout(ended, result);
+  if (result.end == DispatchEnd::kCancelled || result.end == DispatchEnd::kRefused) return;
   m_state->endpoints.Handle(
       EndpointOutcome{ended.endpoint, OutcomeOf(result.end), result.token_interval});
 }
--- a/src/libs/server/dispatcher.h
+++ b/src/libs/server/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "protocol/catalogue.h"
 #include "protocol/identifiers.h"
 #include "protocol/result_code.h"
+#include "protocol/rollout_messages.h"
 #include "protocol/suspect_messages.h"
 #include "utils/enum_names.h"
 #include "utils/time.h"
@@ -105,18 +107,23 @@
 class EndpointRegistry;
 class Metrics;
 class RequestLog;
+class RolloutTable;
 
 /// Chooses the endpoint of each run, and tells the modules that decide this how the run ended:
-/// router, endpoint health, credits, crash suspects, retry budget and rollout. Thread-safe; never
-/// waits.
+/// router, endpoint health, retry and resumption budgets, rollout. Thread-safe; never waits.
 class Dispatcher {
  public:
-  Dispatcher(EndpointRegistry& endpoints, Metrics& metrics, RequestLog& log,
+  using NoticePublisher = std::function<void(const BadVersionNotice&)>;
+
+  Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, Metrics& metrics, RequestLog& log,
              std::string failure_domain);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
+  /// Receives the notices of bad versions for the peers. Set before the first request.
+  void SetNoticePublisher(NoticePublisher publisher);
+
   DispatchResult Choose(const DispatchRequest& request);
   void Ended(std::uint64_t run, const RunResult& result);
 
--- a/src/libs/server/endpoint_registry.cpp
+++ b/src/libs/server/endpoint_registry.cpp
@@ -53,6 +53,7 @@
   const PollingSettings settings;
   Metrics& metrics;
   Listener listener;
+  ProcessListener process_listener;
   std::atomic<bool> stopped{false};
   std::atomic<bool> ready{false};
 
@@ -182,20 +183,24 @@
     health.Handle(report, SteadyNow(), actions);
   }
   Publish(actions);
+  if (process_listener) process_listener(id, load.incarnation, true);
 }
 
 void EndpointRegistry::State::ApplyPollFailure(const EndpointId& id, bool refused) {
   std::vector<EndpointHealthAction> actions;
+  std::uint64_t incarnation = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex);
     const auto found = endpoints.find(id);
     if (found == endpoints.end()) return;
     found->second.polling = false;
+    incarnation = found->second.load.incarnation;
     // A slow answer is no failure; if answers stay away, the report becomes too old.
     if (!refused) return;
     health.Handle(EndpointOutcome{id, EndpointOutcomeKind::kFailure, {}}, SteadyNow(), actions);
   }
   Publish(actions);
+  if (process_listener && incarnation != 0) process_listener(id, incarnation, false);
 }
 
 void EndpointRegistry::State::Publish(const std::vector<EndpointHealthAction>& actions) {
@@ -247,6 +252,10 @@
 
 void EndpointRegistry::SetListener(Listener listener) { m_state->listener = std::move(listener); }
 
+void EndpointRegistry::SetProcessListener(ProcessListener listener) {
+  m_state->process_listener = std::move(listener);
+}
+
 void EndpointRegistry::Start(const Executor& executor) {
   Spawn(MakeStrand(executor), [state = m_state]() { return state->PollList(); });
   Spawn(MakeStrand(executor), [state = m_state, executor]() { return state->PollLoads(executor); });
--- a/src/libs/server/endpoint_registry.h
+++ b/src/libs/server/endpoint_registry.h
@@ -41,6 +41,9 @@
 class EndpointRegistry {
  public:
   using Listener = std::function<void(const EndpointHealthAction&)>;
+  /// `alive` is false if the process refused a connection.
+  using ProcessListener =
+      std::function<void(const EndpointId&, std::uint64_t incarnation, bool alive)>;
 
   EndpointRegistry(HttpClient& http, InstanceListClient& list, PollingSettings settings,
                    Metrics& metrics);
@@ -50,6 +53,8 @@
 
   /// Receives the actions of the health module, without a lock held. Set before `Start`.
   void SetListener(Listener listener);
+  /// Receives what the polls tell about the processes, without a lock held. Set before `Start`.
+  void SetProcessListener(ProcessListener listener);
   /// Starts to poll on `executor`.
   void Start(const Executor& executor);
   /// Ends polling after the polls that run.
--- a/src/libs/server/generation_session.h
+++ b/src/libs/server/generation_session.h
@@ -36,10 +36,23 @@
   RunningRequests::Entry* running = nullptr;
 };
 
-/// Result of a request for counters and the request log.
+/// Result of a request for counters, objectives and the request log. A zero duration was not
+/// measured.
 struct SessionResult {
   ResultCode code = ResultCode::kOk;
   bool caller_gone = false;
+  /// Version, endpoint and failure domain of the last run.
+  VersionName version;
+  EndpointId endpoint;
+  std::string failure_domain;
+  /// From the request's arrival to its first token.
+  Duration first_token{};
+  /// Mean time between tokens.
+  Duration token_interval{};
+  /// Longest pause between two tokens in which the generation was resumed.
+  Duration longest_resume{};
+  /// From the arrival of a call to its answer.
+  Duration call{};
 };
 
 /// Runs one generation and writes its events to the caller, until it is complete, has failed or the
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -16,6 +16,7 @@
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "server/url.h"
+#include "state/burn_table.h"
 
 namespace fulmarpoint {
 
@@ -55,6 +56,37 @@
   return std::nullopt;
 }
 
+/// Counts a request that was accepted.
+void Record(Services& services, const RequestId& id, const OrganisationId& organisation,
+            const CatalogueEntry& entry, const SessionResult& result) {
+  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
+  services.metrics.Count("requests", name);
+  services.request_log.End(id, name);
+  if (result.caller_gone) return;
+  FinishedRequest finished;
+  finished.organisation = organisation;
+  finished.service = entry.service;
+  finished.kind = entry.kind;
+  finished.code = result.code;
+  finished.version = result.version;
+  finished.endpoint = result.endpoint;
+  finished.failure_domain = result.failure_domain;
+  finished.first_token = result.first_token;
+  finished.token_interval = result.token_interval;
+  finished.longest_resume = result.longest_resume;
+  finished.call = result.call;
+  services.burn.Add(finished, entry.objectives, SteadyNow());
+  if (result.first_token > Duration::zero()) {
+    services.metrics.Observe("first_token", entry.service, result.first_token);
+  }
+  if (result.longest_resume > Duration::zero()) {
+    services.metrics.Observe("resume", entry.service, result.longest_resume);
+  }
+  if (result.call > Duration::zero()) {
+    services.metrics.Observe("call", entry.service, result.call);
+  }
+}
+
 }  // namespace
 
 HttpFront::HttpFront(Services& services, AdminRoutes& admin)
@@ -95,11 +127,11 @@
   exchange.TakeBody();
   request->running = &running;
   const RequestId id = request->id;
+  const OrganisationId organisation = request->organisation;
+  const std::shared_ptr<const CatalogueEntry> entry = request->entry;
   m_services.request_log.Begin(id, request->organisation, request->entry->service);
   const SessionResult result = co_await RunGeneration(m_services, std::move(*request), exchange);
-  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
-  m_services.metrics.Count("requests", name);
-  m_services.request_log.End(id, name);
+  Record(m_services, id, organisation, *entry, result);
 }
 
 Task<void> HttpFront::Call(HttpExchange& exchange) {
@@ -120,11 +152,11 @@
   }
   exchange.TakeBody();
   const RequestId id = request->id;
+  const OrganisationId organisation = request->organisation;
+  const std::shared_ptr<const CatalogueEntry> entry = request->entry;
   m_services.request_log.Begin(id, request->organisation, request->entry->service);
   const SessionResult result = co_await RunCall(m_services, std::move(*request), exchange);
-  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
-  m_services.metrics.Count("requests", name);
-  m_services.request_log.End(id, name);
+  Record(m_services, id, organisation, *entry, result);
 }
 
 HttpReply HttpFront::AnswerOther(const HttpExchange& exchange, std::string_view path) const {
--- a/src/libs/server/services.h
+++ b/src/libs/server/services.h
@@ -10,6 +10,7 @@
 
 namespace fulmarpoint {
 
+class BurnTable;
 class Dispatcher;
 class EndpointRegistry;
 class HttpClient;
@@ -18,6 +19,7 @@
 class Metrics;
 class ObjectClient;
 class RequestLog;
+class RolloutTable;
 class RunningRequests;
 class TableClient;
 
@@ -47,6 +49,8 @@
   Metrics& metrics;
   RequestLog& request_log;
   RunningRequests& running;
+  RolloutTable& rollouts;
+  BurnTable& burn;
   const EventIdCodec& event_ids;
 };
 
