--- a/src/tools/fulmarpointctl/commands.cpp
+++ b/src/tools/fulmarpointctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "catalogue_commands.h"
 #include "table_printer.h"
 #include "transport/address.h"
 
@@ -65,6 +66,17 @@
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands = {
+      {"catalogue list", "", "entries in effect", 0, 0, ListCatalogue},
+      {"catalogue get", "SERVICE", "one entry as a catalogue file", 1, 1, GetCatalogueEntry},
+      {"catalogue diff", "FILE", "what apply would change", 1, 1, DiffCatalogue},
+      {"catalogue apply", "FILE [REVISION]", "add or replace entries; REVISION must be in effect", 1,
+       2, ApplyCatalogue},
+      {"catalogue remove", "SERVICE", "remove an entry", 1, 1, RemoveCatalogueEntry},
+      {"catalogue history", "[REVISION]", "changes, from REVISION on", 0, 1, ShowCatalogueHistory},
+      {"rollout start", "SERVICE VERSION DEADLINE [ID]",
+       "move a service; DEADLINE is +SECONDS or Unix milliseconds", 3, 4, StartRollout},
+      {"rollout abort", "SERVICE", "remove the rollout from the entry", 1, 1, AbortRollout},
+      {"members", "", "daemons as one of them sees them", 0, 0, ShowMembers},
       {"endpoints", "", "health and load of the endpoints", 0, 0, ShowEndpoints},
       {"requests explain", "ID", "decisions about a request, with reasons", 1, 1, ExplainRequest},
       {"drain", "IP:PORT", "planned shutdown of one daemon", 1, 1, Drain},
