--- a/src/tools/fulmarpointctl/catalogue_commands.cpp
+++ b/src/tools/fulmarpointctl/catalogue_commands.cpp
@@ -206,9 +206,9 @@
   if (status != kSuccess || PrintedAsJson(context, answer)) return status;
   const nlohmann::json body = ParseBody(answer);
   std::cout << "seen by " << body.value("self", answer.address) << "\n"
-            << FormatTable(body.value("members", nlohmann::json::array()),
-                           {"name", "address", "failure_domain", "region", "state", "leaving",
-                            "gone"});
+            << FormatTable(
+                   body.value("members", nlohmann::json::array()),
+                   {"name", "address", "failure_domain", "region", "state", "leaving", "gone"});
   return kSuccess;
 }
 
