Observe the catalogue in effect in the load tool

Change: DaemonObserver polls the operators' catalogue route and the memory metric; an experiment may apply catalogue entries.

--- a/src/tools/fulmarpoint-load/experiment.h
+++ b/src/tools/fulmarpoint-load/experiment.h
@@ -50,14 +50,16 @@
   Duration timeout = std::chrono::seconds(5);
 };
 
-/// A request to `POST /control` of a stand-in, or a signal to a process.
+/// A request to `POST /control` of a stand-in, a signal to a process, or a catalogue change.
 struct Fault {
   Duration at = Duration::zero();
   std::string target;
-  /// JSON text; empty if a signal is sent.
+  /// JSON text for `/control`. Exactly one of this and the next two is set.
   std::string control;
-  /// "stop", "cont", "term" or "kill"; empty if `control` is set.
+  /// "stop", "cont", "term" or "kill".
   std::string signal;
+  /// Entries of a catalogue in TOML, applied at any daemon; `target` is not used.
+  std::string apply;
 };
 
 struct Experiment {
--- a/src/tools/fulmarpoint-load/load_run.cpp
+++ b/src/tools/fulmarpoint-load/load_run.cpp
@@ -2,9 +2,7 @@
 
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <random>
-#include <sstream>
 #include <utility>
 
 #include "call_caller.h"
@@ -31,18 +29,6 @@
   return names;
 }
 
-/// Returns the sum of the samples of `metric` in the text format of Prometheus.
-double SumOf(const std::string& metric, const std::string& text) {
-  double sum = 0;
-  std::istringstream lines(text);
-  for (std::string line; std::getline(lines, line);) {
-    const std::size_t end = line.find_first_of(" {");
-    if (end == std::string::npos || line.substr(0, end) != metric) continue;
-    sum += std::strtod(line.c_str() + line.rfind(' '), nullptr);
-  }
-  return sum;
-}
-
 }  // namespace
 
 LoadRun::LoadRun(const Executor& executor, Experiment experiment, Targets targets)
@@ -50,7 +36,9 @@
       m_targets(std::move(targets)),
       m_context(executor, m_experiment.seed, AddressesOf(m_targets.daemons),
                 NamesByAddress(m_targets.daemons)),
-      m_observer(m_context, m_targets.endpoints) {}
+      m_observer(m_context, m_targets.endpoints),
+      m_daemon_observer(m_context, m_targets.daemons, m_targets.operator_key,
+                        m_experiment.memory_metric) {}
 
 Duration LoadRun::NextGap(std::int64_t rate_per_minute) {
   std::exponential_distribution<double> gap(static_cast<double>(rate_per_minute) / 60.0);
@@ -116,6 +104,10 @@
     SendSignal(fault);
     co_return;
   }
+  if (!fault.apply.empty()) {
+    co_await m_daemon_observer.Apply(fault.apply);
+    co_return;
+  }
   HttpClientRequest request;
   request.address = m_targets.endpoints[fault.target];
   if (request.address.empty()) request.address = m_targets.controls[fault.target];
@@ -141,25 +133,13 @@
   }
 }
 
-Task<void> LoadRun::ReadMemory() {
-  double sum = 0;
-  for (const auto& [name, address] : m_targets.daemons) {
-    HttpClientRequest request;
-    request.address = address;
-    request.target = "/metrics";
-    request.timeout = kObserveInterval;
-    const HttpResult result = co_await m_context.client.Send(std::move(request));
-    if (!result.error) sum += SumOf(m_experiment.memory_metric, result.reply.body);
-  }
-  m_peak_memory = std::max(m_peak_memory, sum);
-}
-
 Task<void> LoadRun::Observe() {
   while (!m_stopped) {
     co_await m_observer.Poll();
-    co_await ReadMemory();
+    co_await m_daemon_observer.Poll();
     co_await Sleep(kObserveInterval);
   }
+  m_observing = false;
 }
 
 Task<void> LoadRun::Run() {
@@ -179,7 +159,7 @@
   }
   m_stopped = true;
   // The last poll of `Observe` may still run; it must not interleave with the final one.
-  co_await Sleep(kObserveInterval * 2);
+  while (m_observing) co_await Sleep(kEndPollInterval);
   co_await m_observer.Poll();
   co_await m_observer.ReadCounters();
 }
--- a/src/tools/fulmarpoint-load/load_run.h
+++ b/src/tools/fulmarpoint-load/load_run.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon_observer.h"
 #include "endpoint_observer.h"
 #include "experiment.h"
 #include "run_context.h"
@@ -18,6 +19,8 @@
   /// Other stand-ins that faults may address.
   std::map<std::string, std::string> controls;
   std::map<std::string, int> process_ids;
+  /// Empty if the catalogue is not observed.
+  std::string operator_key;
 };
 
 /// Runs one experiment: arrivals, faults and observation. Used by one thread.
@@ -30,8 +33,7 @@
 
   RunContext& Context() { return m_context; }
   EndpointObserver& Observer() { return m_observer; }
-  /// Highest sum over the daemons of the experiment's memory metric.
-  double PeakMemory() const { return m_peak_memory; }
+  const DaemonObserver& Daemons() const { return m_daemon_observer; }
   /// Requests that had no outcome at the end.
   std::uint64_t Unfinished() const { return m_context.active; }
   const Experiment& Settings() const { return m_experiment; }
@@ -43,17 +45,17 @@
   Task<void> Inject(Fault fault);
   void SendSignal(const Fault& fault);
   Task<void> Observe();
-  Task<void> ReadMemory();
   Duration NextGap(std::int64_t rate_per_minute);
 
   Experiment m_experiment;
   Targets m_targets;
   RunContext m_context;
   EndpointObserver m_observer;
+  DaemonObserver m_daemon_observer;
   TimePoint m_end;
-  double m_peak_memory = 0;
   int m_arriving = 0;
   bool m_stopped = false;
+  bool m_observing = true;
 };
 
 }  // namespace fulmarpoint::load
--- a/src/tools/fulmarpoint-load/main.cpp
+++ b/src/tools/fulmarpoint-load/main.cpp
@@ -1,5 +1,5 @@
 #include <boost/program_options.hpp>
-#include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <future>
 #include <iostream>
@@ -23,7 +23,9 @@
 using Pairs = std::vector<std::string>;
 
 po::options_description Options() {
-  po::options_description options("fulmarpoint-load EXPERIMENT.toml [options]");
+  po::options_description options(
+      "fulmarpoint-load EXPERIMENT.toml [options]\nFULMARPOINT_OPERATOR_KEY: observe the "
+      "catalogue");
   auto add = options.add_options();
   add("help", "print the options");
   add("experiment", po::value<std::string>(), "experiment file");
@@ -54,6 +56,8 @@
   for (const auto& [name, pid] : PairsOf(values, "pid")) {
     targets.process_ids[name] = std::atoi(pid.c_str());
   }
+  const char* key = std::getenv("FULMARPOINT_OPERATOR_KEY");
+  if (key != nullptr) targets.operator_key = key;
   if (targets.daemons.empty()) throw po::error("name at least one --daemon");
   return targets;
 }
--- a/src/tools/fulmarpoint-load/report.cpp
+++ b/src/tools/fulmarpoint-load/report.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+// Requests at different daemons reach the engines in another order than that of their permits.
+constexpr std::uint64_t kCanarySlack = 2;
+// The revision in effect is polled.
+constexpr Duration kObservationDelay = std::chrono::seconds(1);
 constexpr std::size_t kMaxPrintedViolations = 20;
 constexpr int kHistogramBuckets = 16;
 constexpr std::size_t kBarWidth = 50;
@@ -115,7 +119,8 @@
   SortByTime(report.history);
   FillInServices(report.history);
   CheckerOptions options;
-  options.canary_slack = 2;
+  options.canary_slack = kCanarySlack;
+  options.catalogue_limit += kObservationDelay;
   report.violations = CheckHistory(report.history, options);
   const EndpointObserver& observer = run.Observer();
   const std::uint64_t generated = observer.Counter("tokens");
@@ -134,7 +139,7 @@
       {"reconnects", observer.Counter("reconnects")},
       {"prefill_tokens", observer.Counter("prefill_tokens")},
       {"cached_prefill_tokens", observer.Counter("cached_prefill_tokens")},
-      {"peak_" + run.Settings().memory_metric, run.PeakMemory()},
+      {"peak_" + run.Settings().memory_metric, run.Daemons().PeakMemory()},
       {"first_token", Summary(measured.first_token)},
       {"token_gap", Summary(measured.token_gap)},
       {"call", Summary(measured.call)},
