--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -9,6 +9,7 @@
 #include "measure_admission.h"
 #include "measure_control_plane.h"
 #include "measure_crash_suspects.h"
+#include "measure_role_costs.h"
 #include "measure_rollout.h"
 
 namespace fulmarpoint {
@@ -30,6 +31,8 @@
                 MeasureControlPlane},
     Measurement{"crash_suspects", "endpoints lost to a crashing request, false positives",
                 MeasureCrashSuspects},
+    Measurement{"role-costs", "memory, processor time and messages at growing sizes",
+                MeasureRoleCosts},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
