--- a/src/libs/coordination/generation.h
+++ b/src/libs/coordination/generation.h
@@ -65,6 +65,7 @@
 enum class GenerationDecision {
   kReconnect,
   kProbeFailed,
+  kSilentAfterProbe,
   kSecondAttempt,
   kSecondAttemptWon,
   kSecondAttemptLost,
@@ -76,9 +77,10 @@
   kSlotRegained,
 };
 
-inline constexpr std::array<EnumName<GenerationDecision>, 11> kGenerationDecisionNames = {{
+inline constexpr std::array<EnumName<GenerationDecision>, 12> kGenerationDecisionNames = {{
     {GenerationDecision::kReconnect, "reconnect"},
     {GenerationDecision::kProbeFailed, "probe_failed"},
+    {GenerationDecision::kSilentAfterProbe, "silent_after_probe"},
     {GenerationDecision::kSecondAttempt, "second_attempt"},
     {GenerationDecision::kSecondAttemptWon, "second_attempt_won"},
     {GenerationDecision::kSecondAttemptLost, "second_attempt_lost"},
@@ -143,18 +145,21 @@
 struct ReaderPaused {};
 /// The caller has drained its buffer.
 struct ReaderDrained {};
-/// The slot at the engine is to be released. `position` is the next position that has not been
-/// written to the caller; the driver drops what it buffers from there on.
+/// The slot at the engine is to be released, or has been released and more is to be dropped.
+/// `position` is the first that the driver neither has written to the caller nor keeps in its
+/// buffer. Precondition: `CanRegenerate()`.
 struct SlotReleased {
   std::uint64_t position = 0;
 };
 struct CallerGone {};
+/// The deadline of the request.
+struct DeadlinePassed {};
 /// The daemon stops and the caller is to continue elsewhere.
 struct HandOff {};
 
 using Event = std::variant<Start, EndpointSelected, NoEndpoint, TokenReceived, StreamEnded,
                            AttemptFailed, Reconnected, TimerFired, ReaderPaused, ReaderDrained,
-                           SlotReleased, CallerGone, HandOff>;
+                           SlotReleased, CallerGone, DeadlinePassed, HandOff>;
 
 // Actions.
 
@@ -198,6 +203,8 @@
   EndpointId endpoint;
   std::string stream;
   bool at_engine = true;
+  /// The engine was silent for too long: counts as a failure of the endpoint.
+  bool silent = false;
 };
 struct PauseReading {
   std::uint32_t attempt = 0;
@@ -258,6 +265,9 @@
   std::uint64_t NextPosition() const { return m_base + m_tokens.size(); }
   /// Returns the content of the event id for the tokens delivered so far.
   ResumePoint Point() const;
+  /// Returns whether the tokens after any delivered position can be generated again, so that a slot
+  /// may be released.
+  bool CanRegenerate() const { return m_base == 0; }
   /// Returns the number of tokens dropped because they were not of the current attempt or not at
   /// the next position.
   std::uint64_t DroppedTokens() const { return m_dropped_tokens; }
@@ -282,6 +292,8 @@
     TimePoint probe_since;
     /// A new connection has been tried since the last token.
     bool reconnected = false;
+    /// No token has come since the silence timeout.
+    bool silent = false;
     bool has_token = false;
   };
 
@@ -297,6 +309,7 @@
   void On(const generation::ReaderDrained& event, TimePoint now, std::vector<Action>& actions);
   void On(const generation::SlotReleased& event, TimePoint now, std::vector<Action>& actions);
   void On(const generation::CallerGone& event, TimePoint now, std::vector<Action>& actions);
+  void On(const generation::DeadlinePassed& event, TimePoint now, std::vector<Action>& actions);
   void On(const generation::HandOff& event, TimePoint now, std::vector<Action>& actions);
 
   bool CheckResumePoint(std::vector<Action>& actions);
--- /dev/null
+++ b/src/libs/server/buffer_driver.cpp
@@ -0,0 +1,77 @@
+#include "server/buffer_driver.h"
+
+#include <atomic>
+#include <utility>
+#include <variant>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kTimerInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+struct BufferDriver::State {
+  std::atomic<bool> stopped{false};
+};
+
+BufferDriver::BufferDriver(Executor executor, ReaderBuffersSettings settings)
+    : m_executor(std::move(executor)), m_table(settings), m_state(std::make_shared<State>()) {}
+
+void BufferDriver::Start() {
+  Spawn(MakeStrand(m_executor), [this]() { return RunTimer(m_state, *this); });
+}
+
+void BufferDriver::Stop() { m_state->stopped = true; }
+
+Task<void> BufferDriver::RunTimer(std::shared_ptr<State> state, BufferDriver& driver) {
+  while (!state->stopped) {
+    driver.Handle(BufferTimerFired{});
+    co_await Sleep(kTimerInterval);
+  }
+}
+
+std::uint64_t BufferDriver::Open(const OrganisationId& organisation, bool can_regenerate,
+                                 const Executor& strand, Listener listener) {
+  std::uint64_t number = 0;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    number = ++m_last_stream;
+    m_streams.emplace(number, std::make_shared<Stream>(Stream{strand, std::move(listener)}));
+  }
+  Handle(StreamOpened{number, organisation, can_regenerate});
+  return number;
+}
+
+void BufferDriver::Handle(const ReaderBuffersEvent& event) {
+  Distribute(m_table.Handle(event, SteadyNow()));
+}
+
+void BufferDriver::Close(std::uint64_t stream) {
+  Handle(StreamClosed{stream});
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto found = m_streams.find(stream);
+  if (found == m_streams.end()) return;
+  found->second->listener = nullptr;
+  m_streams.erase(found);
+}
+
+void BufferDriver::Distribute(const std::vector<ReaderBuffersAction>& actions) {
+  for (const ReaderBuffersAction& action : actions) {
+    const std::uint64_t number =
+        std::visit([](const auto& specific) { return specific.stream; }, action);
+    std::shared_ptr<Stream> stream;
+    {
+      const std::lock_guard<std::mutex> lock(m_mutex);
+      const auto found = m_streams.find(number);
+      if (found != m_streams.end()) stream = found->second;
+    }
+    if (!stream) continue;
+    Post(stream->strand, [stream, action]() {
+      if (stream->listener) stream->listener(action);
+    });
+  }
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/server/buffer_driver.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "state/buffer_table.h"
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+/// Brings the decisions of the buffer table to the strands of the streams concerned. Thread-safe.
+class BufferDriver {
+ public:
+  using Listener = std::function<void(const ReaderBuffersAction&)>;
+
+  BufferDriver(Executor executor, ReaderBuffersSettings settings);
+  BufferDriver(const BufferDriver&) = delete;
+  BufferDriver& operator=(const BufferDriver&) = delete;
+
+  /// Starts the timer of the table.
+  void Start();
+  void Stop();
+  bool MayOpen(const OrganisationId& organisation) const { return m_table.MayOpen(organisation); }
+
+  /// Returns the number of a new stream; `listener` is called on `strand`.
+  std::uint64_t Open(const OrganisationId& organisation, bool can_regenerate,
+                     const Executor& strand, Listener listener);
+  /// Passes `StreamAppended`, `StreamDrained` or `StreamEnded` to the table.
+  void Handle(const ReaderBuffersEvent& event);
+  /// Call on the strand of the stream: its listener is not called any more.
+  void Close(std::uint64_t stream);
+
+ private:
+  struct Stream {
+    Executor strand;
+    Listener listener;
+  };
+
+  struct State;
+  static Task<void> RunTimer(std::shared_ptr<State> state, BufferDriver& driver);
+  void Distribute(const std::vector<ReaderBuffersAction>& actions);
+
+  Executor m_executor;
+  BufferTable m_table;
+  std::shared_ptr<State> m_state;
+  std::mutex m_mutex;
+  std::uint64_t m_last_stream = 0;
+  std::map<std::uint64_t, std::shared_ptr<Stream>> m_streams;
+};
+
+}  // namespace fulmarpoint
