--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -16,10 +16,13 @@
 #include "server/metrics.h"
 #include "server/object_client.h"
 #include "server/problem_reply.h"
+#include "server/request_drivers.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "server/services.h"
 #include "server/table_client.h"
+#include "state/burn_table.h"
+#include "state/rollout_table.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
@@ -45,6 +48,15 @@
   return limits;
 }
 
+ReaderBuffersSettings ToBufferSettings(const BufferSettings& settings) {
+  ReaderBuffersSettings buffers;
+  buffers.stream_high_water = settings.stream_bytes;
+  buffers.stream_low_water = settings.stream_bytes / 4;
+  buffers.organisation_budget = settings.organisation_bytes;
+  buffers.daemon_budget = settings.daemon_bytes;
+  return buffers;
+}
+
 std::vector<EntryDaemon> ListedDaemons(const EndpointRegistry& endpoints) {
   std::vector<EntryDaemon> daemons;
   for (const ListedInstance& instance : endpoints.Daemons()) {
@@ -62,6 +74,7 @@
   ~State();
 
   const Settings settings;
+  const InstanceId self;
   WorkerPool pool;
   HttpClient http;
   TableClient tables;
@@ -73,8 +86,11 @@
   CatalogueView catalogue;
   LookupDirectory lookup;
   EventIdCodec event_ids;
+  RolloutTable rollouts;
+  BurnTable burn;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
+  RequestDrivers drivers;
   Services services;
   AdminRoutes admin;
   HttpFront front;
@@ -86,6 +102,7 @@
 
 Daemon::State::State(Settings own_settings)
     : settings(std::move(own_settings)),
+      self{settings.daemon.name, NewIncarnation()},
       pool(settings.daemon.workers),
       http(pool.GetExecutor(), {}),
       tables(http, settings.platform.tables, settings.platform.timeout),
@@ -94,23 +111,13 @@
       request_log(settings.request_records),
       running(settings.limits.requests),
       event_ids(settings.secrets.shared_key, settings.secrets.previous_shared_key),
+      rollouts(self),
       endpoints(http, instances, settings.polling, metrics),
-      dispatcher(endpoints, metrics, request_log, settings.daemon.failure_domain),
-      services{settings,
-               {settings.daemon.name, NewIncarnation()},
-               pool.GetExecutor(),
-               http,
-               tables,
-               objects,
-               instances,
-               endpoints,
-               dispatcher,
-               catalogue,
-               lookup,
-               metrics,
-               request_log,
-               running,
-               event_ids},
+      dispatcher(endpoints, rollouts, metrics, request_log, settings.daemon.failure_domain),
+      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
+      services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
+               instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
+               request_log, running,   rollouts,           burn,      event_ids, drivers},
       admin(services),
       front(services, admin),
       loader(services),
@@ -124,6 +131,7 @@
                        }}) {}
 
 Daemon::State::~State() {
+  drivers.buffers.Stop();
   loader.Stop();
   endpoints.Stop();
   server.Close();
@@ -149,6 +157,14 @@
         "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
     return error;
   }
+  state.catalogue.SetListener([&state](const CatalogueSnapshot& snapshot) {
+    std::vector<CatalogueEntry> entries;
+    for (const auto& [name, service] : snapshot.services) {
+      if (service->entry->rollout) entries.push_back(*service->entry);
+    }
+    state.rollouts.SetEntries(entries);
+  });
+  state.drivers.buffers.Start();
   state.loader.Start();
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
--- a/src/libs/server/generation_driver.cpp
+++ b/src/libs/server/generation_driver.cpp
@@ -97,11 +97,11 @@
   if (m_request.running != nullptr) {
     m_request.running->OnHandOff(m_strand, push_later(generation::HandOff{}));
   }
-  m_buffer = m_services.drivers.buffers.Open(
-      m_request.organisation, m_generation.CanRegenerate(), m_strand,
-      [weak](const ReaderBuffersAction& action) {
-        if (const auto self = weak.lock()) (*self)->OnBuffer(action);
-      });
+  m_buffer = m_services.drivers.buffers.Open(m_request.organisation, m_generation.CanRegenerate(),
+                                             m_strand, [weak](const ReaderBuffersAction& action) {
+                                               if (const auto self = weak.lock())
+                                                 (*self)->OnBuffer(action);
+                                             });
   Feed(generation::Start{});
   while (!m_generation.Ended()) {
     if (!m_events.empty()) {
@@ -175,8 +175,8 @@
   wanted.version = action.version;
   wanted.excluded = action.excluded;
   wanted.repeated = action.resumption;
-  wanted.prompt_tokens = static_cast<std::uint32_t>(
-      m_request.prompt.size() / kPromptBytesPerToken + m_generation.NextPosition());
+  wanted.prompt_tokens = static_cast<std::uint32_t>(m_request.prompt.size() / kPromptBytesPerToken +
+                                                    m_generation.NextPosition());
   if (action.preference == EndpointPreference::kCachedPrefix) wanted.prompt = m_request.prompt;
   const DispatchResult result = m_services.dispatcher.Choose(wanted);
   if (const DispatchRefusal* refusal = std::get_if<DispatchRefusal>(&result)) {
@@ -193,23 +193,18 @@
 void GenerationDriver::Do(const generation::OpenAttempt& action) {
   AttemptRun& run = m_runs[action.attempt];
   run.opened = SteadyNow();
-  const auto choice =
-      std::find_if(m_choices.begin(), m_choices.end(), [&](const DispatchChoice& candidate) {
-        return candidate.endpoint == action.endpoint;
-      });
+  const auto choice = std::find_if(
+      m_choices.begin(), m_choices.end(),
+      [&](const DispatchChoice& candidate) { return candidate.endpoint == action.endpoint; });
   if (choice != m_choices.end()) {
     run.address = choice->address;
     run.choice = std::move(*choice);
     m_choices.erase(choice);
   }
-  const Json body = {{"stream", action.stream},
-                     {"model", action.model},
-                     {"version", action.version},
-                     {"adapter", action.adapter},
-                     {"prompt", m_request.prompt},
-                     {"prefix_tokens", action.prefix_tokens},
-                     {"seed", action.seed},
-                     {"max_tokens", action.max_tokens},
+  const Json body = {{"stream", action.stream},    {"model", action.model},
+                     {"version", action.version},  {"adapter", action.adapter},
+                     {"prompt", m_request.prompt}, {"prefix_tokens", action.prefix_tokens},
+                     {"seed", action.seed},        {"max_tokens", action.max_tokens},
                      {"priority", "normal"}};
   HttpClientRequest open;
   open.address = AddressOf(action.attempt, action.endpoint);
@@ -236,9 +231,9 @@
   }
   request.timeout = kHeadTimeout;
   request.new_connection = true;
-  const auto link = std::make_shared<EngineLink>(
-      m_services.http, m_strand, attempt, connection,
-      [this](Generation::Event event) { Push(std::move(event)); });
+  const auto link =
+      std::make_shared<EngineLink>(m_services.http, m_strand, attempt, connection,
+                                   [this](Generation::Event event) { Push(std::move(event)); });
   m_links[connection] = link;
   link->Start(std::move(request), reconnects);
 }
@@ -326,15 +321,27 @@
   m_active_attempt = point.attempt;
   m_services.drivers.activity.Note(point.endpoint, m_buffer, now);
   m_services.metrics.CountToken();
+  if (m_tokens++ == 0) {
+    m_result.first_token = now - m_started;
+    m_first_token = now;
+  } else if (m_resuming) {
+    m_result.longest_resume = std::max(m_result.longest_resume, now - m_last_token);
+  }
+  m_resuming = false;
   m_last_token = now;
+  if (m_tokens > 1) {
+    m_result.token_interval = (now - m_first_token) / static_cast<Duration::rep>(m_tokens - 1);
+  }
+  m_result.version = point.version;
+  m_result.endpoint = point.endpoint;
+  if (run.choice) m_result.failure_domain = run.choice->failure_domain;
 }
 
 void GenerationDriver::Do(const generation::DeliverToken& action) {
   NoteToken(action.point);
   const Json data = {{"position", action.position}, {"token", action.token}};
-  std::string text =
-      "id: " + m_services.event_ids.Encode(action.point, m_request.organisation) +
-      "\ndata: " + Dump(data) + "\n\n";
+  std::string text = "id: " + m_services.event_ids.Encode(action.point, m_request.organisation) +
+                     "\ndata: " + Dump(data) + "\n\n";
   const std::size_t bytes = text.size();
   m_caller.AppendToken(action.position, std::move(text));
   m_services.drivers.buffers.Handle(StreamAppended{m_buffer, bytes});
@@ -361,11 +368,12 @@
 
 void GenerationDriver::Do(const generation::Decided& action) {
   const std::string_view name = NameOf(kGenerationDecisionNames, action.decision);
+  m_resuming = m_resuming || action.decision == GenerationDecision::kReconnect ||
+               action.decision == GenerationDecision::kOtherEngine;
   m_services.metrics.Count("generation_decisions", name);
   m_services.request_log.Add(m_request.id, std::string(name),
-                             "attempt=" + std::to_string(action.attempt) +
-                                 " endpoint=" + action.endpoint +
-                                 " position=" + std::to_string(action.position));
+                             "attempt=" + std::to_string(action.attempt) + " endpoint=" +
+                                 action.endpoint + " position=" + std::to_string(action.position));
 }
 
 void GenerationDriver::OnBuffer(const ReaderBuffersAction& action) {
@@ -396,8 +404,8 @@
 
 Task<void> GenerationDriver::SendLastReply() {
   if (m_failure && !m_caller.Started()) {
-    HttpReply reply = ProblemReply(m_failure->code, "the generation was not completed",
-                                   m_failure->retry_after);
+    HttpReply reply =
+        ProblemReply(m_failure->code, "the generation was not completed", m_failure->retry_after);
     co_await m_exchange.Respond(std::move(reply));
     co_return;
   }
--- a/src/libs/server/services.h
+++ b/src/libs/server/services.h
@@ -10,6 +10,7 @@
 
 namespace fulmarpoint {
 
+class BurnTable;
 class Dispatcher;
 class EndpointRegistry;
 class HttpClient;
@@ -18,6 +19,8 @@
 class Metrics;
 class ObjectClient;
 class RequestLog;
+struct RequestDrivers;
+class RolloutTable;
 class RunningRequests;
 class TableClient;
 
@@ -47,7 +50,10 @@
   Metrics& metrics;
   RequestLog& request_log;
   RunningRequests& running;
+  RolloutTable& rollouts;
+  BurnTable& burn;
   const EventIdCodec& event_ids;
+  RequestDrivers& drivers;
 };
 
 }  // namespace fulmarpoint
--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -11,6 +11,7 @@
 #include "measure_credits.h"
 #include "measure_reader_buffers.h"
 #include "measure_resume.h"
+#include "measure_role_costs.h"
 #include "measure_rollout.h"
 
 namespace fulmarpoint {
@@ -33,6 +34,8 @@
                 MeasureCreditFaults},
     Measurement{"credit_traffic", "messages and bytes of credits per daemon", MeasureCreditTraffic},
     Measurement{"reader_buffers", "memory and slots of slow callers", MeasureReaderBuffers},
+    Measurement{"role-costs", "memory, processor time and messages at growing sizes",
+                MeasureRoleCosts},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
