--- a/src/libs/server/generation_driver.cpp
+++ b/src/libs/server/generation_driver.cpp
@@ -321,7 +321,20 @@
   m_active_attempt = point.attempt;
   m_services.drivers.activity.Note(point.endpoint, m_buffer, now);
   m_services.metrics.CountToken();
+  if (m_tokens++ == 0) {
+    m_result.first_token = now - m_started;
+    m_first_token = now;
+  } else if (m_resuming) {
+    m_result.longest_resume = std::max(m_result.longest_resume, now - m_last_token);
+  }
+  m_resuming = false;
   m_last_token = now;
+  if (m_tokens > 1) {
+    m_result.token_interval = (now - m_first_token) / static_cast<Duration::rep>(m_tokens - 1);
+  }
+  m_result.version = point.version;
+  m_result.endpoint = point.endpoint;
+  if (run.choice) m_result.failure_domain = run.choice->failure_domain;
 }
 
 void GenerationDriver::Do(const generation::DeliverToken& action) {
@@ -355,6 +368,8 @@
 
 void GenerationDriver::Do(const generation::Decided& action) {
   const std::string_view name = NameOf(kGenerationDecisionNames, action.decision);
+  m_resuming = m_resuming || action.decision == GenerationDecision::kReconnect ||
+               action.decision == GenerationDecision::kOtherEngine;
   m_services.metrics.Count("generation_decisions", name);
   m_services.request_log.Add(m_request.id, std::string(name),
                              "attempt=" + std::to_string(action.attempt) + " endpoint=" +
--- a/src/libs/server/generation_driver.h
+++ b/src/libs/server/generation_driver.h
@@ -8,11 +8,11 @@
 #include <vector>
 
 #include "coordination/generation.h"
+#include "coordination/reader_buffers.h"
 #include "server/caller_stream.h"
 #include "server/dispatcher.h"
 #include "server/engine_link.h"
 #include "server/generation_session.h"
-#include "state/buffer_table.h"
 #include "transport/notification.h"
 
 namespace fulmarpoint {
@@ -93,6 +93,8 @@
   std::uint32_t m_active_attempt = 0;
   std::optional<generation::Fail> m_failure;
   TimePoint m_started;
+  std::uint64_t m_tokens = 0;
+  TimePoint m_first_token;
   TimePoint m_last_token;
   bool m_resuming = false;
   SessionResult m_result;
