--- a/src/libs/server/buffer_driver.cpp
+++ b/src/libs/server/buffer_driver.cpp
@@ -17,7 +17,7 @@
 };
 
 BufferDriver::BufferDriver(Executor executor, ReaderBuffersSettings settings)
-    : m_executor(std::move(executor)), m_table(settings), m_state(std::make_shared<State>()) {}
+    : m_executor(std::move(executor)), m_state(std::make_shared<State>()), m_buffers(settings) {}
 
 void BufferDriver::Start() {
   Spawn(MakeStrand(m_executor), [this]() { return RunTimer(m_state, *this); });
@@ -32,6 +32,11 @@
   }
 }
 
+bool BufferDriver::MayOpen(const OrganisationId& organisation) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_buffers.MayOpen(organisation);
+}
+
 std::uint64_t BufferDriver::Open(const OrganisationId& organisation, bool can_regenerate,
                                  const Executor& strand, Listener listener) {
   std::uint64_t number = 0;
@@ -45,7 +50,12 @@
 }
 
 void BufferDriver::Handle(const ReaderBuffersEvent& event) {
-  Distribute(m_table.Handle(event, SteadyNow()));
+  std::vector<ReaderBuffersAction> actions;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_buffers.Handle(event, SteadyNow(), actions);
+  }
+  Distribute(actions);
 }
 
 void BufferDriver::Close(std::uint64_t stream) {
--- a/src/libs/server/buffer_driver.h
+++ b/src/libs/server/buffer_driver.h
@@ -7,12 +7,12 @@
 #include <mutex>
 #include <vector>
 
-#include "state/buffer_table.h"
+#include "coordination/reader_buffers.h"
 #include "transport/task.h"
 
 namespace fulmarpoint {
 
-/// Brings the decisions of the buffer table to the strands of the streams concerned. Thread-safe.
+/// Brings the decisions on buffers to the strands of the streams concerned. Thread-safe.
 class BufferDriver {
  public:
   using Listener = std::function<void(const ReaderBuffersAction&)>;
@@ -21,15 +21,15 @@
   BufferDriver(const BufferDriver&) = delete;
   BufferDriver& operator=(const BufferDriver&) = delete;
 
-  /// Starts the timer of the table.
+  /// Starts the timer of the module.
   void Start();
   void Stop();
-  bool MayOpen(const OrganisationId& organisation) const { return m_table.MayOpen(organisation); }
+  bool MayOpen(const OrganisationId& organisation) const;
 
   /// Returns the number of a new stream; `listener` is called on `strand`.
   std::uint64_t Open(const OrganisationId& organisation, bool can_regenerate,
                      const Executor& strand, Listener listener);
-  /// Passes `StreamAppended`, `StreamDrained` or `StreamEnded` to the table.
+  /// Passes `StreamAppended`, `StreamDrained` or `StreamEnded` to the module.
   void Handle(const ReaderBuffersEvent& event);
   /// Call on the strand of the stream: its listener is not called any more.
   void Close(std::uint64_t stream);
@@ -45,9 +45,9 @@
   void Distribute(const std::vector<ReaderBuffersAction>& actions);
 
   Executor m_executor;
-  BufferTable m_table;
   std::shared_ptr<State> m_state;
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
+  ReaderBuffers m_buffers;
   std::uint64_t m_last_stream = 0;
   std::map<std::uint64_t, std::shared_ptr<Stream>> m_streams;
 };
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -16,6 +16,7 @@
 #include "server/metrics.h"
 #include "server/object_client.h"
 #include "server/problem_reply.h"
+#include "server/request_drivers.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "server/services.h"
@@ -47,6 +48,15 @@
   return limits;
 }
 
+ReaderBuffersSettings ToBufferSettings(const BufferSettings& settings) {
+  ReaderBuffersSettings buffers;
+  buffers.stream_high_water = settings.stream_bytes;
+  buffers.stream_low_water = settings.stream_bytes / 4;
+  buffers.organisation_budget = settings.organisation_bytes;
+  buffers.daemon_budget = settings.daemon_bytes;
+  return buffers;
+}
+
 std::vector<EntryDaemon> ListedDaemons(const EndpointRegistry& endpoints) {
   std::vector<EntryDaemon> daemons;
   for (const ListedInstance& instance : endpoints.Daemons()) {
@@ -80,6 +90,7 @@
   BurnTable burn;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
+  RequestDrivers drivers;
   Services services;
   AdminRoutes admin;
   HttpFront front;
@@ -103,9 +114,10 @@
       rollouts(self),
       endpoints(http, instances, settings.polling, metrics),
       dispatcher(endpoints, rollouts, metrics, request_log, settings.daemon.failure_domain),
-      services{settings,    self,      pool.GetExecutor(), http,      tables,   objects,
-               instances,   endpoints, dispatcher,         catalogue, lookup,   metrics,
-               request_log, running,   rollouts,           burn,      event_ids},
+      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
+      services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
+               instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
+               request_log, running,   rollouts,           burn,      event_ids, drivers},
       admin(services),
       front(services, admin),
       loader(services),
@@ -119,6 +131,7 @@
                        }}) {}
 
 Daemon::State::~State() {
+  drivers.buffers.Stop();
   loader.Stop();
   endpoints.Stop();
   server.Close();
@@ -151,6 +164,7 @@
     }
     state.rollouts.SetEntries(entries);
   });
+  state.drivers.buffers.Start();
   state.loader.Start();
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
--- a/src/libs/server/services.h
+++ b/src/libs/server/services.h
@@ -19,6 +19,7 @@
 class Metrics;
 class ObjectClient;
 class RequestLog;
+struct RequestDrivers;
 class RolloutTable;
 class RunningRequests;
 class TableClient;
@@ -52,6 +53,7 @@
   RolloutTable& rollouts;
   BurnTable& burn;
   const EventIdCodec& event_ids;
+  RequestDrivers& drivers;
 };
 
 }  // namespace fulmarpoint
--- a/src/tools/fulmarpoint-measure/main.cpp
+++ b/src/tools/fulmarpoint-measure/main.cpp
@@ -34,13 +34,13 @@
                 MeasureControlPlane},
     Measurement{"crash_suspects", "endpoints lost to a crashing request, false positives",
                 MeasureCrashSuspects},
-    Measurement{"role-costs", "memory, processor time and messages at growing sizes",
-                MeasureRoleCosts},
     Measurement{"resume", "resume latency and extra tokens against two baselines", MeasureResume},
     Measurement{"credit_faults", "overshoot of slots under faults, against two baselines",
                 MeasureCreditFaults},
     Measurement{"credit_traffic", "messages and bytes of credits per daemon", MeasureCreditTraffic},
     Measurement{"reader_buffers", "memory and slots of slow callers", MeasureReaderBuffers},
+    Measurement{"role-costs", "memory, processor time and messages at growing sizes",
+                MeasureRoleCosts},
     Measurement{"rollout", "good and bad versions against two baselines", MeasureRollout},
 };
 
