--- a/src/libs/coordination/credit_owner.cpp
+++ b/src/libs/coordination/credit_owner.cpp
@@ -41,7 +41,7 @@
   std::erase_if(m_endpoints, [&owned](const auto& item) { return !owned.contains(item.first); });
   for (EndpointHash hash : owned) {
     const auto [found, inserted] = m_endpoints.try_emplace(hash);
-    if (inserted) found->second.owned_since = now;
+    if (inserted) found->second.owned_since = event.alone ? now - kCreditLifetime : now;
   }
 }
 
--- a/src/libs/coordination/credit_owner.h
+++ b/src/libs/coordination/credit_owner.h
@@ -24,6 +24,8 @@
 /// The endpoints that this daemon owns by rendezvous hashing over the members it sees.
 struct OwnedEndpointsChanged {
   std::vector<EndpointHash> endpoints;
+  /// No other daemon can have granted these endpoints, because there is none.
+  bool alone = false;
 };
 
 /// An owner that sees only part of the daemons grants that part of the capacity. `known` includes
