Integrate admission and crash suspects into the request path

Cause: requests reached endpoints without a slot, and a request that crashes endpoints was not stopped. Change: AdmissionGate lets a request wait for a slot of its service (admission table); the dispatcher starts every run with the crash suspects, refuses blocked fingerprints, and asks again for held ones; polls tell the suspects which processes answer.

--- /dev/null
+++ b/src/libs/server/admission_gate.cpp
@@ -0,0 +1,176 @@
+#include "server/admission_gate.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "server/catalogue_view.h"
+#include "server/endpoint_registry.h"
+#include "server/metrics.h"
+#include "server/request_log.h"
+#include "state/admission_table.h"
+#include "transport/http_server.h"
+#include "transport/notification.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kTimerInterval = std::chrono::milliseconds(100);
+
+/// A request that waits. `decided` and `refusal` are used on its strand only.
+struct Waiter {
+  explicit Waiter(const Executor& own_strand) : strand(own_strand), wake(strand) {}
+
+  const Executor strand;
+  Notification wake;
+  bool decided = false;
+  std::optional<Refusal> refusal;
+};
+
+Refusal ToRefusal(const Refuse& refuse) {
+  const std::string detail = refuse.code == ResultCode::kOrganisationLimit
+                                 ? "the organisation has too many requests at this daemon"
+                                 : "the predicted wait is longer than the service allows";
+  return {refuse.code, detail, refuse.retry_after};
+}
+
+}  // namespace
+
+struct AdmissionGate::State : std::enable_shared_from_this<AdmissionGate::State> {
+  State(Services& shared, AdmissionTable& admission) : services(shared), table(admission) {}
+
+  Task<void> RunTimer();
+  void Execute(const std::vector<AdmissionAction>& actions);
+  void Decide(std::uint64_t number, std::optional<Refusal> refusal);
+  int SlotsOf(const CatalogueEntry& entry) const;
+
+  Services& services;
+  AdmissionTable& table;
+  std::atomic<bool> stopped{false};
+  std::atomic<std::uint64_t> next{1};
+  std::mutex mutex;
+  std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+};
+
+int AdmissionGate::State::SlotsOf(const CatalogueEntry& entry) const {
+  // Without credits, the free slots that the endpoints last reported are shared by all daemons;
+  // a daemon that finds them taken learns it from the next report.
+  int free = 0;
+  for (const EndpointCandidate& candidate : services.endpoints.Candidates(entry)) {
+    const EndpointHealthView& health = candidate.route.health;
+    if (health.state != EndpointState::kLive) continue;
+    free += std::max(
+        0, health.slots - health.active - health.queued - candidate.route.started_since_report);
+  }
+  return std::min(entry.limits.max_concurrent, table.LoadOf(entry.service).running + free);
+}
+
+void AdmissionGate::State::Execute(const std::vector<AdmissionAction>& actions) {
+  for (const AdmissionAction& action : actions) {
+    if (const Refuse* refuse = std::get_if<Refuse>(&action)) {
+      Decide(refuse->request, ToRefusal(*refuse));
+    } else {
+      Decide(std::get<Admit>(action).request, std::nullopt);
+    }
+  }
+}
+
+void AdmissionGate::State::Decide(std::uint64_t number, std::optional<Refusal> refusal) {
+  std::shared_ptr<Waiter> waiter;
+  {
+    const std::lock_guard<std::mutex> lock(mutex);
+    const auto found = waiters.find(number);
+    if (found == waiters.end()) return;
+    waiter = std::move(found->second);
+    waiters.erase(found);
+  }
+  Post(waiter->strand, [waiter, refusal = std::move(refusal)]() {
+    waiter->decided = true;
+    waiter->refusal = refusal;
+    waiter->wake.Notify();
+  });
+}
+
+Task<void> AdmissionGate::State::RunTimer() {
+  const std::shared_ptr<State> self = shared_from_this();
+  while (!stopped) {
+    co_await Sleep(kTimerInterval);
+    const std::shared_ptr<const CatalogueSnapshot> catalogue = services.catalogue.Current();
+    for (const ServiceName& service : table.Services()) {
+      const ServiceEntryPtr entry = catalogue->Find(service);
+      const TimePoint now = SteadyNow();
+      const int slots = entry ? SlotsOf(*entry->entry) : 0;
+      Execute(table.Handle(service, AdmissionSlotsChanged{slots}, now));
+      Execute(table.Handle(service, AdmissionTimerFired{}, now));
+      const AdmissionTable::Load load = table.LoadOf(service);
+      services.metrics.SetGauge("admission_running", service, load.running);
+      services.metrics.SetGauge("admission_waiting", service, static_cast<double>(load.waiting));
+    }
+  }
+}
+
+AdmissionGate::Slot::Slot(AdmissionGate& gate, ServiceName service, std::uint64_t number)
+    : m_gate(gate), m_service(std::move(service)), m_number(number) {}
+
+AdmissionGate::Slot::~Slot() {
+  State& state = *m_gate.m_state;
+  {
+    const std::lock_guard<std::mutex> lock(state.mutex);
+    state.waiters.erase(m_number);
+  }
+  const TimePoint now = SteadyNow();
+  // One of the two has an effect: the request was admitted, or it still waits.
+  state.Execute(state.table.Handle(m_service, AdmissionAbandoned{m_number}, now));
+  state.Execute(state.table.Handle(m_service, AdmissionEnded{m_number}, now));
+}
+
+AdmissionGate::AdmissionGate(Services& services, AdmissionTable& table)
+    : m_state(std::make_shared<State>(services, table)) {}
+
+AdmissionGate::~AdmissionGate() { Stop(); }
+
+void AdmissionGate::Start() {
+  Spawn(MakeStrand(m_state->services.executor), [state = m_state]() { return state->RunTimer(); });
+}
+
+void AdmissionGate::Stop() { m_state->stopped = true; }
+
+Task<std::unique_ptr<AdmissionGate::Slot>> AdmissionGate::WaitForSlot(AdmissionTicket ticket,
+                                                                      HttpExchange& exchange) {
+  const std::shared_ptr<State> state = m_state;
+  const Executor strand = co_await CurrentExecutor();
+  const std::shared_ptr<Waiter> waiter = std::make_shared<Waiter>(strand);
+  const std::uint64_t number = state->next++;
+  {
+    const std::lock_guard<std::mutex> lock(state->mutex);
+    state->waiters.emplace(number, waiter);
+  }
+  std::unique_ptr<Slot> slot = std::make_unique<Slot>(*this, ticket.entry->service, number);
+  AdmissionRequested event;
+  event.request = number;
+  event.organisation = ticket.organisation;
+  event.weight = ticket.weight;
+  event.max_concurrent = ticket.max_concurrent;
+  event.priority = ticket.priority;
+  event.deadline = ticket.deadline;
+  const TimePoint start = SteadyNow();
+  state->Execute(state->table.Request(*ticket.entry, event, state->SlotsOf(*ticket.entry), start));
+  exchange.OnClientGone([waiter]() { waiter->wake.Notify(); });
+  while (!waiter->decided && !exchange.ClientGone()) co_await waiter->wake.Wait();
+  exchange.OnClientGone(nullptr);
+  slot->refusal = waiter->refusal;
+  state->services.metrics.Observe("admission_wait", ticket.entry->service, SteadyNow() - start);
+  if (slot->refusal) {
+    state->services.request_log.Add(ticket.id, "refused", slot->refusal->detail);
+  } else if (waiter->decided) {
+    state->services.request_log.Add(ticket.id, "admitted", "a slot is free");
+  }
+  co_return slot;
+}
+
+}  // namespace fulmarpoint
--- a/src/libs/server/call_session.h
+++ b/src/libs/server/call_session.h
@@ -17,6 +17,9 @@
 struct CallRequest {
   RequestId id;
   OrganisationId organisation;
+  /// Weight of the organisation and its limit, for admission.
+  int weight = 1;
+  int max_concurrent = 64;
   std::shared_ptr<const CatalogueEntry> entry;
   std::string method;
   /// Path and query below the service, starting with `/`.
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "server/admin_routes.h"
+#include "server/admission_gate.h"
 #include "server/catalogue_loader.h"
 #include "server/dispatcher.h"
 #include "server/drain_driver.h"
@@ -21,8 +22,10 @@
 #include "server/running_requests.h"
 #include "server/services.h"
 #include "server/table_client.h"
+#include "state/admission_table.h"
 #include "state/burn_table.h"
 #include "state/rollout_table.h"
+#include "state/suspect_table.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
@@ -65,6 +68,23 @@
   return daemons;
 }
 
+/// Tells the crash suspects which endpoint processes answer and which have gone.
+void ConnectSuspects(EndpointRegistry& endpoints, Dispatcher& dispatcher) {
+  endpoints.SetListener([&dispatcher](const EndpointHealthAction& action) {
+    const EndpointCrashed* crashed = std::get_if<EndpointCrashed>(&action);
+    if (crashed == nullptr) return;
+    dispatcher.HandleSuspects(EndpointProcessLost{crashed->endpoint, crashed->lost_incarnation});
+  });
+  endpoints.SetProcessListener(
+      [&dispatcher](const EndpointId& endpoint, std::uint64_t incarnation, bool alive) {
+        if (alive) {
+          dispatcher.HandleSuspects(EndpointProcessAlive{endpoint, incarnation});
+        } else {
+          dispatcher.HandleSuspects(EndpointProcessLost{endpoint, incarnation});
+        }
+      });
+}
+
 }  // namespace
 
 /// The order of the members is the order of their construction; the threads are stopped before any
@@ -87,17 +107,23 @@
   LookupDirectory lookup;
   EventIdCodec event_ids;
   RolloutTable rollouts;
+  SuspectTable suspects;
   BurnTable burn;
+  AdmissionTable admission;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
   RequestDrivers drivers;
   Services services;
+  AdmissionGate gate;
   AdminRoutes admin;
   HttpFront front;
   CatalogueLoader loader;
   HttpServer server;
   DrainDriver drain;
   std::atomic<bool> stopped{false};
+  std::atomic<bool> destroyed{false};
+
+  Task<void> RunSuspectTimer();
 };
 
 Daemon::State::State(Settings own_settings)
@@ -113,13 +139,15 @@
       event_ids(settings.secrets.shared_key, settings.secrets.previous_shared_key),
       rollouts(self),
       endpoints(http, instances, settings.polling, metrics),
-      dispatcher(endpoints, rollouts, metrics, request_log, settings.daemon.failure_domain),
+      dispatcher(endpoints, rollouts, suspects, metrics, request_log,
+                 settings.daemon.failure_domain),
       drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
       services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
                instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
                request_log, running,   rollouts,           burn,      event_ids, drivers},
+      gate(services, admission),
       admin(services),
-      front(services, admin),
+      front(services, admin, gate),
       loader(services),
       server(
           pool.GetExecutor(), ToLimits(settings.limits),
@@ -130,9 +158,18 @@
                          stopped = true;
                        }}) {}
 
+Task<void> Daemon::State::RunSuspectTimer() {
+  while (!destroyed) {
+    co_await Sleep(std::chrono::seconds(1));
+    if (!destroyed) dispatcher.HandleSuspects(SuspectTimerFired{});
+  }
+}
+
 Daemon::State::~State() {
+  destroyed = true;
   drivers.buffers.Stop();
   loader.Stop();
+  gate.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -166,6 +203,9 @@
   });
   state.drivers.buffers.Start();
   state.loader.Start();
+  ConnectSuspects(state.endpoints, state.dispatcher);
+  state.gate.Start();
+  Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "server/dispatcher.h"
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <random>
@@ -12,6 +13,7 @@
 #include "server/metrics.h"
 #include "server/request_log.h"
 #include "state/rollout_table.h"
+#include "state/suspect_table.h"
 #include "utils/logging.h"
 
 namespace fulmarpoint {
@@ -26,6 +28,9 @@
 constexpr Duration kPrefillWait = std::chrono::milliseconds(460);
 constexpr Duration kWaitForEachQueued = std::chrono::milliseconds(250);
 
+// A held request is decided within about a second, when the notices of all daemons have arrived.
+constexpr Duration kHeldInterval = std::chrono::milliseconds(50);
+
 /// A run that has not ended.
 struct Run {
   EndpointId endpoint;
@@ -59,6 +64,18 @@
          end == DispatchEnd::kRefusedLeaving;
 }
 
+RunEnd ToRunEnd(DispatchEnd end) {
+  switch (end) {
+    case DispatchEnd::kCompleted:
+    case DispatchEnd::kFailed:
+      return RunEnd::kCompleted;
+    case DispatchEnd::kLost:
+      return RunEnd::kLost;
+    default:
+      return RunEnd::kCancelled;
+  }
+}
+
 bool IsUsable(const EndpointCandidate& candidate) {
   return candidate.route.health.state == EndpointState::kLive;
 }
@@ -77,7 +94,7 @@
   route.failure_domain = failure_domain;
   route.avoided_domain = request.avoided_domain;
   route.prompt_tokens = request.prompt_tokens;
-  route.priority = request.priority;
+  route.priority = PriorityOf(*request.entry);
   route.excluded = request.excluded;
   route.may_try_suspect = request.may_try_suspect;
   return route;
@@ -85,11 +102,16 @@
 
 }  // namespace
 
+Priority PriorityOf(const CatalogueEntry& entry) {
+  return entry.service_class == ServiceClass::kLatency ? Priority::kInteractive : Priority::kNormal;
+}
+
 struct Dispatcher::State {
-  State(EndpointRegistry& registry, RolloutTable& rollout_table, Metrics& counters,
-        RequestLog& request_log, std::string domain)
+  State(EndpointRegistry& registry, RolloutTable& rollout_table, SuspectTable& suspect_table,
+        Metrics& counters, RequestLog& request_log, std::string domain)
       : endpoints(registry),
         rollouts(rollout_table),
+        suspects(suspect_table),
         metrics(counters),
         log(request_log),
         failure_domain(std::move(domain)),
@@ -107,21 +129,27 @@
   DispatchRefusal RefuseVersion(const DispatchRequest& request, const VersionName& version,
                                 const std::vector<EndpointCandidate>& candidates) const;
   DispatchChoice Start(const DispatchRequest& request, const VersionChoice& version,
-                       const EndpointCandidate& candidate, TimePoint not_before);
+                       const EndpointCandidate& candidate, std::uint64_t run, TimePoint not_before);
   void ReportToRollout(const Run& run, const RunResult& result);
+  /// Starts the run for the crash suspects; returns false if it may not be sent there.
+  bool TryStartSuspect(const DispatchRequest& request, const RouteCandidate& candidate,
+                       std::uint64_t run);
+  void Execute(const std::vector<CrashSuspectsAction>& actions);
 
   EndpointRegistry& endpoints;
   RolloutTable& rollouts;
+  SuspectTable& suspects;
   Metrics& metrics;
   RequestLog& log;
   const std::string failure_domain;
   NoticePublisher publisher;
+  SuspectPublisher suspect_publisher;
 
   std::mutex mutex;
   Random random;
   ResumeBudget resume_budget;
   std::map<ServiceName, RetryBudget> retry_budgets;
-  std::uint64_t next_run = 1;
+  std::atomic<std::uint64_t> next_run{1};
   std::map<std::uint64_t, Run> runs;
 };
 
@@ -193,24 +221,61 @@
       route.excluded.push_back(candidate.endpoint);
     }
   }
+  bool held = false;
   while (const std::optional<RouteChoice> choice = Route(routes, route)) {
     const EndpointId& endpoint = routes[choice->index].endpoint;
     route.excluded.push_back(endpoint);
+    const std::uint64_t run = next_run++;
+    if (!TryStartSuspect(request, routes[choice->index], run)) {
+      held = true;
+      continue;
+    }
     // Another request may have begun the trial meanwhile.
-    if (choice->trial && !endpoints.BeginTrial(endpoint)) continue;
-    const std::optional<TimePoint> not_before = TakeBudget(request, endpoint);
-    if (!not_before) {
+    const bool trial_taken = choice->trial && !endpoints.BeginTrial(endpoint);
+    const std::optional<TimePoint> not_before =
+        trial_taken ? std::nullopt : TakeBudget(request, endpoint);
+    if (not_before) return Start(request, version, candidates[choice->index], run, *not_before);
+    Execute(suspects.Handle(RunEnded{run, RunEnd::kCancelled}, SteadyNow()));
+    if (!trial_taken) {
       return Refusal(ResultCode::kOverloaded, "the budget of repeated attempts is used up");
     }
-    return Start(request, version, candidates[choice->index], *not_before);
   }
-  return RefuseVersion(request, version.version, candidates);
+  DispatchRefusal refusal = RefuseVersion(request, version.version, candidates);
+  refusal.held = held;
+  return refusal;
+}
+
+bool Dispatcher::State::TryStartSuspect(const DispatchRequest& request,
+                                        const RouteCandidate& candidate, std::uint64_t run) {
+  const RunStarted started{run, request.fingerprint, candidate.endpoint,
+                           candidate.health.incarnation};
+  std::vector<CrashSuspectsAction> actions;
+  // Without credits no daemon owns an endpoint, so a suspect waits before each placement.
+  const bool may = suspects.TryStart(started, false, request.waited, SteadyNow(), actions);
+  Execute(actions);
+  return may;
+}
+
+void Dispatcher::State::Execute(const std::vector<CrashSuspectsAction>& actions) {
+  for (const CrashSuspectsAction& action : actions) {
+    if (const PublishSuspectNotice* publish = std::get_if<PublishSuspectNotice>(&action)) {
+      if (suspect_publisher) suspect_publisher(publish->notice);
+      continue;
+    }
+    const SuspicionChanged& changed = std::get<SuspicionChanged>(action);
+    const std::string_view name = NameOf(kSuspicionStateNames, changed.state);
+    metrics.Count("suspicion_changes", name);
+    Log(LogLevel::kWarning, "suspicion",
+        "fingerprint=" + std::to_string(changed.fingerprint) + " state=" + std::string(name));
+  }
 }
 
 DispatchChoice Dispatcher::State::Start(const DispatchRequest& request,
                                         const VersionChoice& version,
-                                        const EndpointCandidate& candidate, TimePoint not_before) {
+                                        const EndpointCandidate& candidate, std::uint64_t run,
+                                        TimePoint not_before) {
   DispatchChoice choice;
+  choice.run = run;
   choice.endpoint = candidate.route.endpoint;
   choice.address = candidate.address;
   choice.failure_domain = candidate.route.failure_domain;
@@ -220,7 +285,6 @@
   choice.not_before = not_before;
   endpoints.CountStarted(choice.endpoint);
   const std::lock_guard<std::mutex> lock(mutex);
-  choice.run = next_run++;
   runs.emplace(choice.run,
                Run{choice.endpoint, choice.failure_domain, choice.version, request.entry->service,
                    request.route, !request.repeated, version.by_rollout});
@@ -249,10 +313,10 @@
   if (publisher) publisher(*notice);
 }
 
-Dispatcher::Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, Metrics& metrics,
-                       RequestLog& log, std::string failure_domain)
-    : m_state(
-          std::make_unique<State>(endpoints, rollouts, metrics, log, std::move(failure_domain))) {}
+Dispatcher::Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, SuspectTable& suspects,
+                       Metrics& metrics, RequestLog& log, std::string failure_domain)
+    : m_state(std::make_unique<State>(endpoints, rollouts, suspects, metrics, log,
+                                      std::move(failure_domain))) {}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -260,7 +324,30 @@
   m_state->publisher = std::move(publisher);
 }
 
+void Dispatcher::SetSuspectPublisher(SuspectPublisher publisher) {
+  m_state->suspect_publisher = std::move(publisher);
+}
+
+void Dispatcher::HandleSuspects(const CrashSuspectsEvent& event) {
+  m_state->Execute(m_state->suspects.Handle(event, SteadyNow()));
+}
+
+Task<DispatchResult> Dispatcher::ChooseOrWait(DispatchRequest request, TimePoint deadline) {
+  const TimePoint start = SteadyNow();
+  while (true) {
+    request.waited = SteadyNow() - start;
+    DispatchResult result = Choose(request);
+    const DispatchRefusal* refusal = std::get_if<DispatchRefusal>(&result);
+    if (refusal == nullptr || !refusal->held || SteadyNow() >= deadline) co_return result;
+    co_await Sleep(kHeldInterval);
+  }
+}
+
 DispatchResult Dispatcher::Choose(const DispatchRequest& request) {
+  if (m_state->suspects.State(request.fingerprint) == SuspicionState::kBlocked) {
+    m_state->log.Add(request.id, "blocked", "the request crashed the endpoints that ran it");
+    return Refusal(ResultCode::kCrashesEndpoints, "the request crashed the endpoints that ran it");
+  }
   const std::vector<EndpointCandidate> candidates = m_state->endpoints.Candidates(*request.entry);
   VersionChoice version = m_state->ChooseVersion(request, candidates);
   DispatchResult result = m_state->ChooseOf(request, version, candidates);
@@ -294,6 +381,7 @@
   m_state->metrics.Count("runs", NameOf(kDispatchEndNames, result.end));
   if (NeverRan(result.end)) m_state->endpoints.CountNotStarted(ended.endpoint);
   m_state->ReportToRollout(ended, result);
+  m_state->Execute(m_state->suspects.Handle(RunEnded{run, ToRunEnd(result.end)}, SteadyNow()));
   if (result.end == DispatchEnd::kCancelled || result.end == DispatchEnd::kRefused) return;
   m_state->endpoints.Handle(
       EndpointOutcome{ended.endpoint, OutcomeOf(result.end), result.token_interval});
--- a/src/libs/server/dispatcher.h
+++ b/src/libs/server/dispatcher.h
@@ -9,17 +9,22 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/crash_suspects.h"
 #include "coordination/router.h"
 #include "protocol/catalogue.h"
 #include "protocol/identifiers.h"
 #include "protocol/result_code.h"
 #include "protocol/rollout_messages.h"
 #include "protocol/suspect_messages.h"
+#include "transport/task.h"
 #include "utils/enum_names.h"
 #include "utils/time.h"
 
 namespace fulmarpoint {
 
+/// Returns the priority of a service's requests: those of class `latency` go first. Thread-safe.
+Priority PriorityOf(const CatalogueEntry& entry);
+
 /// Where a request may be sent.
 struct DispatchRequest {
   RequestId id;
@@ -36,11 +41,12 @@
   std::uint32_t prompt_tokens = 0;
   /// Prefers endpoints that probably have this prompt cached.
   std::string_view prompt;
-  Priority priority = Priority::kNormal;
   /// Not the first attempt: subject to the retry budget.
   bool repeated = false;
   /// False for work that runs at most once.
   bool may_try_suspect = true;
+  /// Time since the request was first ready to be sent.
+  Duration waited{};
 };
 
 /// An endpoint chosen for one run. `Dispatcher::Ended` must be called for it exactly once.
@@ -63,6 +69,8 @@
   Duration retry_after = std::chrono::seconds(1);
   /// No endpoint has the requested version any more.
   bool version_gone = false;
+  /// The request is suspected to crash endpoints and no endpoint may run it now; ask again.
+  bool held = false;
   std::string reason;
 };
 
@@ -108,23 +116,31 @@
 class Metrics;
 class RequestLog;
 class RolloutTable;
+class SuspectTable;
 
 /// Chooses the endpoint of each run, and tells the modules that decide this how the run ended:
-/// router, endpoint health, retry and resumption budgets, rollout. Thread-safe; never waits.
+/// router, endpoint health, crash suspects, retry and resumption budgets, rollout. Thread-safe.
 class Dispatcher {
  public:
   using NoticePublisher = std::function<void(const BadVersionNotice&)>;
+  using SuspectPublisher = std::function<void(const SuspectNotice&)>;
 
-  Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, Metrics& metrics, RequestLog& log,
-             std::string failure_domain);
+  Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, SuspectTable& suspects,
+             Metrics& metrics, RequestLog& log, std::string failure_domain);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
   /// Receives the notices of bad versions for the peers. Set before the first request.
   void SetNoticePublisher(NoticePublisher publisher);
+  void SetSuspectPublisher(SuspectPublisher publisher);
+  /// Adds what polls, peers and timers tell about crashed endpoints.
+  void HandleSuspects(const CrashSuspectsEvent& event);
 
+  /// Chooses an endpoint at once.
   DispatchResult Choose(const DispatchRequest& request);
+  /// Like `Choose`; while the request is held as a suspect it asks again until `deadline`.
+  Task<DispatchResult> ChooseOrWait(DispatchRequest request, TimePoint deadline);
   void Ended(std::uint64_t run, const RunResult& result);
 
  private:
--- a/src/libs/server/generation_session.h
+++ b/src/libs/server/generation_session.h
@@ -21,6 +21,9 @@
 struct GenerationRequest {
   RequestId id;
   OrganisationId organisation;
+  /// Weight of the organisation and its limit, for admission.
+  int weight = 1;
+  int max_concurrent = 64;
   std::shared_ptr<const CatalogueEntry> entry;
   std::string prompt;
   std::string adapter;
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -7,6 +7,7 @@
 
 #include "server/api_key.h"
 #include "server/call_session.h"
+#include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
 #include "server/generation_session.h"
 #include "server/lookup.h"
@@ -87,10 +88,34 @@
   }
 }
 
+template <typename Request>
+AdmissionTicket ToTicket(const Request& request) {
+  AdmissionTicket ticket;
+  ticket.id = request.id;
+  ticket.organisation = request.organisation;
+  ticket.entry = request.entry;
+  ticket.weight = request.weight;
+  ticket.max_concurrent = request.max_concurrent;
+  ticket.priority = PriorityOf(*request.entry);
+  ticket.deadline = request.deadline;
+  return ticket;
+}
+
+Task<SessionResult> AnswerNotAdmitted(HttpExchange& exchange, std::optional<Refusal> refusal) {
+  SessionResult result;
+  result.caller_gone = exchange.ClientGone();
+  if (refusal && !result.caller_gone) {
+    result.code = refusal->code;
+    HttpReply reply = ToReply(*refusal);
+    co_await exchange.Respond(std::move(reply));
+  }
+  co_return result;
+}
+
 }  // namespace
 
-HttpFront::HttpFront(Services& services, AdminRoutes& admin)
-    : m_services(services), m_admin(admin) {}
+HttpFront::HttpFront(Services& services, AdminRoutes& admin, AdmissionGate& gate)
+    : m_services(services), m_admin(admin), m_gate(gate) {}
 
 Task<void> HttpFront::Handle(HttpExchange& exchange) {
   const std::string path(PathOf(exchange.Request().target));
@@ -123,13 +148,21 @@
     co_await exchange.Respond(std::move(reply));
     co_return;
   }
-  // The prompt is in the request; the body would stay in memory for the whole stream.
-  exchange.TakeBody();
-  request->running = &running;
   const RequestId id = request->id;
   const OrganisationId organisation = request->organisation;
   const std::shared_ptr<const CatalogueEntry> entry = request->entry;
-  m_services.request_log.Begin(id, request->organisation, request->entry->service);
+  m_services.request_log.Begin(id, organisation, entry->service);
+  AdmissionTicket ticket = ToTicket(*request);
+  const std::unique_ptr<AdmissionGate::Slot> slot =
+      co_await m_gate.WaitForSlot(std::move(ticket), exchange);
+  if (slot->refusal || exchange.ClientGone()) {
+    const SessionResult refused = co_await AnswerNotAdmitted(exchange, slot->refusal);
+    Record(m_services, id, organisation, *entry, refused);
+    co_return;
+  }
+  // The prompt is in the request; the body would stay in memory for the whole stream.
+  exchange.TakeBody();
+  request->running = &running;
   const SessionResult result = co_await RunGeneration(m_services, std::move(*request), exchange);
   Record(m_services, id, organisation, *entry, result);
 }
@@ -150,11 +183,19 @@
     co_await exchange.Respond(std::move(reply));
     co_return;
   }
-  exchange.TakeBody();
   const RequestId id = request->id;
   const OrganisationId organisation = request->organisation;
   const std::shared_ptr<const CatalogueEntry> entry = request->entry;
-  m_services.request_log.Begin(id, request->organisation, request->entry->service);
+  m_services.request_log.Begin(id, organisation, entry->service);
+  AdmissionTicket ticket = ToTicket(*request);
+  const std::unique_ptr<AdmissionGate::Slot> slot =
+      co_await m_gate.WaitForSlot(std::move(ticket), exchange);
+  if (slot->refusal || exchange.ClientGone()) {
+    const SessionResult refused = co_await AnswerNotAdmitted(exchange, slot->refusal);
+    Record(m_services, id, organisation, *entry, refused);
+    co_return;
+  }
+  exchange.TakeBody();
   const SessionResult result = co_await RunCall(m_services, std::move(*request), exchange);
   Record(m_services, id, organisation, *entry, result);
 }
--- a/src/libs/server/http_front.h
+++ b/src/libs/server/http_front.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "server/admin_routes.h"
+#include "server/admission_gate.h"
 #include "server/services.h"
 #include "transport/http_server.h"
 #include "transport/task.h"
@@ -14,7 +15,7 @@
 /// Receives the requests of callers and operators: authentication, checks, routes. Thread-safe.
 class HttpFront {
  public:
-  HttpFront(Services& services, AdminRoutes& admin);
+  HttpFront(Services& services, AdminRoutes& admin, AdmissionGate& gate);
 
   Task<void> Handle(HttpExchange& exchange);
   /// Refuses new work from now on with `kDraining`.
@@ -28,6 +29,7 @@
 
   Services& m_services;
   AdminRoutes& m_admin;
+  AdmissionGate& m_gate;
   std::atomic<bool> m_refusing{false};
 };
 
--- /dev/null
+++ b/src/libs/server/refusal.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+#include "protocol/result_code.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// Why a request is refused before anything was sent to an endpoint.
+struct Refusal {
+  ResultCode code = ResultCode::kBadRequest;
+  std::string detail;
+  Duration retry_after{};
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/server/request_checks.cpp
+++ b/src/libs/server/request_checks.cpp
@@ -159,7 +159,9 @@
   }
   const ServiceEntryPtr entry = catalogue->Find(service);
   const OrganisationAccess* access = entry ? entry->FindKey(*hash) : nullptr;
-  if (access != nullptr) return Caller{entry->entry, access->organisation};
+  if (access != nullptr) {
+    return Caller{entry->entry, access->organisation, access->weight, access->max_concurrent};
+  }
   if (!catalogue->KnowsKey(*hash)) {
     // A daemon without a catalogue knows no key; another daemon can answer.
     if (catalogue->revision == 0) {
@@ -194,6 +196,8 @@
   generation.id = NewRequestId();
   generation.entry = caller.entry;
   generation.organisation = caller.organisation;
+  generation.weight = caller.weight;
+  generation.max_concurrent = caller.max_concurrent;
   if (std::optional<Refusal> refusal = ReadFields(body, generation)) return *refusal;
   if (std::optional<Refusal> refusal = ReadResume(services, request.headers, generation)) {
     return *refusal;
@@ -223,6 +227,8 @@
   call.id = NewRequestId();
   call.entry = caller.entry;
   call.organisation = caller.organisation;
+  call.weight = caller.weight;
+  call.max_concurrent = caller.max_concurrent;
   call.method = request.method;
   call.target = std::string(rest.substr(end));
   if (call.target.empty() || call.target.front() != '/') call.target.insert(0, "/");
--- a/src/libs/server/request_checks.h
+++ b/src/libs/server/request_checks.h
@@ -9,19 +9,13 @@
 #include "protocol/result_code.h"
 #include "server/call_session.h"
 #include "server/generation_session.h"
+#include "server/refusal.h"
 #include "server/services.h"
 #include "transport/http_message.h"
 #include "utils/time.h"
 
 namespace fulmarpoint {
 
-/// Why a request is refused before anything was sent to an endpoint.
-struct Refusal {
-  ResultCode code = ResultCode::kBadRequest;
-  std::string detail;
-  Duration retry_after{};
-};
-
 /// A value or a refusal.
 template <typename T>
 using Checked = std::variant<T, Refusal>;
@@ -30,6 +24,9 @@
 struct Caller {
   std::shared_ptr<const CatalogueEntry> entry;
   OrganisationId organisation;
+  /// Rights of the organisation at the service.
+  int weight = 1;
+  int max_concurrent = 64;
 };
 
 /// Checks the API key against the catalogue and finds the entry of `service`. A key that belongs to
