Connect crashes with resumed generations in the daemon

Cause: an event id names the endpoint but not its incarnation, so that a daemon in another part of a partition could not use it. Conclusion: tst_crash_suspects covers both orders.

--- a/src/libs/coordination/crash_suspects.cpp
+++ b/src/libs/coordination/crash_suspects.cpp
@@ -9,6 +9,9 @@
 
 // A confirmation may arrive this long after the connection broke: the time of a restart.
 constexpr Duration kLostRunLifetime = std::chrono::minutes(2);
+// An endpoint's crash is seen at the next poll of its load, a moment after the caller came back.
+constexpr Duration kClaimLifetime = std::chrono::seconds(5);
+constexpr std::size_t kMaxClaims = 256;
 // Encoded sizes; a notice has four counts of two bytes and a byte order mark.
 constexpr std::size_t kMaxNoticeBytes = kMaxSuspectNoticeBytes - 9;
 constexpr std::size_t kUpdateBytes = 13;
@@ -97,9 +100,14 @@
   if (record.confirmed) return;
   record.confirmed = true;
   record.refuted = false;
+  m_latest_crashes[event.endpoint] = {crash, now};
   SuspectNotice notice;
   notice.confirmed.push_back(crash);
   std::set<Fingerprint> present;
+  for (const Claim& claim : m_claims) {
+    const bool recent = now - claim.at < kClaimLifetime;
+    if (recent && claim.endpoint == event.endpoint) present.insert(claim.fingerprint);
+  }
   for (const LostRun& lost : m_lost[crash]) present.insert(lost.fingerprint);
   for (const auto& [id, run] : m_runs) {
     if (run.endpoint == event.endpoint && run.incarnation == event.incarnation) {
@@ -115,7 +123,17 @@
 }
 
 void CrashSuspects::On(const PriorRunClaimed& event, TimePoint now, Actions& actions) {
-  const CrashId crash = CrashIdOf(event.endpoint, event.incarnation);
+  CrashId crash = CrashIdOf(event.endpoint, event.incarnation);
+  if (event.incarnation == 0) {
+    const auto latest = m_latest_crashes.find(event.endpoint);
+    if (latest == m_latest_crashes.end() || now - latest->second.at >= kLostRunLifetime) {
+      if (m_claims.size() < kMaxClaims) {
+        m_claims.push_back({event.fingerprint, event.endpoint, now});
+      }
+      return;
+    }
+    crash = latest->second.crash;
+  }
   // Isolates at once. Whether it was a crash shows at this daemon's next report of the endpoint.
   const Crash& record = m_crashes.try_emplace(crash, Crash{false, false, now}).first->second;
   if (record.refuted) return;
@@ -336,6 +354,9 @@
     return now - item.second.seen >= m_settings.forget_blocked_after;
   });
   std::erase_if(m_attributed, [&](const auto& item) { return !m_entries.contains(item.second); });
+  std::erase_if(m_latest_crashes,
+                [&](const auto& item) { return now - item.second.at >= kLostRunLifetime; });
+  std::erase_if(m_claims, [&](const Claim& claim) { return now - claim.at >= kClaimLifetime; });
   std::erase_if(m_peer_placements, [&](const auto& item) { return item.second.until <= now; });
 }
 
--- a/src/libs/coordination/crash_suspects.h
+++ b/src/libs/coordination/crash_suspects.h
@@ -56,7 +56,9 @@
 };
 
 /// The caller continues a generation whose event id names the endpoint that ran it last. Connects a
-/// crash with its request although the daemon that ran it is gone or partitioned.
+/// crash with its request although the daemon that ran it is gone or partitioned. If the
+/// incarnation is not known (0), the crash is the endpoint's latest, shortly before or after the
+/// claim.
 struct PriorRunClaimed {
   Fingerprint fingerprint = 0;
   EndpointId endpoint;
@@ -151,6 +153,15 @@
     Fingerprint fingerprint = 0;
     TimePoint at{};
   };
+  struct Claim {
+    Fingerprint fingerprint = 0;
+    EndpointId endpoint;
+    TimePoint at{};
+  };
+  struct LatestCrash {
+    CrashId crash = 0;
+    TimePoint at{};
+  };
   struct Crash {
     bool confirmed = false;
     bool refuted = false;
@@ -191,6 +202,9 @@
   std::unordered_map<std::uint64_t, Run> m_runs;
   /// Runs that ended with their connection lately, by the crash that may have been the reason.
   std::unordered_map<CrashId, std::vector<LostRun>> m_lost;
+  /// Latest proved crash of each endpoint, and claims for which there was none yet.
+  std::unordered_map<EndpointId, LatestCrash> m_latest_crashes;
+  std::vector<Claim> m_claims;
   /// Placements of suspects by peers.
   std::unordered_map<Fingerprint, Placement> m_peer_placements;
 };
--- a/tests/auto/coordination/tst_crash_suspects.cpp
+++ b/tests/auto/coordination/tst_crash_suspects.cpp
@@ -255,3 +255,19 @@
   daemon.Settle(kStart + seconds(2));
   cr_assert_eq(daemon.State(kCrasher), SuspicionState::kBlocked);
 }
+
+// Guards against losing the connection if the event id does not name the incarnation, whether the
+// crash was seen before the caller came back or after.
+Test(crash_suspects, claim_without_incarnation_means_the_latest_crash) {
+  Daemon daemon;
+  daemon.Handle(EndpointProcessLost{"e1", 1}, kStart);
+  daemon.Handle(PriorRunClaimed{kCrasher, "e1", 0}, kStart + seconds(1));
+  cr_assert_eq(daemon.State(kCrasher), SuspicionState::kIsolated);
+  daemon.Handle(PriorRunClaimed{kInnocent, "e2", 0}, kStart);
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kFree, "its endpoint lives");
+  daemon.Handle(EndpointProcessLost{"e2", 1}, kStart + seconds(1));
+  cr_assert_eq(daemon.State(kInnocent), SuspicionState::kIsolated);
+  daemon.Handle(PriorRunClaimed{kOther, "e3", 0}, kStart);
+  daemon.Handle(EndpointProcessLost{"e3", 1}, kStart + seconds(6));
+  cr_assert_eq(daemon.State(kOther), SuspicionState::kFree, "a later crash is not its own");
+}
