Place suspects by endpoint owner and time held

Cause: the dispatcher told the crash suspects that no endpoint is owned and nothing has waited, so requests that were running at a crashed endpoint would never have been resumed. Change: the owner of an endpoint comes from rendezvous hashing over the known daemons, and the dispatcher keeps how long a fingerprint has been held. Conclusion: tst_daemon passes; covered further by the demo with crashing engines.

--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
 #include "server/admission_gate.h"
 #include "server/catalogue_loader.h"
@@ -85,6 +86,16 @@
       });
 }
 
+/// Returns whether this daemon is the owner of an endpoint among the daemons that it knows.
+bool OwnsEndpoint(const LookupDirectory& lookup, const InstanceId& self,
+                  const EndpointId& endpoint) {
+  std::vector<InstanceId> daemons = {InstanceId{self.name, 0}};
+  for (const EntryDaemon& daemon : lookup.Daemons()) {
+    if (!daemon.leaving && daemon.name != self.name) daemons.push_back({daemon.name, 0});
+  }
+  return CreditOwnerOf(endpoint, daemons).name == self.name;
+}
+
 }  // namespace
 
 /// The order of the members is the order of their construction; the threads are stopped before any
@@ -204,6 +215,9 @@
   state.drivers.buffers.Start();
   state.loader.Start();
   ConnectSuspects(state.endpoints, state.dispatcher);
+  state.dispatcher.SetOwnership([&state](const EndpointId& endpoint) {
+    return OwnsEndpoint(state.lookup, state.self, endpoint);
+  });
   state.gate.Start();
   Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
   state.endpoints.Start(state.pool.GetExecutor());
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -29,7 +29,8 @@
 constexpr Duration kWaitForEachQueued = std::chrono::milliseconds(250);
 
 // A held request is decided within about a second, when the notices of all daemons have arrived.
-constexpr Duration kHeldInterval = std::chrono::milliseconds(50);
+constexpr Duration kRetryHeld = std::chrono::milliseconds(100);
+constexpr Duration kForgetHeld = std::chrono::seconds(10);
 
 /// A run that has not ended.
 struct Run {
@@ -42,6 +43,12 @@
   bool chosen_by_rollout = false;
 };
 
+/// Times at which runs of a fingerprint were first and last held.
+struct Held {
+  TimePoint first = SteadyNow();
+  TimePoint last;
+};
+
 /// The version of a request and who chose it.
 struct VersionChoice {
   VersionName version;
@@ -134,6 +141,8 @@
   /// Starts the run for the crash suspects; returns false if it may not be sent there.
   bool TryStartSuspect(const DispatchRequest& request, const RouteCandidate& candidate,
                        std::uint64_t run);
+  /// Returns how long runs of a fingerprint have been held.
+  Duration HeldFor(Fingerprint fingerprint, TimePoint now);
   void Execute(const std::vector<CrashSuspectsAction>& actions);
 
   EndpointRegistry& endpoints;
@@ -144,6 +153,7 @@
   const std::string failure_domain;
   NoticePublisher publisher;
   SuspectPublisher suspect_publisher;
+  Ownership ownership;
 
   std::mutex mutex;
   Random random;
@@ -151,6 +161,7 @@
   std::map<ServiceName, RetryBudget> retry_budgets;
   std::atomic<std::uint64_t> next_run{1};
   std::map<std::uint64_t, Run> runs;
+  std::map<Fingerprint, Held> held_since;
 };
 
 VersionChoice Dispatcher::State::ChooseVersion(const DispatchRequest& request,
@@ -241,18 +252,38 @@
     }
   }
   DispatchRefusal refusal = RefuseVersion(request, version.version, candidates);
-  refusal.held = held;
+  if (held) {
+    refusal.held = true;
+    refusal.version_gone = false;
+    refusal.retry_after = kRetryHeld;
+    refusal.reason = "the request ran at an endpoint that crashed and waits for one of its own";
+  }
   return refusal;
 }
 
+Duration Dispatcher::State::HeldFor(Fingerprint fingerprint, TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex);
+  std::erase_if(held_since, [&](const auto& item) { return now - item.second.last > kForgetHeld; });
+  const auto found = held_since.find(fingerprint);
+  return found == held_since.end() ? Duration::zero() : now - found->second.first;
+}
+
 bool Dispatcher::State::TryStartSuspect(const DispatchRequest& request,
                                         const RouteCandidate& candidate, std::uint64_t run) {
   const RunStarted started{run, request.fingerprint, candidate.endpoint,
                            candidate.health.incarnation};
   std::vector<CrashSuspectsAction> actions;
-  // Without credits no daemon owns an endpoint, so a suspect waits before each placement.
-  const bool may = suspects.TryStart(started, false, request.waited, SteadyNow(), actions);
+  const bool owned = !ownership || ownership(candidate.endpoint);
+  const TimePoint now = SteadyNow();
+  const bool may =
+      suspects.TryStart(started, owned, HeldFor(request.fingerprint, now), now, actions);
   Execute(actions);
+  const std::lock_guard<std::mutex> lock(mutex);
+  if (may) {
+    held_since.erase(request.fingerprint);
+  } else {
+    held_since[request.fingerprint].last = now;
+  }
   return may;
 }
 
@@ -332,16 +363,7 @@
   m_state->Execute(m_state->suspects.Handle(event, SteadyNow()));
 }
 
-Task<DispatchResult> Dispatcher::ChooseOrWait(DispatchRequest request, TimePoint deadline) {
-  const TimePoint start = SteadyNow();
-  while (true) {
-    request.waited = SteadyNow() - start;
-    DispatchResult result = Choose(request);
-    const DispatchRefusal* refusal = std::get_if<DispatchRefusal>(&result);
-    if (refusal == nullptr || !refusal->held || SteadyNow() >= deadline) co_return result;
-    co_await Sleep(kHeldInterval);
-  }
-}
+void Dispatcher::SetOwnership(Ownership ownership) { m_state->ownership = std::move(ownership); }
 
 DispatchResult Dispatcher::Choose(const DispatchRequest& request) {
   if (m_state->suspects.State(request.fingerprint) == SuspicionState::kBlocked) {
--- a/src/libs/server/dispatcher.h
+++ b/src/libs/server/dispatcher.h
@@ -16,7 +16,6 @@
 #include "protocol/result_code.h"
 #include "protocol/rollout_messages.h"
 #include "protocol/suspect_messages.h"
-#include "transport/task.h"
 #include "utils/enum_names.h"
 #include "utils/time.h"
 
@@ -45,8 +44,6 @@
   bool repeated = false;
   /// False for work that runs at most once.
   bool may_try_suspect = true;
-  /// Time since the request was first ready to be sent.
-  Duration waited{};
 };
 
 /// An endpoint chosen for one run. `Dispatcher::Ended` must be called for it exactly once.
@@ -69,7 +66,8 @@
   Duration retry_after = std::chrono::seconds(1);
   /// No endpoint has the requested version any more.
   bool version_gone = false;
-  /// The request is suspected to crash endpoints and no endpoint may run it now; ask again.
+  /// The request is suspected to crash endpoints and no endpoint may run it now; ask again after
+  /// `retry_after`.
   bool held = false;
   std::string reason;
 };
@@ -119,11 +117,14 @@
 class SuspectTable;
 
 /// Chooses the endpoint of each run, and tells the modules that decide this how the run ended:
-/// router, endpoint health, crash suspects, retry and resumption budgets, rollout. Thread-safe.
+/// router, endpoint health, crash suspects, retry and resumption budgets, rollout. Thread-safe;
+/// never waits.
 class Dispatcher {
  public:
   using NoticePublisher = std::function<void(const BadVersionNotice&)>;
   using SuspectPublisher = std::function<void(const SuspectNotice&)>;
+  /// Returns whether this daemon is the one that places suspects at an endpoint first.
+  using Ownership = std::function<bool(const EndpointId&)>;
 
   Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, SuspectTable& suspects,
              Metrics& metrics, RequestLog& log, std::string failure_domain);
@@ -134,13 +135,11 @@
   /// Receives the notices of bad versions for the peers. Set before the first request.
   void SetNoticePublisher(NoticePublisher publisher);
   void SetSuspectPublisher(SuspectPublisher publisher);
+  void SetOwnership(Ownership ownership);
   /// Adds what polls, peers and timers tell about crashed endpoints.
   void HandleSuspects(const CrashSuspectsEvent& event);
 
-  /// Chooses an endpoint at once.
   DispatchResult Choose(const DispatchRequest& request);
-  /// Like `Choose`; while the request is held as a suspect it asks again until `deadline`.
-  Task<DispatchResult> ChooseOrWait(DispatchRequest request, TimePoint deadline);
   void Ended(std::uint64_t run, const RunResult& result);
 
  private:
