Add report burn to fulmarpointctl

Cause: operators ask which organisations spend their error budget, and why. Change: the reports of all named daemons are merged; a page with a plot can be written.

--- a/src/tools/fulmarpointctl/commands.cpp
+++ b/src/tools/fulmarpointctl/commands.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "catalogue_commands.h"
+#include "report_commands.h"
 #include "table_printer.h"
 #include "transport/address.h"
 
@@ -77,6 +78,8 @@
        "move a service; DEADLINE is +SECONDS or Unix milliseconds", 3, 4, StartRollout},
       {"rollout abort", "SERVICE", "remove the rollout from the entry", 1, 1, AbortRollout},
       {"members", "", "daemons as one of them sees them", 0, 0, ShowMembers},
+      {"report burn", "[FILE.html]", "error budgets spent, merged from the named daemons", 0, 1,
+       ReportBurn},
       {"endpoints", "", "health and load of the endpoints", 0, 0, ShowEndpoints},
       {"requests explain", "ID", "decisions about a request, with reasons", 1, 1, ExplainRequest},
       {"drain", "IP:PORT", "planned shutdown of one daemon", 1, 1, Drain},
--- a/src/tools/fulmarpointctl/table_printer.cpp
+++ b/src/tools/fulmarpointctl/table_printer.cpp
@@ -76,6 +76,8 @@
   return text;
 }
 
+std::string FormatList(const nlohmann::json& list) { return CellText(list); }
+
 std::string FormatFields(const nlohmann::json& object) {
   std::string text;
   AppendFields(object, "", text);
