Drive the control plane in the daemon instead of the catalogue loader

Cause: the loader read rows without proof of currency and without peers. Change: PeerService and ControlPlaneDriver are part of the daemon; /readyz waits until the catalogue is proven current; the tests' platform and scripts/local_cluster.py use the rows and the operators' route of the control plane.

--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -144,13 +144,17 @@
         raise RuntimeError(f"{name} is not ready ({path}): {self.log_path(name).read_text()[-2000:]}")
 
     def apply_catalogue(self, path: pathlib.Path) -> None:
-        """Writes the entries as rows; the daemon has no route for it yet."""
-        entries = tomllib.loads(path.read_text())["service"]
-        operations = [{"table": "catalogue", "key": entry["service"], "expect": 0,
-                       "value": json.dumps(entry)} for entry in entries]
-        status, text = request(self.platform, "POST", "/transactions", {"operations": operations})
-        if status != 200:
-            raise RuntimeError(f"{path} was not stored: {text}")
+        """Applies the entries through the first daemon."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        daemon = next(iter(self.daemons.values()))
+        while True:
+            status, text = request(daemon, "PUT", "/v1/admin/catalogue", path.read_text(),
+                                   headers={"Authorization": f"Bearer {OPERATOR_KEY}"}, timeout=20)
+            if status == 200:
+                break
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{path} was not applied: {text}")
+            time.sleep(0.2)
         for name in self.daemons:
             self.wait_ready(name, "/readyz")
 
--- a/src/libs/coordination/catalogue_replica.cpp
+++ b/src/libs/coordination/catalogue_replica.cpp
@@ -15,9 +15,12 @@
 /// Ages from which a poll of a majority becomes more likely. Few daemons poll, and the others take
 /// over their proof by asking one voter per timer; polls of all would exceed the limit on traffic.
 constexpr Duration kLikelyPollAge = std::chrono::milliseconds(7500);
-constexpr Duration kCertainPollAge = std::chrono::milliseconds(8500);
+constexpr Duration kUrgentPollAge = std::chrono::milliseconds(8500);
+/// Polls expected per timer among all voters at these ages, and once the proof has run out.
 constexpr double kPollsPerTick = 0.5;
 constexpr double kLikelyPollsPerTick = 2.0;
+constexpr double kUrgentPollsPerTick = 4.0;
+constexpr double kFencedPollsPerTick = 0.25;
 constexpr Duration kPollPause = std::chrono::seconds(2);
 constexpr std::size_t kMaxAnnouncers = 4;
 
@@ -288,10 +291,12 @@
 }
 
 bool CatalogueReplica::DecidesToPoll(TimePoint now) {
-  const Duration age = m_proof ? now - *m_proof : kCertainPollAge;
+  const Duration age = m_proof ? now - *m_proof : m_options.proof_limit;
   double polls = kPollsPerTick;
   if (age >= kLikelyPollAge) polls = kLikelyPollsPerTick;
-  if (age >= kCertainPollAge) polls = static_cast<double>(m_voters.current.size());
+  if (age >= kUrgentPollAge) polls = kUrgentPollsPerTick;
+  // A fenced daemon is in no hurry; without this limit a parted region sends 11 kB/s per daemon.
+  if (age > m_options.proof_limit) polls = kFencedPollsPerTick;
   const double probability = polls / static_cast<double>(m_voters.current.size());
   return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
 }
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -240,7 +240,8 @@
 void Membership::ContinueFullRead(TimePoint now, Actions& actions) {
   m_full_read.progress = now;
   const std::vector<const Member*> reachable = RandomReachable(1, m_self.id);
-  if (reachable.empty() && now - m_full_read.started >= kAloneTimeout) {
+  const bool is_alone = ListNamesNobodyElse() || now - m_full_read.started >= kAloneTimeout;
+  if (reachable.empty() && is_alone) {
     m_full_read.complete = m_full_read.alone = true;
   }
   for (const Member* member : reachable) {
@@ -253,6 +254,13 @@
   }
 }
 
+bool Membership::ListNamesNobodyElse() const {
+  if (m_lists.empty() || !m_members.empty()) return false;
+  const std::set<std::string>& names = m_lists.front();
+  return std::all_of(names.begin(), names.end(),
+                     [this](const std::string& name) { return name == m_self.id.name; });
+}
+
 void Membership::RequestRandomPage(TimePoint now, Actions& actions) {
   const Duration jitter(static_cast<Duration::rep>(m_random() % m_options.page_interval.count()));
   m_next_page = now + m_options.page_interval / 2 + jitter;
--- a/src/libs/coordination/membership.h
+++ b/src/libs/coordination/membership.h
@@ -202,6 +202,7 @@
   void AskOthers(TimePoint now, Actions& actions);
   void Reconnect(TimePoint now, Actions& actions);
   void ContinueFullRead(TimePoint now, Actions& actions);
+  bool ListNamesNobodyElse() const;
   void RequestRandomPage(TimePoint now, Actions& actions);
   void ExpireSuspects(TimePoint now, Actions& actions);
   void Forget(TimePoint now);
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -6,7 +6,8 @@
 #include <utility>
 
 #include "server/admin_routes.h"
-#include "server/catalogue_loader.h"
+#include "server/catalogue_routes.h"
+#include "server/control_plane_driver.h"
 #include "server/dispatcher.h"
 #include "server/drain_driver.h"
 #include "server/endpoint_registry.h"
@@ -15,6 +16,7 @@
 #include "server/lookup.h"
 #include "server/metrics.h"
 #include "server/object_client.h"
+#include "server/peer_service.h"
 #include "server/problem_reply.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
@@ -45,14 +47,6 @@
   return limits;
 }
 
-std::vector<EntryDaemon> ListedDaemons(const EndpointRegistry& endpoints) {
-  std::vector<EntryDaemon> daemons;
-  for (const ListedInstance& instance : endpoints.Daemons()) {
-    daemons.push_back({instance.name, instance.address, instance.failure_domain, instance.leaving});
-  }
-  return daemons;
-}
-
 }  // namespace
 
 /// The order of the members is the order of their construction; the threads are stopped before any
@@ -78,7 +72,8 @@
   Services services;
   AdminRoutes admin;
   HttpFront front;
-  CatalogueLoader loader;
+  PeerService peers;
+  ControlPlaneDriver control;
   HttpServer server;
   DrainDriver drain;
   std::atomic<bool> stopped{false};
@@ -113,18 +108,24 @@
                event_ids},
       admin(services),
       front(services, admin),
-      loader(services),
+      peers(services),
+      control(services, peers),
       server(
           pool.GetExecutor(), ToLimits(settings.limits),
           [this](HttpExchange& exchange) { return front.Handle(exchange); }, RejectionReply),
-      drain(services, {[this]() { lookup.LeaveLookups(); }, [this]() { front.RefuseNewWork(); },
+      drain(services, {[this]() {
+                         lookup.LeaveLookups();
+                         control.Leave(false);
+                       },
+                       [this]() { front.RefuseNewWork(); },
                        [this]() {
                          server.StopAccepting();
+                         control.Leave(true);
                          stopped = true;
                        }}) {}
 
 Daemon::State::~State() {
-  loader.Stop();
+  control.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -142,14 +143,16 @@
     const nlohmann::json body = {{"draining", true}};
     co_return JsonReply(202, body);
   });
-  state.lookup.SetDaemons([&state]() { return ListedDaemons(state.endpoints); });
+  RegisterCatalogueRoutes(state.admin, state.services, state.control);
+  state.control.SetSupersededHandler([&state]() { state.drain.RequestStop(); });
   const std::error_code error = state.server.Listen(state.settings.listen.http);
   if (error) {
     Log(LogLevel::kError, "listen_failed",
         "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
     return error;
   }
-  state.loader.Start();
+  const std::error_code peer_error = state.control.Start(state.server.Address());
+  if (peer_error) return peer_error;
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -149,9 +149,12 @@
 HttpReply HttpFront::Ready() const {
   const bool has_catalogue = m_services.catalogue.Current()->revision > 0;
   const bool has_endpoints = m_services.endpoints.Ready();
-  const bool ready = has_catalogue && has_endpoints && !m_refusing;
+  // An entry without `when_stale = "serve"` shows whether the catalogue is proven current.
+  const bool is_current = m_services.catalogue.MayServe(CatalogueEntry{});
+  const bool ready = has_catalogue && is_current && has_endpoints && !m_refusing;
   const Json body = {{"ready", ready},
                      {"catalogue", has_catalogue},
+                     {"catalogue_current", is_current},
                      {"instance_list", has_endpoints},
                      {"draining", m_services.lookup.Leaving()}};
   return JsonReply(ready ? 200 : 503, body);
--- a/tests/auto/server/fake_platform.h
+++ b/tests/auto/server/fake_platform.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "protocol/catalogue_item.h"
 #include "server/api_key.h"
 #include "server/settings.h"
 #include "transport/http_server.h"
@@ -71,11 +72,19 @@
     return entry.dump();
   }
 
+  /// The rows that a daemon would have written as revision 1.
   Json Rows() const {
-    return {{"rows",
-             {{{"key", "assistant"}, {"value", Entry("assistant", "model")}, {"version", 1}},
-              {{"key", "orders"}, {"value", Entry("orders", "application")}, {"version", 2}}}},
-            {"version", 2}};
+    Json rows = Json::array();
+    const auto add = [&rows](const std::string& key, const std::string& value) {
+      rows.push_back({{"key", key}, {"value", EncodeRow({key, 1, 1, value})}, {"version", 1}});
+    };
+    add(kHeadKey, "");
+    for (const auto& [service, kind] :
+         std::map<std::string, std::string>{{"assistant", "model"}, {"orders", "application"}}) {
+      const Parsed<CatalogueEntry> entry = ParseCatalogueEntryJson(Entry(service, kind));
+      for (const auto& [key, value] : ItemsOf(entry.Value())) add(key, value);
+    }
+    return {{"rows", rows}, {"version", 1}};
   }
 
   Json Instances() const {
@@ -96,6 +105,8 @@
     HttpReply reply;
     if (target == "/instances") {
       reply.body = Instances().dump();
+    } else if (target == "/tables/catalogue/rows/head") {
+      reply.body = Rows()["rows"][0].dump();
     } else if (target.rfind("/tables/catalogue/rows", 0) == 0) {
       reply.body = Rows().dump();
     } else if (target == "/v1/load") {
