--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -8,7 +8,8 @@
 #include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
 #include "server/admission_gate.h"
-#include "server/catalogue_loader.h"
+#include "server/catalogue_routes.h"
+#include "server/control_plane_driver.h"
 #include "server/dispatcher.h"
 #include "server/drain_driver.h"
 #include "server/endpoint_registry.h"
@@ -17,6 +18,7 @@
 #include "server/lookup.h"
 #include "server/metrics.h"
 #include "server/object_client.h"
+#include "server/peer_service.h"
 #include "server/problem_reply.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
@@ -61,14 +63,6 @@
   return buffers;
 }
 
-std::vector<EntryDaemon> ListedDaemons(const EndpointRegistry& endpoints) {
-  std::vector<EntryDaemon> daemons;
-  for (const ListedInstance& instance : endpoints.Daemons()) {
-    daemons.push_back({instance.name, instance.address, instance.failure_domain, instance.leaving});
-  }
-  return daemons;
-}
-
 /// Tells the crash suspects which endpoint processes answer and which have gone.
 void ConnectSuspects(EndpointRegistry& endpoints, Dispatcher& dispatcher) {
   endpoints.SetListener([&dispatcher](const EndpointHealthAction& action) {
@@ -128,7 +122,8 @@
   AdmissionGate gate;
   AdminRoutes admin;
   HttpFront front;
-  CatalogueLoader loader;
+  PeerService peers;
+  ControlPlaneDriver control;
   HttpServer server;
   DrainDriver drain;
   std::atomic<bool> stopped{false};
@@ -159,13 +154,19 @@
       gate(services, admission),
       admin(services),
       front(services, admin, gate),
-      loader(services),
+      peers(services),
+      control(services, peers),
       server(
           pool.GetExecutor(), ToLimits(settings.limits),
           [this](HttpExchange& exchange) { return front.Handle(exchange); }, RejectionReply),
-      drain(services, {[this]() { lookup.LeaveLookups(); }, [this]() { front.RefuseNewWork(); },
+      drain(services, {[this]() {
+                         lookup.LeaveLookups();
+                         control.Leave(false);
+                       },
+                       [this]() { front.RefuseNewWork(); },
                        [this]() {
                          server.StopAccepting();
+                         control.Leave(true);
                          stopped = true;
                        }}) {}
 
@@ -179,8 +180,8 @@
 Daemon::State::~State() {
   destroyed = true;
   drivers.buffers.Stop();
-  loader.Stop();
   gate.Stop();
+  control.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -198,7 +199,8 @@
     const nlohmann::json body = {{"draining", true}};
     co_return JsonReply(202, body);
   });
-  state.lookup.SetDaemons([&state]() { return ListedDaemons(state.endpoints); });
+  RegisterCatalogueRoutes(state.admin, state.services, state.control);
+  state.control.SetSupersededHandler([&state]() { state.drain.RequestStop(); });
   const std::error_code error = state.server.Listen(state.settings.listen.http);
   if (error) {
     Log(LogLevel::kError, "listen_failed",
@@ -213,13 +215,14 @@
     state.rollouts.SetEntries(entries);
   });
   state.drivers.buffers.Start();
-  state.loader.Start();
   ConnectSuspects(state.endpoints, state.dispatcher);
   state.dispatcher.SetOwnership([&state](const EndpointId& endpoint) {
     return OwnsEndpoint(state.lookup, state.self, endpoint);
   });
   state.gate.Start();
   Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
+  const std::error_code peer_error = state.control.Start(state.server.Address());
+  if (peer_error) return peer_error;
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
