--- a/src/libs/protocol/peer_frame.cpp
+++ b/src/libs/protocol/peer_frame.cpp
@@ -25,7 +25,7 @@
                       "a code made with the shared key"};
   }
   const PeerFrameKind kind = static_cast<PeerFrameKind>(body.front());
-  if (kind > PeerFrameKind::kEvidence) {
+  if (kind > PeerFrameKind::kCredits) {
     return ParseError{make_error_code(ResultCode::kBadRequest), "frame", 0, "a known kind"};
   }
   return PeerFrame{kind, std::string(body.substr(1))};
--- a/src/libs/protocol/peer_frame.h
+++ b/src/libs/protocol/peer_frame.h
@@ -11,12 +11,13 @@
 namespace fulmarpoint {
 
 /// Purpose of a request between daemons over framed TCP.
-enum class PeerFrameKind : std::uint8_t { kCatalogueDelta, kCall, kEvidence };
+enum class PeerFrameKind : std::uint8_t { kCatalogueDelta, kCall, kEvidence, kCredits };
 
-inline constexpr std::array<EnumName<PeerFrameKind>, 3> kPeerFrameKindNames = {{
+inline constexpr std::array<EnumName<PeerFrameKind>, 4> kPeerFrameKindNames = {{
     {PeerFrameKind::kCatalogueDelta, "catalogue_delta"},
     {PeerFrameKind::kCall, "call"},
     {PeerFrameKind::kEvidence, "evidence"},
+    {PeerFrameKind::kCredits, "credits"},
 }};
 
 /// A request or reply between daemons.
--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -13,6 +13,7 @@
 #include "server/metrics.h"
 #include "server/request_log.h"
 #include "state/admission_table.h"
+#include "state/credit_table.h"
 #include "transport/http_server.h"
 #include "transport/notification.h"
 
@@ -51,6 +52,7 @@
 
   Services& services;
   AdmissionTable& table;
+  const CreditTable* credits = nullptr;
   std::atomic<bool> stopped{false};
   std::atomic<std::uint64_t> next{1};
   std::mutex mutex;
@@ -58,6 +60,9 @@
 };
 
 int AdmissionGate::State::SlotsOf(const CatalogueEntry& entry) const {
+  if (credits != nullptr) {
+    return std::min(entry.limits.max_concurrent, credits->Slots(entry.service, SteadyNow()));
+  }
   // Without credits, the free slots that the endpoints last reported are shared by all daemons;
   // a daemon that finds them taken learns it from the next report.
   int free = 0;
@@ -134,6 +139,8 @@
 
 AdmissionGate::~AdmissionGate() { Stop(); }
 
+void AdmissionGate::SetCredits(const CreditTable& credits) { m_state->credits = &credits; }
+
 void AdmissionGate::Start() {
   Spawn(MakeStrand(m_state->services.executor), [state = m_state]() { return state->RunTimer(); });
 }
--- a/src/libs/server/admission_gate.h
+++ b/src/libs/server/admission_gate.h
@@ -14,6 +14,7 @@
 namespace fulmarpoint {
 
 class AdmissionTable;
+class CreditTable;
 class HttpExchange;
 
 /// What admission needs to know about a request.
@@ -35,6 +36,8 @@
   AdmissionGate(const AdmissionGate&) = delete;
   AdmissionGate& operator=(const AdmissionGate&) = delete;
 
+  /// Takes the number of slots from the credits. Set before `Start`; `credits` outlives this.
+  void SetCredits(const CreditTable& credits);
   /// Starts the timer that refuses requests which wait too long.
   void Start();
   void Stop();
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -12,6 +12,7 @@
 #include "server/endpoint_registry.h"
 #include "server/metrics.h"
 #include "server/request_log.h"
+#include "state/credit_table.h"
 #include "state/rollout_table.h"
 #include "state/suspect_table.h"
 #include "utils/logging.h"
@@ -154,6 +155,7 @@
   NoticePublisher publisher;
   SuspectPublisher suspect_publisher;
   Ownership ownership;
+  CreditTable* credits = nullptr;
 
   std::mutex mutex;
   Random random;
@@ -225,7 +227,11 @@
                                            const VersionChoice& version,
                                            const std::vector<EndpointCandidate>& candidates) {
   std::vector<RouteCandidate> routes;
-  for (const EndpointCandidate& candidate : candidates) routes.push_back(candidate.route);
+  for (const EndpointCandidate& candidate : candidates) {
+    routes.push_back(candidate.route);
+    if (credits == nullptr) continue;
+    routes.back().free_credits = credits->Free(candidate.route.endpoint, SteadyNow());
+  }
   RouteRequest route = ToRoute(request, version.version, failure_domain);
   for (const RouteCandidate& candidate : routes) {
     if (!rollouts.MayUse(request.entry->service, version.version, candidate.endpoint)) {
@@ -243,11 +249,15 @@
     }
     // Another request may have begun the trial meanwhile.
     const bool trial_taken = choice->trial && !endpoints.BeginTrial(endpoint);
+    // So may another request have taken the last credit.
+    const bool has_credit =
+        !trial_taken && (credits == nullptr || credits->Take(endpoint, SteadyNow()));
     const std::optional<TimePoint> not_before =
-        trial_taken ? std::nullopt : TakeBudget(request, endpoint);
+        has_credit ? TakeBudget(request, endpoint) : std::nullopt;
     if (not_before) return Start(request, version, candidates[choice->index], run, *not_before);
     Execute(suspects.Handle(RunEnded{run, RunEnd::kCancelled}, SteadyNow()));
-    if (!trial_taken) {
+    if (has_credit) {
+      if (credits != nullptr) credits->Return(endpoint);
       return Refusal(ResultCode::kOverloaded, "the budget of repeated attempts is used up");
     }
   }
@@ -363,6 +373,8 @@
   m_state->Execute(m_state->suspects.Handle(event, SteadyNow()));
 }
 
+void Dispatcher::SetCredits(CreditTable& credits) { m_state->credits = &credits; }
+
 void Dispatcher::SetOwnership(Ownership ownership) { m_state->ownership = std::move(ownership); }
 
 DispatchResult Dispatcher::Choose(const DispatchRequest& request) {
@@ -401,6 +413,7 @@
     m_state->runs.erase(found);
   }
   m_state->metrics.Count("runs", NameOf(kDispatchEndNames, result.end));
+  if (m_state->credits != nullptr) m_state->credits->Return(ended.endpoint);
   if (NeverRan(result.end)) m_state->endpoints.CountNotStarted(ended.endpoint);
   m_state->ReportToRollout(ended, result);
   m_state->Execute(m_state->suspects.Handle(RunEnded{run, ToRunEnd(result.end)}, SteadyNow()));
--- a/src/libs/server/dispatcher.h
+++ b/src/libs/server/dispatcher.h
@@ -110,6 +110,7 @@
   Duration token_interval{};
 };
 
+class CreditTable;
 class EndpointRegistry;
 class Metrics;
 class RequestLog;
@@ -117,8 +118,8 @@
 class SuspectTable;
 
 /// Chooses the endpoint of each run, and tells the modules that decide this how the run ended:
-/// router, endpoint health, crash suspects, retry and resumption budgets, rollout. Thread-safe;
-/// never waits.
+/// router, endpoint health, credits, crash suspects, retry and resumption budgets, rollout.
+/// Thread-safe; never waits.
 class Dispatcher {
  public:
   using NoticePublisher = std::function<void(const BadVersionNotice&)>;
@@ -136,6 +137,8 @@
   void SetNoticePublisher(NoticePublisher publisher);
   void SetSuspectPublisher(SuspectPublisher publisher);
   void SetOwnership(Ownership ownership);
+  /// Every run needs a credit from now on. Set before the first request; `credits` outlives this.
+  void SetCredits(CreditTable& credits);
   /// Adds what polls, peers and timers tell about crashed endpoints.
   void HandleSuspects(const CrashSuspectsEvent& event);
 
