--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -8,7 +8,10 @@
 #include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
 #include "server/admission_gate.h"
-#include "server/catalogue_loader.h"
+#include "server/catalogue_routes.h"
+#include "server/control_plane_driver.h"
+#include "server/credit_driver.h"
+#include "server/credit_sources.h"
 #include "server/dispatcher.h"
 #include "server/drain_driver.h"
 #include "server/endpoint_registry.h"
@@ -16,7 +19,9 @@
 #include "server/instance_list_client.h"
 #include "server/lookup.h"
 #include "server/metrics.h"
+#include "server/notice_exchange.h"
 #include "server/object_client.h"
+#include "server/peer_service.h"
 #include "server/problem_reply.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
@@ -25,6 +30,7 @@
 #include "server/table_client.h"
 #include "state/admission_table.h"
 #include "state/burn_table.h"
+#include "state/credit_table.h"
 #include "state/rollout_table.h"
 #include "state/suspect_table.h"
 #include "transport/http_client.h"
@@ -61,14 +67,6 @@
   return buffers;
 }
 
-std::vector<EntryDaemon> ListedDaemons(const EndpointRegistry& endpoints) {
-  std::vector<EntryDaemon> daemons;
-  for (const ListedInstance& instance : endpoints.Daemons()) {
-    daemons.push_back({instance.name, instance.address, instance.failure_domain, instance.leaving});
-  }
-  return daemons;
-}
-
 /// Tells the crash suspects which endpoint processes answer and which have gone.
 void ConnectSuspects(EndpointRegistry& endpoints, Dispatcher& dispatcher) {
   endpoints.SetListener([&dispatcher](const EndpointHealthAction& action) {
@@ -121,6 +119,7 @@
   SuspectTable suspects;
   BurnTable burn;
   AdmissionTable admission;
+  CreditTable credits;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
   RequestDrivers drivers;
@@ -128,12 +127,17 @@
   AdmissionGate gate;
   AdminRoutes admin;
   HttpFront front;
-  CatalogueLoader loader;
+  PeerService peers;
+  ControlPlaneDriver control;
+  NoticeExchange notices;
+  CreditDriver credit_driver;
   HttpServer server;
   DrainDriver drain;
   std::atomic<bool> stopped{false};
   std::atomic<bool> destroyed{false};
 
+  /// Connects the drivers with each other. Call before anything runs.
+  void Connect();
   Task<void> RunSuspectTimer();
 };
 
@@ -149,6 +153,7 @@
       running(settings.limits.requests),
       event_ids(settings.secrets.shared_key, settings.secrets.previous_shared_key),
       rollouts(self),
+      credits(self),
       endpoints(http, instances, settings.polling, metrics),
       dispatcher(endpoints, rollouts, suspects, metrics, request_log,
                  settings.daemon.failure_domain),
@@ -159,16 +164,45 @@
       gate(services, admission),
       admin(services),
       front(services, admin, gate),
-      loader(services),
+      peers(services),
+      control(services, peers),
+      notices(services, control),
+      credit_driver(self, credits, MakeCreditSources(services, admission, peers)),
       server(
           pool.GetExecutor(), ToLimits(settings.limits),
           [this](HttpExchange& exchange) { return front.Handle(exchange); }, RejectionReply),
-      drain(services, {[this]() { lookup.LeaveLookups(); }, [this]() { front.RefuseNewWork(); },
+      drain(services, {[this]() {
+                         lookup.LeaveLookups();
+                         control.Leave(false);
+                       },
+                       [this]() { front.RefuseNewWork(); },
                        [this]() {
                          server.StopAccepting();
+                         control.Leave(true);
                          stopped = true;
                        }}) {}
 
+void Daemon::State::Connect() {
+  catalogue.SetListener([this](const CatalogueSnapshot& snapshot) {
+    std::vector<CatalogueEntry> entries;
+    for (const auto& [name, service] : snapshot.services) {
+      if (service->entry->rollout) entries.push_back(*service->entry);
+    }
+    rollouts.SetEntries(entries);
+  });
+  ConnectSuspects(endpoints, dispatcher);
+  dispatcher.SetOwnership(
+      [this](const EndpointId& endpoint) { return OwnsEndpoint(lookup, self, endpoint); });
+  notices.Connect();
+  if (!settings.use_credits) return;
+  dispatcher.SetCredits(credits);
+  gate.SetCredits(credits);
+  control.SetMemberHandler([this](const MemberUpdate& member) { credit_driver.OnMember(member); });
+  peers.SetFrameHandler(PeerFrameKind::kCredits, [this](std::string body) -> Task<std::string> {
+    co_return credit_driver.Answer(body);
+  });
+}
+
 Task<void> Daemon::State::RunSuspectTimer() {
   while (!destroyed) {
     co_await Sleep(std::chrono::seconds(1));
@@ -179,8 +213,9 @@
 Daemon::State::~State() {
   destroyed = true;
   drivers.buffers.Stop();
-  loader.Stop();
   gate.Stop();
+  credit_driver.Stop();
+  control.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -198,28 +233,21 @@
     const nlohmann::json body = {{"draining", true}};
     co_return JsonReply(202, body);
   });
-  state.lookup.SetDaemons([&state]() { return ListedDaemons(state.endpoints); });
+  RegisterCatalogueRoutes(state.admin, state.services, state.control);
+  state.control.SetSupersededHandler([&state]() { state.drain.RequestStop(); });
+  state.Connect();
   const std::error_code error = state.server.Listen(state.settings.listen.http);
   if (error) {
     Log(LogLevel::kError, "listen_failed",
         "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
     return error;
   }
-  state.catalogue.SetListener([&state](const CatalogueSnapshot& snapshot) {
-    std::vector<CatalogueEntry> entries;
-    for (const auto& [name, service] : snapshot.services) {
-      if (service->entry->rollout) entries.push_back(*service->entry);
-    }
-    state.rollouts.SetEntries(entries);
-  });
   state.drivers.buffers.Start();
-  state.loader.Start();
-  ConnectSuspects(state.endpoints, state.dispatcher);
-  state.dispatcher.SetOwnership([&state](const EndpointId& endpoint) {
-    return OwnsEndpoint(state.lookup, state.self, endpoint);
-  });
   state.gate.Start();
   Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
+  const std::error_code peer_error = state.control.Start(state.server.Address());
+  if (peer_error) return peer_error;
+  if (state.settings.use_credits) state.credit_driver.Start(state.pool.GetExecutor());
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
--- a/src/libs/server/settings.cpp
+++ b/src/libs/server/settings.cpp
@@ -123,6 +123,7 @@
   ReadSection(root, "polling", false, settings.polling, ReadPolling);
   ReadSection(root, "drain", false, settings.drain, ReadDrain);
   root.Int("keep_seconds", 1, 300, settings.keep_seconds);
+  root.Bool("use_credits", settings.use_credits);
   root.Size("request_records", 1, 1'000'000, settings.request_records);
   if (const std::optional<ParseError>& error = root.Finish()) return *error;
   return settings;
