--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "server/metrics.h"
 #include "server/request_log.h"
 #include "state/admission_table.h"
+#include "state/credit_table.h"
 #include "transport/http_server.h"
 #include "transport/notification.h"
 
@@ -33,10 +35,17 @@
 };
 
 Refusal ToRefusal(const Refuse& refuse) {
-  const std::string detail = refuse.code == ResultCode::kOrganisationLimit
-                                 ? "the organisation has too many requests at this daemon"
-                                 : "the predicted wait is longer than the service allows";
-  return {refuse.code, detail, refuse.retry_after};
+  switch (refuse.code) {
+    case ResultCode::kOrganisationLimit:
+      return {refuse.code, "the organisation has too many requests at this daemon",
+              refuse.retry_after};
+    case ResultCode::kNoEndpoint:
+      return {refuse.code, "this daemon may use no slot of the service's endpoints now",
+              refuse.retry_after};
+    default:
+      return {refuse.code, "the predicted wait is longer than the service allows",
+              refuse.retry_after};
+  }
 }
 
 }  // namespace
@@ -51,6 +60,7 @@
 
   Services& services;
   AdmissionTable& table;
+  const CreditTable* credits = nullptr;
   std::atomic<bool> stopped{false};
   std::atomic<std::uint64_t> next{1};
   std::mutex mutex;
@@ -58,12 +68,19 @@
 };
 
 int AdmissionGate::State::SlotsOf(const CatalogueEntry& entry) const {
-  // Without credits, the free slots that the endpoints last reported are shared by all daemons;
-  // a daemon that finds them taken learns it from the next report.
   int free = 0;
+  // An engine with several versions is a candidate for each of them.
+  std::set<EndpointId> counted;
   for (const EndpointCandidate& candidate : services.endpoints.Candidates(entry)) {
     const EndpointHealthView& health = candidate.route.health;
     if (health.state != EndpointState::kLive) continue;
+    if (!counted.insert(candidate.route.endpoint).second) continue;
+    if (credits != nullptr) {
+      free += credits->Free(candidate.route.endpoint, SteadyNow());
+      continue;
+    }
+    // Without credits, the free slots that the endpoints last reported are shared by all daemons;
+    // a daemon that finds them taken learns it from the next report.
     free += std::max(
         0, health.slots - health.active - health.queued - candidate.route.started_since_report);
   }
@@ -134,6 +151,8 @@
 
 AdmissionGate::~AdmissionGate() { Stop(); }
 
+void AdmissionGate::SetCredits(const CreditTable& credits) { m_state->credits = &credits; }
+
 void AdmissionGate::Start() {
   Spawn(MakeStrand(m_state->services.executor), [state = m_state]() { return state->RunTimer(); });
 }
--- a/tests/auto/server/fake_platform.h
+++ b/tests/auto/server/fake_platform.h
@@ -50,6 +50,8 @@
     settings.secrets.operator_key_hashes = {Sha256Hex("operator")};
     settings.polling.load = std::chrono::milliseconds(50);
     settings.keep_seconds = 1;
+    // A daemon waits for its first credits; tests of other things do without them.
+    settings.use_credits = false;
     settings.drain.margin = Duration::zero();
     return settings;
   }
