Spread the load over several callers

Cause: the lookup spreads callers by their key; with one key a single daemon served the whole experiment, so pausing another daemon had no effect (trial: no resumption). Change: callers = N uses keys KEY-1 to KEY-N; the lookup answer is kept per key.

--- a/src/tools/fulmarpoint-load/call_caller.cpp
+++ b/src/tools/fulmarpoint-load/call_caller.cpp
@@ -28,7 +28,11 @@
 }  // namespace
 
 CallCaller::CallCaller(RunContext& context, const CallLoad& load, std::string name)
-    : m_context(context), m_load(load), m_name(std::move(name)), m_body(m_name + " ") {
+    : m_context(context),
+      m_load(load),
+      m_name(std::move(name)),
+      m_api_key(ChooseApiKey(context, load.api_key, load.callers)),
+      m_body(m_name + " ") {
   m_body.resize(std::max(m_body.size(), static_cast<std::size_t>(load.body_bytes)), 'x');
 }
 
@@ -41,7 +45,7 @@
 Task<void> CallCaller::Run() {
   m_started = SteadyNow();
   for (m_send = 0; m_send < kMaxSends; ++m_send) {
-    const LookupAnswer found = co_await m_context.lookup.Find(m_load.service, m_load.api_key);
+    const LookupAnswer found = co_await m_context.lookup.Find(m_load.service, m_api_key);
     if (found.addresses.empty()) {
       co_await Sleep(kSendPause * (m_send + 1));
       continue;
@@ -74,7 +78,7 @@
   request.address = address;
   request.method = m_load.method;
   request.target = "/v1/services/" + m_load.service + m_load.path;
-  request.headers.push_back({"Authorization", "Bearer " + m_load.api_key});
+  request.headers.push_back({"Authorization", "Bearer " + m_api_key});
   if (!m_key.empty()) request.headers.push_back({"Idempotency-Key", m_key});
   request.body = m_body;
   request.timeout = m_load.timeout;
@@ -83,7 +87,7 @@
     if (!result.nothing_written) {
       m_context.Record(ConnectionLost{m_name, m_context.DaemonName(address), false});
     }
-    m_context.lookup.Forget(m_load.service);
+    m_context.lookup.Forget(m_load.service, m_api_key);
     co_return false;
   }
   if (result.reply.status == 200) {
--- a/src/tools/fulmarpoint-load/call_caller.h
+++ b/src/tools/fulmarpoint-load/call_caller.h
@@ -26,6 +26,7 @@
   RunContext& m_context;
   const CallLoad& m_load;
   std::string m_name;
+  std::string m_api_key;
   std::string m_body;
   std::string m_key;
   int m_send = 0;
--- a/src/tools/fulmarpoint-load/experiment.cpp
+++ b/src/tools/fulmarpoint-load/experiment.cpp
@@ -12,11 +12,13 @@
 constexpr std::int64_t kMaxMs = 3'600'000;
 constexpr std::int64_t kMaxRatePerMinute = 600'000;
 constexpr int kMaxTokens = 100'000;
+constexpr int kMaxCallers = 10'000;
 
 GenerationLoad ReadGenerations(FieldReader& reader) {
   GenerationLoad load;
   reader.String("service", true, load.service);
   reader.String("api_key", true, load.api_key);
+  reader.Int("callers", 1, kMaxCallers, load.callers);
   reader.String("model", true, load.model);
   reader.Integer("rate_per_minute", true, 1, kMaxRatePerMinute, load.rate_per_minute);
   reader.Int("prompt_words", 1, kMaxTokens, load.prompt_words);
@@ -34,6 +36,7 @@
   CallLoad load;
   reader.String("service", true, load.service);
   reader.String("api_key", true, load.api_key);
+  reader.Int("callers", 1, kMaxCallers, load.callers);
   reader.Integer("rate_per_minute", true, 1, kMaxRatePerMinute, load.rate_per_minute);
   reader.String("method", false, load.method);
   reader.String("path", false, load.path);
--- a/src/tools/fulmarpoint-load/experiment.h
+++ b/src/tools/fulmarpoint-load/experiment.h
@@ -23,7 +23,9 @@
 /// Generations that arrive at a mean rate, regardless of how many run (open loop).
 struct GenerationLoad {
   std::string service;
+  /// With several callers, the beginning of their keys: "KEY-1", "KEY-2" and so on.
   std::string api_key;
+  int callers = 1;
   std::string model;
   std::int64_t rate_per_minute = 60;
   int prompt_words = 32;
@@ -42,6 +44,7 @@
 struct CallLoad {
   std::string service;
   std::string api_key;
+  int callers = 1;
   std::int64_t rate_per_minute = 60;
   std::string method = "POST";
   std::string path = "/orders";
--- a/src/tools/fulmarpoint-load/generation_caller.cpp
+++ b/src/tools/fulmarpoint-load/generation_caller.cpp
@@ -41,6 +41,7 @@
     : m_context(context),
       m_load(load),
       m_name(std::move(name)),
+      m_api_key(ChooseApiKey(context, load.api_key, load.callers)),
       m_prompt(MakePrompt(m_name, load.prompt_words)) {
   Random& random = context.random;
   // Half of the range keeps the number within every JSON parser's signed integers.
@@ -61,7 +62,7 @@
   request.address = address;
   request.method = "POST";
   request.target = "/v1/completions";
-  request.headers = {{"Authorization", "Bearer " + m_load.api_key},
+  request.headers = {{"Authorization", "Bearer " + m_api_key},
                      {"Content-Type", "application/json"}};
   if (!m_event_id.empty()) {
     request.headers.push_back({"Last-Event-ID", m_event_id});
@@ -75,7 +76,7 @@
 Task<void> GenerationCaller::Run() {
   m_started = SteadyNow();
   for (m_send = 0; m_send < kMaxSends; ++m_send) {
-    const LookupAnswer found = co_await m_context.lookup.Find(m_load.service, m_load.api_key);
+    const LookupAnswer found = co_await m_context.lookup.Find(m_load.service, m_api_key);
     if (found.addresses.empty()) {
       co_await Sleep(kSendPause * (m_send + 1));
       continue;
@@ -92,7 +93,7 @@
     m_context.Record(std::move(sent));
     const StreamEnd end = co_await Send(found.addresses[index]);
     if (end != StreamEnd::kLost) co_return;
-    m_context.lookup.Forget(m_load.service);
+    m_context.lookup.Forget(m_load.service, m_api_key);
     co_await Sleep(kSendPause);
   }
   ++m_context.measurements.errors["gave_up"];
--- a/src/tools/fulmarpoint-load/generation_caller.h
+++ b/src/tools/fulmarpoint-load/generation_caller.h
@@ -32,6 +32,7 @@
   RunContext& m_context;
   const GenerationLoad& m_load;
   std::string m_name;
+  std::string m_api_key;
   std::string m_prompt;
   std::uint64_t m_seed;
   int m_max_tokens;
--- a/src/tools/fulmarpoint-load/lookup.h
+++ b/src/tools/fulmarpoint-load/lookup.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "transport/http_client.h"
@@ -26,13 +27,15 @@
   /// Returns the kept answer or asks for one. Without an answer the list is empty.
   Task<LookupAnswer> Find(std::string service, std::string api_key);
   /// Forgets the answer, after an address of it did not work.
-  void Forget(const std::string& service) { m_kept.erase(service); }
+  void Forget(const std::string& service, const std::string& api_key) {
+    m_kept.erase({service, api_key});
+  }
 
  private:
   HttpClient& m_client;
   std::vector<std::string> m_daemons;
   std::size_t m_next = 0;
-  std::map<std::string, LookupAnswer> m_kept;
+  std::map<std::pair<std::string, std::string>, LookupAnswer> m_kept;
 };
 
 }  // namespace fulmarpoint::load
--- a/src/tools/fulmarpoint-load/run_context.cpp
+++ b/src/tools/fulmarpoint-load/run_context.cpp
@@ -4,6 +4,12 @@
 
 namespace fulmarpoint::load {
 
+std::string ChooseApiKey(RunContext& context, const std::string& api_key, int callers) {
+  if (callers <= 1) return api_key;
+  const std::uint64_t caller = context.random() % static_cast<std::uint64_t>(callers);
+  return api_key + "-" + std::to_string(caller + 1);
+}
+
 Problem ParseProblem(const std::string& body) {
   Problem problem;
   const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
--- a/src/tools/fulmarpoint-load/run_context.h
+++ b/src/tools/fulmarpoint-load/run_context.h
@@ -52,6 +52,9 @@
   std::uint64_t active = 0;
 };
 
+/// Returns the key of a random one of `callers` callers.
+std::string ChooseApiKey(RunContext& context, const std::string& api_key, int callers);
+
 /// An error answer.
 struct Problem {
   ResultCode code = ResultCode::kInternal;
