--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "server/dispatcher.h"
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <random>
@@ -11,7 +12,9 @@
 #include "server/endpoint_registry.h"
 #include "server/metrics.h"
 #include "server/request_log.h"
+#include "state/credit_table.h"
 #include "state/rollout_table.h"
+#include "state/suspect_table.h"
 #include "utils/logging.h"
 
 namespace fulmarpoint {
@@ -26,6 +29,10 @@
 constexpr Duration kPrefillWait = std::chrono::milliseconds(460);
 constexpr Duration kWaitForEachQueued = std::chrono::milliseconds(250);
 
+// A held request is decided within about a second, when the notices of all daemons have arrived.
+constexpr Duration kRetryHeld = std::chrono::milliseconds(100);
+constexpr Duration kForgetHeld = std::chrono::seconds(10);
+
 /// A run that has not ended.
 struct Run {
   EndpointId endpoint;
@@ -37,6 +44,12 @@
   bool chosen_by_rollout = false;
 };
 
+/// Times at which runs of a fingerprint were first and last held.
+struct Held {
+  TimePoint first = SteadyNow();
+  TimePoint last;
+};
+
 /// The version of a request and who chose it.
 struct VersionChoice {
   VersionName version;
@@ -59,6 +72,18 @@
          end == DispatchEnd::kRefusedLeaving;
 }
 
+RunEnd ToRunEnd(DispatchEnd end) {
+  switch (end) {
+    case DispatchEnd::kCompleted:
+    case DispatchEnd::kFailed:
+      return RunEnd::kCompleted;
+    case DispatchEnd::kLost:
+      return RunEnd::kLost;
+    default:
+      return RunEnd::kCancelled;
+  }
+}
+
 bool IsUsable(const EndpointCandidate& candidate) {
   return candidate.route.health.state == EndpointState::kLive;
 }
@@ -77,7 +102,7 @@
   route.failure_domain = failure_domain;
   route.avoided_domain = request.avoided_domain;
   route.prompt_tokens = request.prompt_tokens;
-  route.priority = request.priority;
+  route.priority = PriorityOf(*request.entry);
   route.excluded = request.excluded;
   route.may_try_suspect = request.may_try_suspect;
   return route;
@@ -85,11 +110,16 @@
 
 }  // namespace
 
+Priority PriorityOf(const CatalogueEntry& entry) {
+  return entry.service_class == ServiceClass::kLatency ? Priority::kInteractive : Priority::kNormal;
+}
+
 struct Dispatcher::State {
-  State(EndpointRegistry& registry, RolloutTable& rollout_table, Metrics& counters,
-        RequestLog& request_log, std::string domain)
+  State(EndpointRegistry& registry, RolloutTable& rollout_table, SuspectTable& suspect_table,
+        Metrics& counters, RequestLog& request_log, std::string domain)
       : endpoints(registry),
         rollouts(rollout_table),
+        suspects(suspect_table),
         metrics(counters),
         log(request_log),
         failure_domain(std::move(domain)),
@@ -107,22 +137,33 @@
   DispatchRefusal RefuseVersion(const DispatchRequest& request, const VersionName& version,
                                 const std::vector<EndpointCandidate>& candidates) const;
   DispatchChoice Start(const DispatchRequest& request, const VersionChoice& version,
-                       const EndpointCandidate& candidate, TimePoint not_before);
+                       const EndpointCandidate& candidate, std::uint64_t run, TimePoint not_before);
   void ReportToRollout(const Run& run, const RunResult& result);
+  /// Starts the run for the crash suspects; returns false if it may not be sent there.
+  bool TryStartSuspect(const DispatchRequest& request, const RouteCandidate& candidate,
+                       std::uint64_t run);
+  /// Returns how long runs of a fingerprint have been held.
+  Duration HeldFor(Fingerprint fingerprint, TimePoint now);
+  void Execute(const std::vector<CrashSuspectsAction>& actions);
 
   EndpointRegistry& endpoints;
   RolloutTable& rollouts;
+  SuspectTable& suspects;
   Metrics& metrics;
   RequestLog& log;
   const std::string failure_domain;
   NoticePublisher publisher;
+  SuspectPublisher suspect_publisher;
+  Ownership ownership;
+  CreditTable* credits = nullptr;
 
   std::mutex mutex;
   Random random;
   ResumeBudget resume_budget;
   std::map<ServiceName, RetryBudget> retry_budgets;
-  std::uint64_t next_run = 1;
+  std::atomic<std::uint64_t> next_run{1};
   std::map<std::uint64_t, Run> runs;
+  std::map<Fingerprint, Held> held_since;
 };
 
 VersionChoice Dispatcher::State::ChooseVersion(const DispatchRequest& request,
@@ -186,31 +227,96 @@
                                            const VersionChoice& version,
                                            const std::vector<EndpointCandidate>& candidates) {
   std::vector<RouteCandidate> routes;
-  for (const EndpointCandidate& candidate : candidates) routes.push_back(candidate.route);
+  for (const EndpointCandidate& candidate : candidates) {
+    routes.push_back(candidate.route);
+    if (credits == nullptr) continue;
+    routes.back().free_credits = credits->Free(candidate.route.endpoint, SteadyNow());
+  }
   RouteRequest route = ToRoute(request, version.version, failure_domain);
   for (const RouteCandidate& candidate : routes) {
     if (!rollouts.MayUse(request.entry->service, version.version, candidate.endpoint)) {
       route.excluded.push_back(candidate.endpoint);
     }
   }
+  bool held = false;
   while (const std::optional<RouteChoice> choice = Route(routes, route)) {
     const EndpointId& endpoint = routes[choice->index].endpoint;
     route.excluded.push_back(endpoint);
+    const std::uint64_t run = next_run++;
+    if (!TryStartSuspect(request, routes[choice->index], run)) {
+      held = true;
+      continue;
+    }
     // Another request may have begun the trial meanwhile.
-    if (choice->trial && !endpoints.BeginTrial(endpoint)) continue;
-    const std::optional<TimePoint> not_before = TakeBudget(request, endpoint);
-    if (!not_before) {
+    const bool trial_taken = choice->trial && !endpoints.BeginTrial(endpoint);
+    // So may another request have taken the last credit.
+    const bool has_credit =
+        !trial_taken && (credits == nullptr || credits->Take(endpoint, SteadyNow()));
+    const std::optional<TimePoint> not_before =
+        has_credit ? TakeBudget(request, endpoint) : std::nullopt;
+    if (not_before) return Start(request, version, candidates[choice->index], run, *not_before);
+    Execute(suspects.Handle(RunEnded{run, RunEnd::kCancelled}, SteadyNow()));
+    if (has_credit) {
+      if (credits != nullptr) credits->Return(endpoint);
       return Refusal(ResultCode::kOverloaded, "the budget of repeated attempts is used up");
     }
-    return Start(request, version, candidates[choice->index], *not_before);
   }
-  return RefuseVersion(request, version.version, candidates);
+  DispatchRefusal refusal = RefuseVersion(request, version.version, candidates);
+  if (held) {
+    refusal.held = true;
+    refusal.version_gone = false;
+    refusal.retry_after = kRetryHeld;
+    refusal.reason = "the request ran at an endpoint that crashed and waits for one of its own";
+  }
+  return refusal;
+}
+
+Duration Dispatcher::State::HeldFor(Fingerprint fingerprint, TimePoint now) {
+  const std::lock_guard<std::mutex> lock(mutex);
+  std::erase_if(held_since, [&](const auto& item) { return now - item.second.last > kForgetHeld; });
+  const auto found = held_since.find(fingerprint);
+  return found == held_since.end() ? Duration::zero() : now - found->second.first;
+}
+
+bool Dispatcher::State::TryStartSuspect(const DispatchRequest& request,
+                                        const RouteCandidate& candidate, std::uint64_t run) {
+  const RunStarted started{run, request.fingerprint, candidate.endpoint,
+                           candidate.health.incarnation};
+  std::vector<CrashSuspectsAction> actions;
+  const bool owned = !ownership || ownership(candidate.endpoint);
+  const TimePoint now = SteadyNow();
+  const bool may =
+      suspects.TryStart(started, owned, HeldFor(request.fingerprint, now), now, actions);
+  Execute(actions);
+  const std::lock_guard<std::mutex> lock(mutex);
+  if (may) {
+    held_since.erase(request.fingerprint);
+  } else {
+    held_since[request.fingerprint].last = now;
+  }
+  return may;
+}
+
+void Dispatcher::State::Execute(const std::vector<CrashSuspectsAction>& actions) {
+  for (const CrashSuspectsAction& action : actions) {
+    if (const PublishSuspectNotice* publish = std::get_if<PublishSuspectNotice>(&action)) {
+      if (suspect_publisher) suspect_publisher(publish->notice);
+      continue;
+    }
+    const SuspicionChanged& changed = std::get<SuspicionChanged>(action);
+    const std::string_view name = NameOf(kSuspicionStateNames, changed.state);
+    metrics.Count("suspicion_changes", name);
+    Log(LogLevel::kWarning, "suspicion",
+        "fingerprint=" + std::to_string(changed.fingerprint) + " state=" + std::string(name));
+  }
 }
 
 DispatchChoice Dispatcher::State::Start(const DispatchRequest& request,
                                         const VersionChoice& version,
-                                        const EndpointCandidate& candidate, TimePoint not_before) {
+                                        const EndpointCandidate& candidate, std::uint64_t run,
+                                        TimePoint not_before) {
   DispatchChoice choice;
+  choice.run = run;
   choice.endpoint = candidate.route.endpoint;
   choice.address = candidate.address;
   choice.failure_domain = candidate.route.failure_domain;
@@ -220,7 +326,6 @@
   choice.not_before = not_before;
   endpoints.CountStarted(choice.endpoint);
   const std::lock_guard<std::mutex> lock(mutex);
-  choice.run = next_run++;
   runs.emplace(choice.run,
                Run{choice.endpoint, choice.failure_domain, choice.version, request.entry->service,
                    request.route, !request.repeated, version.by_rollout});
@@ -249,10 +354,10 @@
   if (publisher) publisher(*notice);
 }
 
-Dispatcher::Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, Metrics& metrics,
-                       RequestLog& log, std::string failure_domain)
-    : m_state(
-          std::make_unique<State>(endpoints, rollouts, metrics, log, std::move(failure_domain))) {}
+Dispatcher::Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, SuspectTable& suspects,
+                       Metrics& metrics, RequestLog& log, std::string failure_domain)
+    : m_state(std::make_unique<State>(endpoints, rollouts, suspects, metrics, log,
+                                      std::move(failure_domain))) {}
 
 Dispatcher::~Dispatcher() = default;
 
@@ -260,7 +365,23 @@
   m_state->publisher = std::move(publisher);
 }
 
+void Dispatcher::SetSuspectPublisher(SuspectPublisher publisher) {
+  m_state->suspect_publisher = std::move(publisher);
+}
+
+void Dispatcher::HandleSuspects(const CrashSuspectsEvent& event) {
+  m_state->Execute(m_state->suspects.Handle(event, SteadyNow()));
+}
+
+void Dispatcher::SetCredits(CreditTable& credits) { m_state->credits = &credits; }
+
+void Dispatcher::SetOwnership(Ownership ownership) { m_state->ownership = std::move(ownership); }
+
 DispatchResult Dispatcher::Choose(const DispatchRequest& request) {
+  if (m_state->suspects.State(request.fingerprint) == SuspicionState::kBlocked) {
+    m_state->log.Add(request.id, "blocked", "the request crashed the endpoints that ran it");
+    return Refusal(ResultCode::kCrashesEndpoints, "the request crashed the endpoints that ran it");
+  }
   const std::vector<EndpointCandidate> candidates = m_state->endpoints.Candidates(*request.entry);
   VersionChoice version = m_state->ChooseVersion(request, candidates);
   DispatchResult result = m_state->ChooseOf(request, version, candidates);
@@ -292,8 +413,10 @@
     m_state->runs.erase(found);
   }
   m_state->metrics.Count("runs", NameOf(kDispatchEndNames, result.end));
+  if (m_state->credits != nullptr) m_state->credits->Return(ended.endpoint);
   if (NeverRan(result.end)) m_state->endpoints.CountNotStarted(ended.endpoint);
   m_state->ReportToRollout(ended, result);
+  m_state->Execute(m_state->suspects.Handle(RunEnded{run, ToRunEnd(result.end)}, SteadyNow()));
   if (result.end == DispatchEnd::kCancelled || result.end == DispatchEnd::kRefused) return;
   m_state->endpoints.Handle(
       EndpointOutcome{ended.endpoint, OutcomeOf(result.end), result.token_interval});
--- a/src/libs/server/dispatcher.h
+++ b/src/libs/server/dispatcher.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/crash_suspects.h"
 #include "coordination/router.h"
 #include "protocol/catalogue.h"
 #include "protocol/identifiers.h"
@@ -20,6 +21,9 @@
 
 namespace fulmarpoint {
 
+/// Returns the priority of a service's requests: those of class `latency` go first. Thread-safe.
+Priority PriorityOf(const CatalogueEntry& entry);
+
 /// Where a request may be sent.
 struct DispatchRequest {
   RequestId id;
@@ -36,7 +40,6 @@
   std::uint32_t prompt_tokens = 0;
   /// Prefers endpoints that probably have this prompt cached.
   std::string_view prompt;
-  Priority priority = Priority::kNormal;
   /// Not the first attempt: subject to the retry budget.
   bool repeated = false;
   /// False for work that runs at most once.
@@ -63,6 +66,9 @@
   Duration retry_after = std::chrono::seconds(1);
   /// No endpoint has the requested version any more.
   bool version_gone = false;
+  /// The request is suspected to crash endpoints and no endpoint may run it now; ask again after
+  /// `retry_after`.
+  bool held = false;
   std::string reason;
 };
 
@@ -104,25 +110,37 @@
   Duration token_interval{};
 };
 
+class CreditTable;
 class EndpointRegistry;
 class Metrics;
 class RequestLog;
 class RolloutTable;
+class SuspectTable;
 
 /// Chooses the endpoint of each run, and tells the modules that decide this how the run ended:
-/// router, endpoint health, retry and resumption budgets, rollout. Thread-safe; never waits.
+/// router, endpoint health, credits, crash suspects, retry and resumption budgets, rollout.
+/// Thread-safe; never waits.
 class Dispatcher {
  public:
   using NoticePublisher = std::function<void(const BadVersionNotice&)>;
+  using SuspectPublisher = std::function<void(const SuspectNotice&)>;
+  /// Returns whether this daemon is the one that places suspects at an endpoint first.
+  using Ownership = std::function<bool(const EndpointId&)>;
 
-  Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, Metrics& metrics, RequestLog& log,
-             std::string failure_domain);
+  Dispatcher(EndpointRegistry& endpoints, RolloutTable& rollouts, SuspectTable& suspects,
+             Metrics& metrics, RequestLog& log, std::string failure_domain);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
   /// Receives the notices of bad versions for the peers. Set before the first request.
   void SetNoticePublisher(NoticePublisher publisher);
+  void SetSuspectPublisher(SuspectPublisher publisher);
+  void SetOwnership(Ownership ownership);
+  /// Every run needs a credit from now on. Set before the first request; `credits` outlives this.
+  void SetCredits(CreditTable& credits);
+  /// Adds what polls, peers and timers tell about crashed endpoints.
+  void HandleSuspects(const CrashSuspectsEvent& event);
 
   DispatchResult Choose(const DispatchRequest& request);
   void Ended(std::uint64_t run, const RunResult& result);
