--- a/src/tools/fulmarpointctl/table_printer.cpp
+++ b/src/tools/fulmarpointctl/table_printer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace fulmarpoint::ctl {
 
@@ -59,12 +60,13 @@
 }  // namespace
 
 std::string FormatTable(const nlohmann::json& rows, const std::vector<std::string>& columns) {
-  std::vector<std::vector<std::string>> lines(1);
-  lines.front().reserve(columns.size());
-  for (const std::string& column : columns) lines.front().push_back(Heading(column));
+  std::vector<std::string> headings(columns.size());
+  std::transform(columns.begin(), columns.end(), headings.begin(), Heading);
+  std::vector<std::vector<std::string>> lines = {std::move(headings)};
   for (const nlohmann::json& row : rows) {
-    std::vector<std::string> cells;
-    for (const std::string& column : columns) cells.push_back(FieldText(row, column));
+    std::vector<std::string> cells(columns.size());
+    std::transform(columns.begin(), columns.end(), cells.begin(),
+                   [&row](const std::string& column) { return FieldText(row, column); });
     lines.push_back(std::move(cells));
   }
   std::vector<std::size_t> widths(columns.size(), 0);
