--- a/src/libs/server/credit_driver.cpp
+++ b/src/libs/server/credit_driver.cpp
@@ -1,248 +1,205 @@
 #include "server/credit_driver.h"
 
 #include <algorithm>
-#include <atomic>
-#include <map>
-#include <mutex>
 #include <set>
 #include <utility>
-#include <variant>
-#include <vector>
-
-#include "protocol/peer_frame.h"
-#include "server/catalogue_view.h"
-#include "server/endpoint_registry.h"
-#include "server/metrics.h"
-#include "server/peer_service.h"
-#include "state/admission_table.h"
-#include "state/credit_table.h"
 
 namespace fulmarpoint {
 
 namespace {
 
-constexpr Duration kTick = std::chrono::milliseconds(100);
-// Owners need the loads of their endpoints at least every 2 s.
-constexpr Duration kTopologyInterval = std::chrono::seconds(1);
-constexpr Duration kRequestTimeout = std::chrono::milliseconds(800);
+constexpr Duration kTick = std::chrono::milliseconds(250);
+
+/// The daemons as this one sees them.
+struct View {
+  /// Visible daemons in the order of their names, with this one.
+  std::vector<InstanceId> visible;
+  int known = 1;
+  bool alone = false;
 
-/// The daemons as the credits see them.
-struct Daemons {
-  /// Alive and staying, this one included.
-  std::vector<InstanceId> usable;
-  DaemonsSeen seen;
+  bool operator==(const View& other) const = default;
 };
 
 }  // namespace
 
 struct CreditDriver::State : std::enable_shared_from_this<CreditDriver::State> {
-  State(Services& shared, CreditTable& table, AdmissionTable& admission_table, PeerService& service)
-      : services(shared), credits(table), admission(admission_table), peers(service) {}
-
-  Task<void> Run();
-  Task<std::string> AnswerRequest(std::string body);
-  Task<void> Ask(SendCreditRequest action);
-  void UpdateTopology(TimePoint now);
-  void UpdateSubset(const Daemons& daemons, TimePoint now);
-  void UpdateOwned(const Daemons& daemons, TimePoint now);
-  void UpdateDemand(TimePoint now);
+  State(const InstanceId& own, CreditTable& credits, Sources own_sources)
+      : self(own), table(credits), sources(std::move(own_sources)) {}
+
+  View CurrentView();
+  void UpdateEndpoints(const std::vector<CreditEndpoint>& endpoints);
+  void ReportDemand(const std::vector<CreditEndpoint>& endpoints);
   void Execute(const std::vector<CreditHolderAction>& actions);
-  void Execute(const std::vector<CreditOwnerAction>& actions);
-  Daemons SeenDaemons();
-  std::string AddressOf(const InstanceId& daemon);
-
-  Services& services;
-  CreditTable& credits;
-  AdmissionTable& admission;
-  PeerService& peers;
+  void Ask(const SendCreditRequest& send);
+  std::string AddressOf(const InstanceId& id);
+
+  const InstanceId self;
+  CreditTable& table;
+  const Sources sources;
   std::atomic<bool> stopped{false};
+  /// Only `Tick` uses these; `ticking` serialises it.
+  std::mutex ticking;
+  View view;
+  std::vector<EndpointId> known_endpoints;
 
   std::mutex mutex;
-  /// Latest state of the other daemons by name.
   std::map<std::string, MemberUpdate> members;
-
-  // Used by `Run` only.
-  TimePoint next_topology{};
-  std::vector<std::pair<EndpointId, std::string>> last_subset;
-  std::vector<EndpointHash> last_owned;
-  std::map<ServiceName, int> last_waiting;
-  std::atomic<Duration::rep> next_timer{0};
 };
 
-Daemons CreditDriver::State::SeenDaemons() {
-  Daemons daemons;
-  daemons.usable.push_back(services.self);
+View CreditDriver::State::CurrentView() {
+  const std::vector<std::string> names = sources.listed_daemons();
+  const std::set<std::string> listed(names.begin(), names.end());
+  View current;
+  current.visible.push_back(self);
+  bool alone = true;
+  for (const std::string& name : listed) alone = alone && name == self.name;
   const std::lock_guard<std::mutex> lock(mutex);
   for (const auto& [name, member] : members) {
-    if (name == services.self.name || member.leaving || member.state == MemberState::kLeft)
-      continue;
-    ++daemons.seen.known;
-    if (member.state == MemberState::kFailed) continue;
-    ++daemons.seen.visible;
-    daemons.usable.push_back(member.id);
+    if (name == self.name || member.state == MemberState::kLeft) continue;
+    alone = false;
+    const bool visible = member.state != MemberState::kFailed;
+    // A failed daemon counts until the platform's list confirms that it is gone.
+    if (visible || listed.contains(name)) ++current.known;
+    if (visible && !member.leaving) current.visible.push_back(member.id);
+    if (visible && member.leaving) --current.known;
   }
-  return daemons;
+  std::sort(current.visible.begin(), current.visible.end());
+  current.alone = alone;
+  return current;
 }
 
-std::string CreditDriver::State::AddressOf(const InstanceId& daemon) {
-  const std::lock_guard<std::mutex> lock(mutex);
-  const auto found = members.find(daemon.name);
-  return found != members.end() && found->second.id == daemon ? found->second.address : "";
-}
-
-void CreditDriver::State::UpdateSubset(const Daemons& daemons, TimePoint now) {
-  const std::shared_ptr<const CatalogueSnapshot> catalogue = services.catalogue.Current();
-  std::vector<SubsetEndpoint> subset;
-  std::set<EndpointId> used;
-  for (const auto& [name, service] : catalogue->services) {
-    std::set<EndpointId> endpoints;
-    for (const EndpointCandidate& candidate : services.endpoints.Candidates(*service->entry)) {
-      endpoints.insert(candidate.route.endpoint);
-    }
-    const std::vector<EndpointId> list(endpoints.begin(), endpoints.end());
-    for (SubsetEndpoint& member : CreditSubset(services.self, daemons.usable, name, list,
-                                               static_cast<int>(catalogue->services.size()))) {
-      // The credits of an endpoint are counted once, under the first service that it serves.
-      if (used.insert(member.endpoint).second) subset.push_back(std::move(member));
+void CreditDriver::State::UpdateEndpoints(const std::vector<CreditEndpoint>& endpoints) {
+  const TimePoint now = sources.now();
+  View current = CurrentView();
+  std::vector<EndpointId> ids;
+  ids.reserve(endpoints.size());
+  for (const CreditEndpoint& endpoint : endpoints) ids.push_back(endpoint.id);
+  if (current == view && ids == known_endpoints) return;
+  view = std::move(current);
+  known_endpoints = ids;
+  table.Handle(CreditOwnerEvent(DaemonsSeen{static_cast<int>(view.visible.size()), view.known}),
+               now);
+  OwnedEndpointsChanged owned;
+  owned.alone = view.alone;
+  // An endpoint that runs several services is one subset member, under the first of them.
+  std::map<ServiceName, std::vector<EndpointId>> by_service;
+  for (const CreditEndpoint& endpoint : endpoints) {
+    if (CreditOwnerOf(endpoint.id, view.visible) == self) {
+      owned.endpoints.push_back(StableHash(endpoint.id));
     }
+    if (!endpoint.services.empty()) by_service[endpoint.services.front()].push_back(endpoint.id);
   }
-  std::vector<std::pair<EndpointId, std::string>> summary;
-  for (const SubsetEndpoint& member : subset) {
-    summary.emplace_back(member.endpoint, member.service + " " + ToString(member.owner));
+  table.Handle(CreditOwnerEvent(owned), now);
+  SubsetChanged subset;
+  const int services = static_cast<int>(by_service.size());
+  for (const auto& [service, members_of_service] : by_service) {
+    const std::vector<SubsetEndpoint> part =
+        CreditSubset(self, view.visible, service, members_of_service, services);
+    subset.endpoints.insert(subset.endpoints.end(), part.begin(), part.end());
   }
-  if (summary == last_subset) return;
-  last_subset = std::move(summary);
-  Execute(credits.Handle(SubsetChanged{std::move(subset)}, now));
-}
-
-void CreditDriver::State::UpdateOwned(const Daemons& daemons, TimePoint now) {
-  std::vector<EndpointHash> owned;
-  std::vector<OwnedLoadReported> loads;
-  for (const EndpointRecord& record : services.endpoints.All()) {
-    if (!record.health.reported) continue;
-    if (CreditOwnerOf(record.id, daemons.usable) != services.self) continue;
-    const EndpointHash hash = StableHash(record.id);
-    owned.push_back(hash);
-    loads.push_back({hash, record.health.slots, record.health.active, record.health.queued});
-  }
-  std::sort(owned.begin(), owned.end());
-  if (owned != last_owned) {
-    last_owned = owned;
-    Execute(credits.Handle(OwnedEndpointsChanged{std::move(owned)}, now));
+  for (const CreditEndpoint& endpoint : endpoints) {
+    table.Handle(CreditOwnerEvent(OwnedLoadReported{StableHash(endpoint.id), endpoint.slots,
+                                                    endpoint.active, endpoint.queued}),
+                 now);
   }
-  for (const OwnedLoadReported& load : loads) Execute(credits.Handle(load, now));
-}
-
-void CreditDriver::State::UpdateTopology(TimePoint now) {
-  const Daemons daemons = SeenDaemons();
-  Execute(credits.Handle(daemons.seen, now));
-  UpdateOwned(daemons, now);
-  UpdateSubset(daemons, now);
+  Execute(table.Handle(CreditHolderEvent(subset), now));
 }
 
-void CreditDriver::State::UpdateDemand(TimePoint now) {
-  for (const ServiceName& service : admission.Services()) {
-    const int waiting = static_cast<int>(admission.LoadOf(service).waiting);
-    int& last = last_waiting[service];
-    if (waiting == last) continue;
-    last = waiting;
-    Execute(credits.Handle(CreditDemandChanged{service, waiting}, now));
+void CreditDriver::State::ReportDemand(const std::vector<CreditEndpoint>& endpoints) {
+  // Demand for a service counts for the first service of each endpoint that can run it.
+  std::map<ServiceName, std::set<ServiceName>> served;
+  for (const CreditEndpoint& endpoint : endpoints) {
+    for (const ServiceName& service : endpoint.services) {
+      served[endpoint.services.front()].insert(service);
+    }
+  }
+  for (const auto& [label, services] : served) {
+    int waiting = 0;
+    for (const ServiceName& service : services) waiting += sources.waiting(service);
+    Execute(table.Handle(CreditHolderEvent(CreditDemandChanged{label, waiting}), sources.now()));
   }
 }
 
 void CreditDriver::State::Execute(const std::vector<CreditHolderAction>& actions) {
+  // Timers and slots are polled by `Tick` and by admission.
   for (const CreditHolderAction& action : actions) {
-    if (const SendCreditRequest* send = std::get_if<SendCreditRequest>(&action)) {
-      services.metrics.Count("credit_requests", send->to == services.self ? "self" : "peer");
-      if (send->to == services.self) {
-        Execute(credits.Handle(CreditRequestReceived{send->request}, SteadyNow()));
-      } else {
-        Spawn(MakeStrand(services.executor),
-              [self = shared_from_this(), request = *send]() { return self->Ask(request); });
-      }
-    } else if (const SetCreditTimer* timer = std::get_if<SetCreditTimer>(&action)) {
-      next_timer = timer->at.time_since_epoch().count();
-    } else {
-      const CreditSlotsChanged& changed = std::get<CreditSlotsChanged>(action);
-      services.metrics.SetGauge("credit_slots", changed.service, changed.slots);
-    }
-  }
-}
-
-void CreditDriver::State::Execute(const std::vector<CreditOwnerAction>& actions) {
-  // Only requests of this daemon come here; those of peers are answered in `AnswerRequest`.
-  for (const CreditOwnerAction& action : actions) {
-    const SendCreditGrant& send = std::get<SendCreditGrant>(action);
-    if (send.to != services.self) continue;
-    Execute(credits.Handle(CreditGrantReceived{send.grant}, SteadyNow()));
+    if (const auto* send = std::get_if<SendCreditRequest>(&action)) Ask(*send);
   }
 }
 
-Task<void> CreditDriver::State::Ask(SendCreditRequest action) {
-  const std::shared_ptr<State> self = shared_from_this();
-  const std::string address = AddressOf(action.to);
-  if (address.empty()) co_return;
-  PeerFrame frame;
-  frame.kind = PeerFrameKind::kCredits;
-  frame.body = EncodeCreditRequest(action.request);
-  const PeerAnswer answer = co_await peers.Request(address, std::move(frame), kRequestTimeout);
-  if (stopped) co_return;
-  services.metrics.Count("credit_answers", answer.error ? "failed" : "ok");
-  if (answer.error) co_return;
-  const Parsed<CreditGrant> grant = DecodeCreditGrant(answer.body);
-  if (!grant || grant.Value().owner != action.to) co_return;
-  Execute(credits.Handle(CreditGrantReceived{grant.Value()}, SteadyNow()));
-}
-
-Task<std::string> CreditDriver::State::AnswerRequest(std::string body) {
-  const Parsed<CreditRequest> request = DecodeCreditRequest(body);
-  if (!request) co_return std::string();
-  const std::vector<CreditOwnerAction> actions =
-      credits.Handle(CreditRequestReceived{request.Value()}, SteadyNow());
-  for (const CreditOwnerAction& action : actions) {
-    const SendCreditGrant& send = std::get<SendCreditGrant>(action);
-    if (send.to == request.Value().holder) co_return EncodeCreditGrant(send.grant);
+void CreditDriver::State::Ask(const SendCreditRequest& send) {
+  if (send.to == self) {
+    for (const CreditOwnerAction& action :
+         table.Handle(CreditOwnerEvent(CreditRequestReceived{send.request}), sources.now())) {
+      const CreditGrant& grant = std::get<SendCreditGrant>(action).grant;
+      table.Handle(CreditHolderEvent(CreditGrantReceived{grant}), sources.now());
+    }
+    return;
   }
-  co_return std::string();
+  const std::string address = AddressOf(send.to);
+  if (address.empty()) return;
+  const std::weak_ptr<State> weak = weak_from_this();
+  sources.ask(address, EncodeCreditRequest(send.request), [weak](std::string_view body) {
+    const std::shared_ptr<State> state = weak.lock();
+    if (!state || state->stopped) return;
+    const Parsed<CreditGrant> grant = DecodeCreditGrant(body);
+    if (!grant) return;
+    state->table.Handle(CreditHolderEvent(CreditGrantReceived{grant.Value()}),
+                        state->sources.now());
+  });
 }
 
-Task<void> CreditDriver::State::Run() {
-  const std::shared_ptr<State> self = shared_from_this();
-  while (!stopped) {
-    const TimePoint now = SteadyNow();
-    if (now >= next_topology) {
-      next_topology = now + kTopologyInterval;
-      UpdateTopology(now);
-    }
-    UpdateDemand(now);
-    if (now >= TimePoint(Duration(next_timer.load()))) {
-      Execute(credits.Handle(CreditTimerFired{}, now));
-    }
-    co_await Sleep(kTick);
-  }
+std::string CreditDriver::State::AddressOf(const InstanceId& id) {
+  const std::lock_guard<std::mutex> lock(mutex);
+  const auto found = members.find(id.name);
+  return found == members.end() ? "" : found->second.address;
 }
 
-CreditDriver::CreditDriver(Services& services, CreditTable& credits, AdmissionTable& admission,
-                           PeerService& peers)
-    : m_state(std::make_shared<State>(services, credits, admission, peers)) {}
+CreditDriver::CreditDriver(const InstanceId& self, CreditTable& table, Sources sources)
+    : m_state(std::make_shared<State>(self, table, std::move(sources))) {}
 
 CreditDriver::~CreditDriver() { Stop(); }
 
-void CreditDriver::Register() {
-  m_state->peers.SetFrameHandler(PeerFrameKind::kCredits, [state = m_state](std::string body) {
-    return state->AnswerRequest(std::move(body));
+void CreditDriver::Start(const Executor& executor) {
+  Spawn(MakeStrand(executor), [this, state = m_state]() -> Task<void> {
+    while (!state->stopped) {
+      Tick();
+      co_await Sleep(kTick);
+    }
   });
 }
 
-void CreditDriver::Start() {
-  Spawn(MakeStrand(m_state->services.executor), [state = m_state]() { return state->Run(); });
-}
-
 void CreditDriver::Stop() { m_state->stopped = true; }
 
 void CreditDriver::OnMember(const MemberUpdate& member) {
   const std::lock_guard<std::mutex> lock(m_state->mutex);
-  m_state->members[member.id.name] = member;
+  MemberUpdate& known = m_state->members[member.id.name];
+  std::string address = member.has_places ? member.address : known.address;
+  known = member;
+  known.address = std::move(address);
+}
+
+void CreditDriver::Tick() {
+  State& state = *m_state;
+  const std::lock_guard<std::mutex> lock(state.ticking);
+  const std::vector<CreditEndpoint> endpoints = state.sources.endpoints();
+  for (const CreditEndpoint& endpoint : endpoints) {
+    state.table.Handle(CreditOwnerEvent(OwnedLoadReported{StableHash(endpoint.id), endpoint.slots,
+                                                          endpoint.active, endpoint.queued}),
+                       state.sources.now());
+  }
+  state.UpdateEndpoints(endpoints);
+  state.Execute(state.table.Handle(CreditHolderEvent(CreditTimerFired{}), state.sources.now()));
+  state.ReportDemand(endpoints);
+}
+
+std::string CreditDriver::Answer(std::string_view request) {
+  const Parsed<CreditRequest> decoded = DecodeCreditRequest(request);
+  if (!decoded) return "";
+  const std::vector<CreditOwnerAction> actions = m_state->table.Handle(
+      CreditOwnerEvent(CreditRequestReceived{decoded.Value()}), m_state->sources.now());
+  if (actions.empty()) return "";
+  return EncodeCreditGrant(std::get<SendCreditGrant>(actions.front()).grant);
 }
 
 }  // namespace fulmarpoint
