--- a/tests/auto/server/tst_dispatcher.cpp
+++ b/tests/auto/server/tst_dispatcher.cpp
@@ -110,7 +110,8 @@
   cr_assert(held.held);
   cr_assert_not(held.version_gone);
   // The endpoint is not owned, so the suspect runs there when it has been held for long enough.
-  while (std::holds_alternative<DispatchRefusal>(fixture.dispatcher.Choose(fixture.MakeRequest()))) {
+  while (
+      std::holds_alternative<DispatchRefusal>(fixture.dispatcher.Choose(fixture.MakeRequest()))) {
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
   DispatchRequest other = fixture.MakeRequest();
