--- a/src/libs/coordination/catalogue_replica.cpp
+++ b/src/libs/coordination/catalogue_replica.cpp
@@ -351,7 +351,7 @@
   constexpr std::size_t kNodeBytes = 64;
   std::size_t bytes = sizeof *this;
   for (const auto& [key, item] : m_items) {
-    bytes += 2 * key.size() + item.value.size() + sizeof item + kNodeBytes;
+    bytes += 2 * key.size() + item.value.size() + sizeof(CatalogueItem) + kNodeBytes;
   }
   for (const auto& [service, entry] : m_entries) {
     bytes += sizeof(CatalogueEntry) + kNodeBytes;
--- a/src/libs/coordination/control_plane.cpp
+++ b/src/libs/coordination/control_plane.cpp
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-ControlPlane::ControlPlane(MemberUpdate self, const Options& options, std::uint64_t seed)
+ControlPlane::ControlPlane(const MemberUpdate& self, const Options& options, std::uint64_t seed)
     : m_membership(self, options.membership, seed),
       m_replica(self.id, options.replica, seed + 1),
       m_writer(m_replica, m_membership, options.writer, seed + 2),
--- a/src/libs/coordination/control_plane.h
+++ b/src/libs/coordination/control_plane.h
@@ -84,7 +84,7 @@
                    Membership::Superseded, CatalogueReplica::RevisionChanged,
                    CatalogueReplica::FenceChanged, CatalogueWriter::ApplyFinished>;
 
-  ControlPlane(MemberUpdate self, const Options& options, std::uint64_t seed);
+  ControlPlane(const MemberUpdate& self, const Options& options, std::uint64_t seed);
 
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
 
--- a/src/libs/coordination/membership.cpp
+++ b/src/libs/coordination/membership.cpp
@@ -547,7 +547,7 @@
   constexpr std::size_t kNodeBytes = 64;
   std::size_t bytes = sizeof *this + m_notices.StateBytes();
   for (const auto& [name, member] : m_members) {
-    bytes += sizeof(Member) + kNodeBytes + 2 * sizeof name + EncodedSize(member.info);
+    bytes += sizeof(Member) + kNodeBytes + 2 * sizeof(std::string) + EncodedSize(member.info);
   }
   bytes +=
       m_queue.size() * (sizeof(std::pair<std::string, int>) + kNodeBytes + sizeof(std::string));
--- a/src/libs/coordination/order_controller.h
+++ b/src/libs/coordination/order_controller.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -63,7 +64,10 @@
   std::string model;
   VersionName version;
 
-  auto operator<=>(const ModelVersion&) const = default;
+  bool operator==(const ModelVersion&) const = default;
+  bool operator<(const ModelVersion& other) const {
+    return std::tie(model, version) < std::tie(other.model, other.version);
+  }
 };
 
 /// What the catalogue asks for one version of a model service.
--- a/src/libs/protocol/identifiers.h
+++ b/src/libs/protocol/identifiers.h
@@ -13,7 +13,8 @@
   std::string name;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const InstanceId&) const = default;
+  // The linter takes the literal of the generated comparison for a pointer.
+  auto operator<=>(const InstanceId&) const = default;  // NOLINT(modernize-use-nullptr)
 
   template <typename Archive>
   void serialize(Archive& archive) {
