--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -5,7 +5,9 @@
 #include <random>
 #include <utility>
 
+#include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
+#include "server/admission_gate.h"
 #include "server/catalogue_routes.h"
 #include "server/control_plane_driver.h"
 #include "server/dispatcher.h"
@@ -18,10 +20,15 @@
 #include "server/object_client.h"
 #include "server/peer_service.h"
 #include "server/problem_reply.h"
+#include "server/request_drivers.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "server/services.h"
 #include "server/table_client.h"
+#include "state/admission_table.h"
+#include "state/burn_table.h"
+#include "state/rollout_table.h"
+#include "state/suspect_table.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
@@ -47,6 +54,42 @@
   return limits;
 }
 
+ReaderBuffersSettings ToBufferSettings(const BufferSettings& settings) {
+  ReaderBuffersSettings buffers;
+  buffers.stream_high_water = settings.stream_bytes;
+  buffers.stream_low_water = settings.stream_bytes / 4;
+  buffers.organisation_budget = settings.organisation_bytes;
+  buffers.daemon_budget = settings.daemon_bytes;
+  return buffers;
+}
+
+/// Tells the crash suspects which endpoint processes answer and which have gone.
+void ConnectSuspects(EndpointRegistry& endpoints, Dispatcher& dispatcher) {
+  endpoints.SetListener([&dispatcher](const EndpointHealthAction& action) {
+    const EndpointCrashed* crashed = std::get_if<EndpointCrashed>(&action);
+    if (crashed == nullptr) return;
+    dispatcher.HandleSuspects(EndpointProcessLost{crashed->endpoint, crashed->lost_incarnation});
+  });
+  endpoints.SetProcessListener(
+      [&dispatcher](const EndpointId& endpoint, std::uint64_t incarnation, bool alive) {
+        if (alive) {
+          dispatcher.HandleSuspects(EndpointProcessAlive{endpoint, incarnation});
+        } else {
+          dispatcher.HandleSuspects(EndpointProcessLost{endpoint, incarnation});
+        }
+      });
+}
+
+/// Returns whether this daemon is the owner of an endpoint among the daemons that it knows.
+bool OwnsEndpoint(const LookupDirectory& lookup, const InstanceId& self,
+                  const EndpointId& endpoint) {
+  std::vector<InstanceId> daemons = {InstanceId{self.name, 0}};
+  for (const EntryDaemon& daemon : lookup.Daemons()) {
+    if (!daemon.leaving && daemon.name != self.name) daemons.push_back({daemon.name, 0});
+  }
+  return CreditOwnerOf(endpoint, daemons).name == self.name;
+}
+
 }  // namespace
 
 /// The order of the members is the order of their construction; the threads are stopped before any
@@ -56,6 +99,7 @@
   ~State();
 
   const Settings settings;
+  const InstanceId self;
   WorkerPool pool;
   HttpClient http;
   TableClient tables;
@@ -67,9 +111,15 @@
   CatalogueView catalogue;
   LookupDirectory lookup;
   EventIdCodec event_ids;
+  RolloutTable rollouts;
+  SuspectTable suspects;
+  BurnTable burn;
+  AdmissionTable admission;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
+  RequestDrivers drivers;
   Services services;
+  AdmissionGate gate;
   AdminRoutes admin;
   HttpFront front;
   PeerService peers;
@@ -77,10 +127,14 @@
   HttpServer server;
   DrainDriver drain;
   std::atomic<bool> stopped{false};
+  std::atomic<bool> destroyed{false};
+
+  Task<void> RunSuspectTimer();
 };
 
 Daemon::State::State(Settings own_settings)
     : settings(std::move(own_settings)),
+      self{settings.daemon.name, NewIncarnation()},
       pool(settings.daemon.workers),
       http(pool.GetExecutor(), {}),
       tables(http, settings.platform.tables, settings.platform.timeout),
@@ -89,25 +143,17 @@
       request_log(settings.request_records),
       running(settings.limits.requests),
       event_ids(settings.secrets.shared_key, settings.secrets.previous_shared_key),
+      rollouts(self),
       endpoints(http, instances, settings.polling, metrics),
-      dispatcher(endpoints, metrics, request_log, settings.daemon.failure_domain),
-      services{settings,
-               {settings.daemon.name, NewIncarnation()},
-               pool.GetExecutor(),
-               http,
-               tables,
-               objects,
-               instances,
-               endpoints,
-               dispatcher,
-               catalogue,
-               lookup,
-               metrics,
-               request_log,
-               running,
-               event_ids},
+      dispatcher(endpoints, rollouts, suspects, metrics, request_log,
+                 settings.daemon.failure_domain),
+      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
+      services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
+               instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
+               request_log, running,   rollouts,           burn,      event_ids, drivers},
+      gate(services, admission),
       admin(services),
-      front(services, admin),
+      front(services, admin, gate),
       peers(services),
       control(services, peers),
       server(
@@ -124,8 +170,18 @@
                          stopped = true;
                        }}) {}
 
+Task<void> Daemon::State::RunSuspectTimer() {
+  while (!destroyed) {
+    co_await Sleep(std::chrono::seconds(1));
+    if (!destroyed) dispatcher.HandleSuspects(SuspectTimerFired{});
+  }
+}
+
 Daemon::State::~State() {
+  destroyed = true;
+  drivers.buffers.Stop();
   control.Stop();
+  gate.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -151,8 +207,22 @@
         "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
     return error;
   }
+  state.catalogue.SetListener([&state](const CatalogueSnapshot& snapshot) {
+    std::vector<CatalogueEntry> entries;
+    for (const auto& [name, service] : snapshot.services) {
+      if (service->entry->rollout) entries.push_back(*service->entry);
+    }
+    state.rollouts.SetEntries(entries);
+  });
+  state.drivers.buffers.Start();
   const std::error_code peer_error = state.control.Start(state.server.Address());
   if (peer_error) return peer_error;
+  ConnectSuspects(state.endpoints, state.dispatcher);
+  state.dispatcher.SetOwnership([&state](const EndpointId& endpoint) {
+    return OwnsEndpoint(state.lookup, state.self, endpoint);
+  });
+  state.gate.Start();
+  Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -7,6 +7,7 @@
 
 #include "server/api_key.h"
 #include "server/call_session.h"
+#include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
 #include "server/generation_session.h"
 #include "server/lookup.h"
@@ -16,6 +17,7 @@
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "server/url.h"
+#include "state/burn_table.h"
 
 namespace fulmarpoint {
 
@@ -55,10 +57,65 @@
   return std::nullopt;
 }
 
+/// Counts a request that was accepted.
+void Record(Services& services, const RequestId& id, const OrganisationId& organisation,
+            const CatalogueEntry& entry, const SessionResult& result) {
+  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
+  services.metrics.Count("requests", name);
+  services.request_log.End(id, name);
+  if (result.caller_gone) return;
+  FinishedRequest finished;
+  finished.organisation = organisation;
+  finished.service = entry.service;
+  finished.kind = entry.kind;
+  finished.code = result.code;
+  finished.version = result.version;
+  finished.endpoint = result.endpoint;
+  finished.failure_domain = result.failure_domain;
+  finished.first_token = result.first_token;
+  finished.token_interval = result.token_interval;
+  finished.longest_resume = result.longest_resume;
+  finished.call = result.call;
+  services.burn.Add(finished, entry.objectives, SteadyNow());
+  if (result.first_token > Duration::zero()) {
+    services.metrics.Observe("first_token", entry.service, result.first_token);
+  }
+  if (result.longest_resume > Duration::zero()) {
+    services.metrics.Observe("resume", entry.service, result.longest_resume);
+  }
+  if (result.call > Duration::zero()) {
+    services.metrics.Observe("call", entry.service, result.call);
+  }
+}
+
+template <typename Request>
+AdmissionTicket ToTicket(const Request& request) {
+  AdmissionTicket ticket;
+  ticket.id = request.id;
+  ticket.organisation = request.organisation;
+  ticket.entry = request.entry;
+  ticket.weight = request.weight;
+  ticket.max_concurrent = request.max_concurrent;
+  ticket.priority = PriorityOf(*request.entry);
+  ticket.deadline = request.deadline;
+  return ticket;
+}
+
+Task<SessionResult> AnswerNotAdmitted(HttpExchange& exchange, std::optional<Refusal> refusal) {
+  SessionResult result;
+  result.caller_gone = exchange.ClientGone();
+  if (refusal && !result.caller_gone) {
+    result.code = refusal->code;
+    HttpReply reply = ToReply(*refusal);
+    co_await exchange.Respond(std::move(reply));
+  }
+  co_return result;
+}
+
 }  // namespace
 
-HttpFront::HttpFront(Services& services, AdminRoutes& admin)
-    : m_services(services), m_admin(admin) {}
+HttpFront::HttpFront(Services& services, AdminRoutes& admin, AdmissionGate& gate)
+    : m_services(services), m_admin(admin), m_gate(gate) {}
 
 Task<void> HttpFront::Handle(HttpExchange& exchange) {
   const std::string path(PathOf(exchange.Request().target));
@@ -91,15 +148,23 @@
     co_await exchange.Respond(std::move(reply));
     co_return;
   }
+  const RequestId id = request->id;
+  const OrganisationId organisation = request->organisation;
+  const std::shared_ptr<const CatalogueEntry> entry = request->entry;
+  m_services.request_log.Begin(id, organisation, entry->service);
+  AdmissionTicket ticket = ToTicket(*request);
+  const std::unique_ptr<AdmissionGate::Slot> slot =
+      co_await m_gate.WaitForSlot(std::move(ticket), exchange);
+  if (slot->refusal || exchange.ClientGone()) {
+    const SessionResult refused = co_await AnswerNotAdmitted(exchange, slot->refusal);
+    Record(m_services, id, organisation, *entry, refused);
+    co_return;
+  }
   // The prompt is in the request; the body would stay in memory for the whole stream.
   exchange.TakeBody();
   request->running = &running;
-  const RequestId id = request->id;
-  m_services.request_log.Begin(id, request->organisation, request->entry->service);
   const SessionResult result = co_await RunGeneration(m_services, std::move(*request), exchange);
-  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
-  m_services.metrics.Count("requests", name);
-  m_services.request_log.End(id, name);
+  Record(m_services, id, organisation, *entry, result);
 }
 
 Task<void> HttpFront::Call(HttpExchange& exchange) {
@@ -118,13 +183,21 @@
     co_await exchange.Respond(std::move(reply));
     co_return;
   }
-  exchange.TakeBody();
   const RequestId id = request->id;
-  m_services.request_log.Begin(id, request->organisation, request->entry->service);
+  const OrganisationId organisation = request->organisation;
+  const std::shared_ptr<const CatalogueEntry> entry = request->entry;
+  m_services.request_log.Begin(id, organisation, entry->service);
+  AdmissionTicket ticket = ToTicket(*request);
+  const std::unique_ptr<AdmissionGate::Slot> slot =
+      co_await m_gate.WaitForSlot(std::move(ticket), exchange);
+  if (slot->refusal || exchange.ClientGone()) {
+    const SessionResult refused = co_await AnswerNotAdmitted(exchange, slot->refusal);
+    Record(m_services, id, organisation, *entry, refused);
+    co_return;
+  }
+  exchange.TakeBody();
   const SessionResult result = co_await RunCall(m_services, std::move(*request), exchange);
-  const std::string_view name = result.caller_gone ? "caller_gone" : InfoOf(result.code).name;
-  m_services.metrics.Count("requests", name);
-  m_services.request_log.End(id, name);
+  Record(m_services, id, organisation, *entry, result);
 }
 
 HttpReply HttpFront::AnswerOther(const HttpExchange& exchange, std::string_view path) const {
--- a/src/tools/fulmarpoint-measure/measure_control_plane.cpp
+++ b/src/tools/fulmarpoint-measure/measure_control_plane.cpp
@@ -14,7 +14,6 @@
 using std::chrono::seconds;
 
 constexpr Duration kDay = std::chrono::hours(24);
-constexpr int kChangesPerDay = 410;
 constexpr int kReplacementsPerDay = 130;
 constexpr int kFleetOfReplacements = 350;
 
@@ -51,8 +50,8 @@
     m_fleet.RunFor(seconds(60));
   }
 
-  /// Runs one phase and returns its costs. Changes come at the daily rate, but at least one every
-  /// 20 s, so that a phase of minutes contains several.
+  /// Runs one phase and returns its costs. Changes come every 20 s, ten times as
+  /// often as 410 a day, so that a phase of minutes contains several.
   nlohmann::json Run(const char* name, Duration duration, bool with_changes) {
     ResetCounters();
     const double cpu = ProcessCpuMicroseconds();
