Drive rollouts in the daemon

Cause: the decision modules of rollouts had no driver, so no traffic moved. Change: rollout_host combines lease and controller, rollout_driver sends reports, answers those of peers, writes the rows and puts the new version into the catalogue when the watch is over; GET /v1/admin/rollouts.

--- a/src/libs/coordination/rollout_participant.cpp
+++ b/src/libs/coordination/rollout_participant.cpp
@@ -186,6 +186,7 @@
 void RolloutParticipant::OnNotice(const BadVersionNotice& notice, std::vector<Action>& actions) {
   if (notice.rollout != m_rollout.id || m_known_bad) return;
   m_known_bad = true;
+  m_bad_notice = notice;
   actions.emplace_back(PublishNotice{notice});
 }
 
--- a/src/libs/coordination/rollout_participant.h
+++ b/src/libs/coordination/rollout_participant.h
@@ -80,6 +80,8 @@
   bool MayUse(const EndpointId& endpoint) const;
   /// True once the new version is known to be bad.
   bool KnownBad() const { return m_known_bad; }
+  /// Own or received notice that the new version is bad.
+  const std::optional<BadVersionNotice>& BadNotice() const { return m_bad_notice; }
   /// Directive in use, if it is still valid.
   std::optional<RolloutDirective> Directive(TimePoint now) const;
   const RolloutRequest& Rollout() const { return m_rollout; }
@@ -113,6 +115,7 @@
   int m_new_version_endpoints = 0;
   bool m_last_used_permit = false;
   bool m_known_bad = false;
+  std::optional<BadVersionNotice> m_bad_notice;
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -25,6 +25,7 @@
 #include "server/problem_reply.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
+#include "server/rollout_driver.h"
 #include "server/running_requests.h"
 #include "server/services.h"
 #include "server/table_client.h"
@@ -130,6 +131,7 @@
   PeerService peers;
   ControlPlaneDriver control;
   NoticeExchange notices;
+  RolloutDriver rollout_driver;
   CreditDriver credit_driver;
   HttpServer server;
   DrainDriver drain;
@@ -167,6 +169,8 @@
       peers(services),
       control(services, peers),
       notices(services, control),
+      rollout_driver(services, peers, control,
+                     [this](const BadVersionNotice& notice) { notices.Publish(notice); }),
       credit_driver(self, credits, MakeCreditSources(services, admission, peers)),
       server(
           pool.GetExecutor(), ToLimits(settings.limits),
@@ -194,6 +198,7 @@
   dispatcher.SetOwnership(
       [this](const EndpointId& endpoint) { return OwnsEndpoint(lookup, self, endpoint); });
   notices.Connect();
+  rollout_driver.Connect();
   if (!settings.use_credits) return;
   dispatcher.SetCredits(credits);
   gate.SetCredits(credits);
@@ -214,6 +219,7 @@
   destroyed = true;
   drivers.buffers.Stop();
   gate.Stop();
+  rollout_driver.Stop();
   credit_driver.Stop();
   control.Stop();
   endpoints.Stop();
@@ -233,6 +239,9 @@
     const nlohmann::json body = {{"draining", true}};
     co_return JsonReply(202, body);
   });
+  state.admin.Register("GET /v1/admin/rollouts", [&state](const HttpRequest&) {
+    return state.rollout_driver.AnswerRollouts();
+  });
   RegisterCatalogueRoutes(state.admin, state.services, state.control);
   state.control.SetSupersededHandler([&state]() { state.drain.RequestStop(); });
   state.Connect();
@@ -247,6 +256,7 @@
   Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
   const std::error_code peer_error = state.control.Start(state.server.Address());
   if (peer_error) return peer_error;
+  state.rollout_driver.Start();
   if (state.settings.use_credits) state.credit_driver.Start(state.pool.GetExecutor());
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
--- a/src/libs/server/notice_exchange.h
+++ b/src/libs/server/notice_exchange.h
@@ -22,9 +22,10 @@
 
   /// Connects dispatcher and control plane. Call once, before the control plane starts.
   void Connect();
+  /// Spreads a notice of this daemon.
+  void Publish(const BadVersionNotice& notice);
 
  private:
-  void Publish(const BadVersionNotice& notice);
   void Publish(const SuspectNotice& notice);
   void OnBadVersion(const std::string& body);
   void OnSuspects(const std::string& body);
--- /dev/null
+++ b/src/libs/server/rollout_host.cpp
@@ -0,0 +1,51 @@
+#include "server/rollout_host.h"
+
+#include <utility>
+#include <variant>
+
+namespace fulmarpoint {
+
+RolloutHost::RolloutHost(const InstanceId& self, CatalogueEntry entry, std::uint64_t seed)
+    : m_self(self),
+      m_entry(std::move(entry)),
+      m_lease("rollout/" + m_entry.rollout->id, self, Lease::Options{}, seed) {}
+
+void RolloutHost::Tick(TimePoint now, UnixMillis wall_now, Actions& actions) {
+  if (!m_started) {
+    m_started = true;
+    HandleLease(Lease::CandidateChanged{true}, now, wall_now, actions);
+    HandleLease(Lease::Start{}, now, wall_now, actions);
+  }
+  if (m_lease_timer && now >= *m_lease_timer) {
+    m_lease_timer.reset();
+    HandleLease(Lease::TimerFired{}, now, wall_now, actions);
+  }
+  HandleController(RolloutController::Tick{}, now, actions);
+}
+
+void RolloutHost::HandleLease(const Lease::Event& event, TimePoint now, UnixMillis wall_now,
+                              Actions& actions) {
+  std::vector<Lease::Action> emitted;
+  m_lease.Handle(event, now, emitted);
+  for (Lease::Action& action : emitted) {
+    if (const Lease::SetTimer* timer = std::get_if<Lease::SetTimer>(&action)) {
+      m_lease_timer = timer->at;
+    } else if (const Lease::Acquired* acquired = std::get_if<Lease::Acquired>(&action)) {
+      const TimePoint deadline =
+          now + std::chrono::milliseconds(m_entry.rollout->deadline - wall_now);
+      m_controller.emplace(m_self, m_entry.service, *m_entry.rollout, acquired->fencing_token,
+                           deadline, RolloutController::Settings{});
+    } else if (std::holds_alternative<Lease::Lost>(action)) {
+      m_controller.reset();
+    } else {
+      actions.lease.push_back(std::move(action));
+    }
+  }
+}
+
+void RolloutHost::HandleController(const RolloutController::Event& event, TimePoint now,
+                                   Actions& actions) {
+  if (m_controller && MaySend(now)) m_controller->Handle(event, now, actions.controller);
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/server/rollout_host.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/lease.h"
+#include "coordination/rollout_controller.h"
+#include "protocol/catalogue.h"
+
+namespace fulmarpoint {
+
+inline constexpr char kRolloutTable[] = "rollouts";
+
+/// Lease and controller of one rollout at a candidate daemon. The controller exists while the lease
+/// is held. Only combines the two modules; the driver performs the actions. Not thread-safe.
+class RolloutHost {
+ public:
+  struct Actions {
+    std::vector<Lease::Action> lease;
+    std::vector<RolloutController::Action> controller;
+  };
+
+  RolloutHost(const InstanceId& self, CatalogueEntry entry, std::uint64_t seed);
+
+  void Tick(TimePoint now, UnixMillis wall_now, Actions& actions);
+  void HandleLease(const Lease::Event& event, TimePoint now, UnixMillis wall_now, Actions& actions);
+  /// Ignored while this daemon does not hold the lease.
+  void HandleController(const RolloutController::Event& event, TimePoint now, Actions& actions);
+
+  bool MaySend(TimePoint now) const { return m_lease.MaySend(now); }
+  const RolloutController* Controller() const { return m_controller ? &*m_controller : nullptr; }
+  const CatalogueEntry& Entry() const { return m_entry; }
+  const std::string& Risk() const { return m_risk; }
+  void SetRisk(std::string risk) { m_risk = std::move(risk); }
+
+ private:
+  InstanceId m_self;
+  CatalogueEntry m_entry;
+  Lease m_lease;
+  std::optional<TimePoint> m_lease_timer;
+  std::optional<RolloutController> m_controller;
+  std::string m_risk;
+  bool m_started = false;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/state/rollout_table.cpp
+++ b/src/libs/state/rollout_table.cpp
@@ -83,6 +83,12 @@
   return true;
 }
 
+std::optional<BadVersionNotice> RolloutTable::BadNotice(const std::string& rollout) const {
+  const std::lock_guard lock(m_mutex);
+  const RolloutParticipant* participant = FindByRollout(rollout);
+  return participant == nullptr ? std::nullopt : participant->BadNotice();
+}
+
 void RolloutTable::AddDirective(const RolloutDirective& directive, TimePoint now) {
   const std::lock_guard lock(m_mutex);
   RolloutParticipant* participant = FindByRollout(directive.rollout);
@@ -113,8 +119,8 @@
   return rollouts;
 }
 
-RolloutParticipant* RolloutTable::FindByRollout(const std::string& rollout) {
-  for (auto& [service, participant] : m_participants) {
+RolloutParticipant* RolloutTable::FindByRollout(const std::string& rollout) const {
+  for (const auto& [service, participant] : m_participants) {
     if (participant->Rollout().id == rollout) return participant.get();
   }
   return nullptr;
--- a/src/libs/state/rollout_table.h
+++ b/src/libs/state/rollout_table.h
@@ -35,13 +35,15 @@
                                              RequestOutcome outcome, TimePoint now);
   /// Applies a notice of another daemon; returns true if it is new.
   bool AddNotice(const BadVersionNotice& notice, TimePoint now);
+  /// Returns the notice that made the new version of a rollout bad, if there is one.
+  std::optional<BadVersionNotice> BadNotice(const std::string& rollout) const;
   void AddDirective(const RolloutDirective& directive, TimePoint now);
   /// Returns the reports that are due.
   std::vector<RolloutReport> Tick(TimePoint now);
   std::vector<RolloutRequest> Rollouts() const;
 
  private:
-  RolloutParticipant* FindByRollout(const std::string& rollout);
+  RolloutParticipant* FindByRollout(const std::string& rollout) const;
 
   const InstanceId m_self;
   mutable std::mutex m_mutex;
