--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -62,6 +62,7 @@
   AdmissionTable& table;
   const CreditTable* credits = nullptr;
   std::atomic<bool> stopped{false};
+  std::atomic<bool> has_had_slots{false};
   std::atomic<std::uint64_t> next{1};
   std::mutex mutex;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
@@ -159,6 +160,25 @@
 
 void AdmissionGate::Stop() { m_state->stopped = true; }
 
+bool AdmissionGate::HasHadSlots() const {
+  if (m_state->has_had_slots) return true;
+  bool has_live_endpoint = false;
+  for (const auto& [name, service] : m_state->services.catalogue.Current()->services) {
+    const std::vector<EndpointCandidate> candidates =
+        m_state->services.endpoints.Candidates(*service->entry);
+    const bool is_live =
+        std::any_of(candidates.begin(), candidates.end(), [](const EndpointCandidate& candidate) {
+          return candidate.route.health.state == EndpointState::kLive;
+        });
+    if (is_live && m_state->SlotsOf(*service->entry) == 0) return false;
+    has_live_endpoint = has_live_endpoint || is_live;
+  }
+  // Endpoints that are listed but have not reported yet will have slots later.
+  if (!has_live_endpoint) return m_state->services.endpoints.All().empty();
+  m_state->has_had_slots = true;
+  return true;
+}
+
 Task<std::unique_ptr<AdmissionGate::Slot>> AdmissionGate::WaitForSlot(AdmissionTicket ticket,
                                                                       HttpExchange& exchange) {
   const std::shared_ptr<State> state = m_state;
--- a/src/libs/server/admission_gate.h
+++ b/src/libs/server/admission_gate.h
@@ -42,6 +42,10 @@
   void Start();
   void Stop();
 
+  /// Returns whether each service with live endpoints has had a slot at some time. A daemon that
+  /// has just started waits for its first credits.
+  bool HasHadSlots() const;
+
   /// A slot that an admitted request holds until this is destroyed.
   class Slot {
    public:
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -224,11 +224,13 @@
   const bool has_endpoints = m_services.endpoints.Ready();
   // An entry without `when_stale = "serve"` shows whether the catalogue is proven current.
   const bool is_current = m_services.catalogue.MayServe(CatalogueEntry{});
-  const bool ready = has_catalogue && is_current && has_endpoints && !m_refusing;
+  const bool has_slots = has_catalogue && has_endpoints && m_gate.HasHadSlots();
+  const bool ready = has_slots && is_current && !m_refusing;
   const Json body = {{"ready", ready},
                      {"catalogue", has_catalogue},
                      {"catalogue_current", is_current},
                      {"instance_list", has_endpoints},
+                     {"slots", has_slots},
                      {"draining", m_services.lookup.Leaving()}};
   return JsonReply(ready ? 200 : 503, body);
 }
