Count runs without a credit as demand

Cause: with credits, a generation whose engine was killed was not resumed: its daemon held one spare credit, at the failed engine, and nothing asked for another. scripts/demo reported cannot_continue after the recovery limit of 10 s. Change: the dispatcher counts runs that found no credit as demand of their service and lets resumed generations ask again after 100 ms; failed endpoints are not offered to the credit driver.

--- a/src/libs/server/credit_sources.cpp
+++ b/src/libs/server/credit_sources.cpp
@@ -5,6 +5,7 @@
 
 #include "protocol/peer_frame.h"
 #include "server/catalogue_view.h"
+#include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
 #include "server/metrics.h"
 #include "server/peer_service.h"
@@ -16,13 +17,16 @@
 
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(800);
 
-/// Endpoints that are not leaving, with the services of the catalogue that they can run.
+/// Endpoints that neither are leaving nor have failed, with the services of the catalogue that they
+/// can run.
 std::vector<CreditEndpoint> ListEndpoints(const Services& services) {
   std::map<EndpointId, CreditEndpoint> endpoints;
   for (const auto& [name, service] : services.catalogue.Current()->services) {
     for (const EndpointCandidate& candidate : services.endpoints.Candidates(*service->entry)) {
       const EndpointHealthView& health = candidate.route.health;
+      // Spare credits are not kept at an endpoint that can't use them.
       if (health.state == EndpointState::kLeaving) continue;
+      if (health.state == EndpointState::kFailed) continue;
       CreditEndpoint& endpoint = endpoints[candidate.route.endpoint];
       endpoint.id = candidate.route.endpoint;
       endpoint.slots = health.slots;
@@ -66,8 +70,9 @@
   CreditDriver::Sources sources;
   sources.endpoints = [&services]() { return ListEndpoints(services); };
   sources.listed_daemons = [&services]() { return ListDaemons(services); };
-  sources.waiting = [&admission](const ServiceName& service) {
-    return static_cast<int>(admission.LoadOf(service).waiting);
+  sources.waiting = [&services, &admission](const ServiceName& service) {
+    return static_cast<int>(admission.LoadOf(service).waiting) +
+           services.dispatcher.CreditDemand(service);
   };
   sources.ask = [&services, &peers](const std::string& address, std::string body,
                                     std::function<void(std::string_view)> answer) {
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -31,6 +31,9 @@
 
 // A held request is decided within about a second, when the notices of all daemons have arrived.
 constexpr Duration kRetryHeld = std::chrono::milliseconds(100);
+// A resumed generation that found no credit asks again after this time.
+constexpr Duration kRetryWithoutCredit = std::chrono::milliseconds(100);
+constexpr Duration kDemandLifetime = std::chrono::seconds(1);
 constexpr Duration kForgetHeld = std::chrono::seconds(10);
 
 /// A run that has not ended.
@@ -164,6 +167,8 @@
   std::atomic<std::uint64_t> next_run{1};
   std::map<std::uint64_t, Run> runs;
   std::map<Fingerprint, Held> held_since;
+  /// Requests that found no credit, by service.
+  std::map<ServiceName, std::map<RequestId, TimePoint>> without_credit;
 };
 
 VersionChoice Dispatcher::State::ChooseVersion(const DispatchRequest& request,
@@ -262,6 +267,11 @@
     }
   }
   DispatchRefusal refusal = RefuseVersion(request, version.version, candidates);
+  if (credits != nullptr && refusal.code == ResultCode::kOverloaded) {
+    if (request.repeated) refusal.retry_after = kRetryWithoutCredit;
+    const std::lock_guard<std::mutex> lock(mutex);
+    without_credit[request.entry->service][request.id] = SteadyNow();
+  }
   if (held) {
     refusal.held = true;
     refusal.version_gone = false;
@@ -403,6 +413,17 @@
   return result;
 }
 
+int Dispatcher::CreditDemand(const ServiceName& service) {
+  const TimePoint oldest = SteadyNow() - kDemandLifetime;
+  const std::lock_guard<std::mutex> lock(m_state->mutex);
+  const auto found = m_state->without_credit.find(service);
+  if (found == m_state->without_credit.end()) return 0;
+  std::erase_if(found->second, [&](const auto& item) { return item.second < oldest; });
+  const int count = static_cast<int>(found->second.size());
+  if (count == 0) m_state->without_credit.erase(found);
+  return count;
+}
+
 void Dispatcher::Ended(std::uint64_t run, const RunResult& result) {
   Run ended;
   {
--- a/src/libs/server/dispatcher.h
+++ b/src/libs/server/dispatcher.h
@@ -143,6 +143,9 @@
   void HandleSuspects(const CrashSuspectsEvent& event);
 
   DispatchResult Choose(const DispatchRequest& request);
+  /// Returns how many runs of a service found no credit during the last second. Resumed generations
+  /// are not waiting in admission, so the credit driver counts them here.
+  int CreditDemand(const ServiceName& service);
   void Ended(std::uint64_t run, const RunResult& result);
 
  private:
