--- a/src/libs/server/catalogue_view.cpp
+++ b/src/libs/server/catalogue_view.cpp
@@ -47,6 +47,7 @@
                           const std::vector<std::shared_ptr<const CatalogueEntry>>& changed,
                           const std::vector<ServiceName>& removed) {
   std::vector<std::pair<ServiceName, ServiceEntryPtr>> services;
+  services.reserve(changed.size());
   for (const std::shared_ptr<const CatalogueEntry>& entry : changed) {
     services.emplace_back(entry->service, MakeServiceEntry(entry));
   }
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -168,7 +168,7 @@
   std::map<std::uint64_t, Run> runs;
   std::map<Fingerprint, Held> held_since;
   /// Requests that found no credit, by service.
-  std::map<ServiceName, std::map<RequestId, TimePoint>> without_credit;
+  std::map<ServiceName, std::map<std::string, TimePoint>> without_credit;
 };
 
 VersionChoice Dispatcher::State::ChooseVersion(const DispatchRequest& request,
@@ -270,7 +270,7 @@
   if (credits != nullptr && refusal.code == ResultCode::kOverloaded) {
     if (request.repeated) refusal.retry_after = kRetryWithoutCredit;
     const std::lock_guard<std::mutex> lock(mutex);
-    without_credit[request.entry->service][request.id] = SteadyNow();
+    without_credit[request.entry->service][ToString(request.id)] = SteadyNow();
   }
   if (held) {
     refusal.held = true;
