--- a/src/libs/coordination/call.cpp
+++ b/src/libs/coordination/call.cpp
@@ -59,6 +59,13 @@
 
 void Call::On(const NoEndpoint& event, TimePoint, std::vector<Action>& actions) {
   if (m_state != State::kSelecting || event.selection != m_selection) return;
+  if (m_config.protection == CallProtection::kClaimed && !m_claimed) {
+    // "Not run" would mislead a caller whose earlier call with this key has run.
+    m_no_endpoint = event;
+    m_state = State::kCheckingClaim;
+    actions.push_back(ReadClaim{m_config.claim_key});
+    return;
+  }
   if (!m_may_have_run) {
     GiveUpUnsent(event.code, event.retry_after, actions);
     return;
@@ -80,8 +87,12 @@
 
 void Call::On(const ClaimExists& event, TimePoint, std::vector<Action>& actions) {
   if (m_state != State::kClaiming) return;
-  m_existing = event.existing;
   actions.push_back(ReleaseClaim{m_config.claim_key, 0, m_config.claim.claim_token});
+  Adopt(event.existing, actions);
+}
+
+void Call::Adopt(const ClaimRecord& existing, std::vector<Action>& actions) {
+  m_existing = existing;
   if (m_existing.request_hash != m_config.claim.request_hash) {
     RefuseCaller(ResultCode::kKeyReused, Duration::zero(), actions);
     m_state = State::kEnded;
@@ -228,6 +239,11 @@
 }
 
 void Call::On(const ClaimRead& event, TimePoint now, std::vector<Action>& actions) {
+  if (m_state == State::kCheckingClaim) {
+    if (event.record) return Adopt(*event.record, actions);
+    const ResultCode code = event.available ? m_no_endpoint.code : ResultCode::kStoreUnavailable;
+    return GiveUpUnsent(code, m_no_endpoint.retry_after, actions);
+  }
   if (m_state != State::kReadingClaim) return;
   if (event.available && !event.record) return RetryClaim(now, actions);
   const bool same = event.record && event.record->claim_token == m_existing.claim_token;
@@ -268,6 +284,7 @@
 void Call::OnDeadline(TimePoint now, std::vector<Action>& actions) {
   switch (m_state) {
     case State::kSelecting:
+    case State::kCheckingClaim:
     case State::kRetryingClaim:
       return GiveUpUnsent(ResultCode::kDeadlineExceeded, Duration::zero(), actions);
     case State::kSent:
@@ -317,6 +334,7 @@
     case State::kIdle:
     case State::kAskingOwner:
     case State::kReadingClaim:
+    case State::kCheckingClaim:
     case State::kReadingObject:
     case State::kRetryingClaim:
       m_state = State::kEnded;
--- a/src/libs/coordination/call.h
+++ b/src/libs/coordination/call.h
@@ -218,6 +218,8 @@
     kSent,
     kAskingOwner,
     kReadingClaim,
+    /// No endpoint; an earlier call with the key may have an outcome.
+    kCheckingClaim,
     kReadingObject,
     kRetryingClaim,
     kStoringObject,
@@ -241,6 +243,8 @@
 
   void Select(bool retry, std::vector<Action>& actions);
   void SendNow(TimePoint now, std::vector<Action>& actions);
+  /// Continues with the claim of another call with the same key.
+  void Adopt(const ClaimRecord& existing, std::vector<Action>& actions);
   /// Ends a call of which no byte was sent.
   void GiveUpUnsent(ResultCode code, Duration retry_after, std::vector<Action>& actions);
   void RetryClaim(TimePoint now, std::vector<Action>& actions);
@@ -261,6 +265,7 @@
   std::uint32_t m_claim_retries = 0;
   std::uint64_t m_version = 0;
   ClaimRecord m_existing;
+  call::NoEndpoint m_no_endpoint;
   bool m_claimed = false;
   /// A byte of an earlier attempt may have reached an endpoint.
   bool m_may_have_run = false;
--- a/src/libs/server/call_session.h
+++ b/src/libs/server/call_session.h
@@ -5,6 +5,7 @@
 
 #include "protocol/catalogue.h"
 #include "protocol/suspect_messages.h"
+#include "server/call_coordinator.h"
 #include "server/generation_session.h"
 #include "server/services.h"
 #include "transport/http_message.h"
@@ -34,4 +35,7 @@
 /// Runs one call and answers the caller. Runs on the strand of the exchange.
 Task<SessionResult> RunCall(Services& services, CallRequest request, HttpExchange& exchange);
 
+/// Runs a call with a daemon-issued key that another daemon has forwarded to this one, its owner.
+Task<CallReply> RunForwardedCall(Services& services, CallRequest request);
+
 }  // namespace fulmarpoint
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -114,7 +114,7 @@
       rollouts(self),
       endpoints(http, instances, settings.polling, metrics),
       dispatcher(endpoints, rollouts, metrics, request_log, settings.daemon.failure_domain),
-      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
+      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers), tables, self),
       services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
                instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
                request_log, running,   rollouts,           burn,      event_ids, drivers},
@@ -132,6 +132,7 @@
 
 Daemon::State::~State() {
   drivers.buffers.Stop();
+  drivers.calls.Stop();
   loader.Stop();
   endpoints.Stop();
   server.Close();
@@ -165,6 +166,11 @@
     state.rollouts.SetEntries(entries);
   });
   state.drivers.buffers.Start();
+  state.drivers.calls.Start();
+  state.lookup.SetKeys([&state]() -> std::optional<IssuedKeys> {
+    CallCoordinator& calls = state.drivers.calls;
+    return IssuedKeys{calls.IssueKeyPrefix(), calls.KeyValidity()};
+  });
   state.loader.Start();
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
--- a/src/libs/server/request_drivers.h
+++ b/src/libs/server/request_drivers.h
@@ -1,17 +1,20 @@
 #pragma once
 
 #include "server/buffer_driver.h"
+#include "server/call_coordinator.h"
 #include "server/engine_activity.h"
 
 namespace fulmarpoint {
 
 /// State that the sessions of a daemon share. Each member is thread-safe.
 struct RequestDrivers {
-  RequestDrivers(const Executor& executor, const ReaderBuffersSettings& buffer_settings)
-      : buffers(executor, buffer_settings) {}
+  RequestDrivers(const Executor& executor, const ReaderBuffersSettings& buffer_settings,
+                 TableClient& tables, const InstanceId& self)
+      : buffers(executor, buffer_settings), calls(tables, executor, self) {}
 
   BufferDriver buffers;
   EngineActivityTable activity;
+  CallCoordinator calls;
 };
 
 }  // namespace fulmarpoint
--- /dev/null
+++ b/tests/auto/server/tst_sessions.cpp
@@ -0,0 +1,155 @@
+#include <criterion/criterion.h>
+
+#include <thread>
+
+#include "daemon_client.h"
+#include "fake_endpoints.h"
+#include "server/daemon.h"
+
+using namespace fulmarpoint;
+using Json = nlohmann::json;
+
+namespace {
+
+using StreamFault = FakeEndpoints::StreamFault;
+
+const char kBody[] = R"({"service":"assistant","prompt":"hello","max_tokens":20,"seed":7})";
+const char kOrders[] = "/v1/services/orders/orders";
+
+struct Fixture {
+  Fixture() : daemon(endpoints.MakeSettings()) {
+    cr_assert_not(daemon.Start());
+    client = std::make_unique<DaemonClient>(daemon.HttpAddress());
+    client->WaitUntilReady();
+    // A daemon may be ready before it has proof that its catalogue is current.
+    const auto serves = [this]() {
+      return client->Send("GET", "/v1/services/orders/items", "key-application").status == 200;
+    };
+    while (!serves()) std::this_thread::yield();
+  }
+
+  HttpReply Order(const std::string& key, const std::string& body) {
+    return client->Send("POST", kOrders, "key-application", body, {{"Idempotency-Key", key}});
+  }
+
+  FakeEndpoints endpoints;
+  Daemon daemon;
+  std::unique_ptr<DaemonClient> client;
+};
+
+void ExpectTokens(const Completion& completion, int from) {
+  const int count = FakeEndpoints::kTokens - from;
+  cr_assert_eq(completion.reply.status, 200, "%s", completion.reply.body.c_str());
+  cr_assert_eq(completion.events.size(), count + 1);
+  for (int i = 0; i < count; ++i) {
+    const Json data = Json::parse(completion.events[i].data);
+    cr_assert_eq(data["position"], from + i);
+    cr_assert_eq(data["token"], "t" + std::to_string(from + i));
+  }
+  cr_assert_eq(completion.events.back().event, "done");
+}
+
+void ExpectProblem(const HttpReply& reply, const std::string& name, const std::string& execution) {
+  const Json json = Json::parse(reply.body, nullptr, false);
+  cr_assert(json.is_object(), "%d %s", reply.status, reply.body.c_str());
+  cr_assert_eq(json.value("name", ""), name, "%s", reply.body.c_str());
+  cr_assert_eq(json.value("execution", ""), execution, "%s", reply.body.c_str());
+}
+
+}  // namespace
+
+// Guards against a connection whose loss ends the generation although the engine holds the stream.
+Test(sessions, lost_connection_is_replaced_by_another_to_the_same_engine) {
+  Fixture fixture;
+  fixture.endpoints.FailAt(8, StreamFault::kClose, true);
+  ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
+  cr_assert_eq(fixture.endpoints.Reconnected(), 1);
+  cr_assert_eq(fixture.endpoints.Opened(), 1);
+}
+
+// Guards against a connection that a middlebox forgot: nothing arrives and nothing fails.
+Test(sessions, silent_connection_is_replaced) {
+  Fixture fixture;
+  fixture.endpoints.FailAt(8, StreamFault::kSilent, true);
+  ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
+  cr_assert_eq(fixture.endpoints.Reconnected(), 1);
+}
+
+// Guards against a restart from the beginning when the engine has lost the stream.
+Test(sessions, lost_stream_continues_with_the_delivered_tokens) {
+  Fixture fixture;
+  fixture.endpoints.FailAt(8, StreamFault::kClose, false);
+  ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
+  cr_assert_eq(fixture.endpoints.Opened(), 2);
+  cr_assert_eq(fixture.endpoints.LongestPrefix(), 8);
+}
+
+// Guards against a daemon that can't continue what another daemon began (6.2).
+Test(sessions, event_id_continues_at_another_daemon) {
+  Fixture fixture;
+  const Completion first = fixture.client->Complete("key-model", kBody);
+  Daemon other(fixture.endpoints.MakeSettings("d2"));
+  cr_assert_not(other.Start());
+  DaemonClient client(other.HttpAddress());
+  client.WaitUntilReady();
+  while (client.Send("GET", "/v1/services/orders/items", "key-application").status != 200) {
+    std::this_thread::yield();
+  }
+  Json body = Json::parse(kBody);
+  for (int i = 0; i < 5; ++i) body["prefix_tokens"].push_back("t" + std::to_string(i));
+  const HttpHeaders headers = {{"Last-Event-ID", first.events[4].id}};
+  ExpectTokens(client.Complete("key-model", body.dump(), headers), 5);
+  body["prefix_tokens"][2] = "other";
+  ExpectProblem(client.Complete("key-model", body.dump(), headers).reply, "bad_event_id",
+                "not_run");
+  // Without the tokens only the engine could continue, and it has forgotten the stream.
+  const HttpReply reply = client.Complete("key-model", kBody, headers).reply;
+  ExpectProblem(reply, "cannot_continue", "run");
+}
+
+// Guards against a call that takes effect twice because its caller sends it again.
+Test(sessions, repeated_key_gets_the_same_answer) {
+  Fixture fixture;
+  const HttpReply first = fixture.Order("k1", "one");
+  cr_assert_eq(first.status, 200, "%s", first.body.c_str());
+  cr_assert_eq(first.body, "answer to one");
+  cr_assert_eq(fixture.Order("k1", "one").body, first.body);
+  ExpectProblem(fixture.Order("k1", "two"), "key_reused", "not_run");
+  cr_assert_eq(fixture.endpoints.Effects(), 1);
+}
+
+// Guards against a call that is sent although its claim was not written.
+Test(sessions, nothing_is_sent_while_the_table_service_is_down) {
+  Fixture fixture;
+  fixture.endpoints.FailTables(true);
+  ExpectProblem(fixture.Order("k1", "one"), "store_unavailable", "not_run");
+  cr_assert_eq(fixture.endpoints.Effects(), 0);
+  const HttpReply lookup =
+      fixture.client->Send("GET", "/v1/lookup?service=orders", "key-application");
+  const std::string prefix = Json::parse(lookup.body)["keys"]["prefix"];
+  const HttpReply issued = fixture.Order(prefix + "-1", "one");
+  cr_assert_eq(issued.body, "answer to one", "%s", issued.body.c_str());
+  cr_assert_eq(fixture.Order(prefix + "-1", "one").body, issued.body);
+  cr_assert_eq(fixture.endpoints.Effects(), 1);
+}
+
+// Guards against a lost answer that is taken for a call that did not run.
+Test(sessions, lost_answer_may_have_run_and_is_not_repeated) {
+  Fixture fixture;
+  fixture.endpoints.LoseAnswers(true);
+  ExpectProblem(fixture.Order("k1", "one"), "endpoint_failed", "may_have_run");
+  fixture.endpoints.LoseAnswers(false);
+  ExpectProblem(fixture.Order("k1", "one"), "outcome_unknown", "may_have_run");
+  cr_assert_eq(fixture.endpoints.Effects(), 1);
+}
+
+// Guards against rows that grow with the answers.
+Test(sessions, large_outcomes_are_kept_in_the_object_store) {
+  Fixture fixture;
+  fixture.endpoints.SetAnswerBytes(20000);
+  const HttpReply first = fixture.Order("k1", "one");
+  cr_assert_eq(first.body.size(), 20000);
+  cr_assert_eq(fixture.Order("k1", "one").body, first.body);
+  while (fixture.endpoints.Objects() == 0) std::this_thread::yield();
+  cr_assert_eq(fixture.endpoints.Effects(), 1);
+}
