--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -159,7 +159,7 @@
       endpoints(http, instances, settings.polling, metrics),
       dispatcher(endpoints, rollouts, suspects, metrics, request_log,
                  settings.daemon.failure_domain),
-      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
+      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers), tables, self),
       services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
                instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
                request_log, running,   rollouts,           burn,      event_ids, drivers},
@@ -222,6 +222,7 @@
   rollout_driver.Stop();
   credit_driver.Stop();
   control.Stop();
+  drivers.calls.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -258,6 +259,11 @@
   if (peer_error) return peer_error;
   state.rollout_driver.Start();
   if (state.settings.use_credits) state.credit_driver.Start(state.pool.GetExecutor());
+  state.drivers.calls.Start();
+  state.lookup.SetKeys([&state]() -> std::optional<IssuedKeys> {
+    CallCoordinator& calls = state.drivers.calls;
+    return IssuedKeys{calls.IssueKeyPrefix(), calls.KeyValidity()};
+  });
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
