Let requests wait for slots that endpoints report as free

Cause: with credits a daemon that was quiet holds one credit for a service; the second request of a burst had a predicted wait of one run and was refused although the endpoints were idle. Change: AdmissionGate passes the free slots that endpoints report as the expected slots; only credits admit.

--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -56,7 +56,12 @@
   Task<void> RunTimer();
   void Execute(const std::vector<AdmissionAction>& actions);
   void Decide(std::uint64_t number, std::optional<Refusal> refusal);
+  /// Slots that this daemon may use now: running requests and free credits.
   int SlotsOf(const CatalogueEntry& entry) const;
+  /// Slots that it can probably have in a moment.
+  int ExpectedOf(const CatalogueEntry& entry) const;
+  template <typename Free>
+  int CountSlots(const CatalogueEntry& entry, Free free_at) const;
 
   Services& services;
   AdmissionTable& table;
@@ -68,21 +73,30 @@
 };
 
 int AdmissionGate::State::SlotsOf(const CatalogueEntry& entry) const {
+  if (credits == nullptr) return ExpectedOf(entry);
+  return CountSlots(entry, [this](const RouteCandidate& candidate) {
+    return credits->Free(candidate.endpoint, SteadyNow());
+  });
+}
+
+int AdmissionGate::State::ExpectedOf(const CatalogueEntry& entry) const {
+  // The free slots that the endpoints last reported are shared by all daemons; a daemon that finds
+  // them taken learns it from the owners of the credits or from the next report.
+  return CountSlots(entry, [](const RouteCandidate& candidate) {
+    const EndpointHealthView& health = candidate.health;
+    return std::max(0,
+                    health.slots - health.active - health.queued - candidate.started_since_report);
+  });
+}
+
+template <typename Free>
+int AdmissionGate::State::CountSlots(const CatalogueEntry& entry, Free free_at) const {
   int free = 0;
   // An engine with several versions is a candidate for each of them.
   std::set<EndpointId> counted;
   for (const EndpointCandidate& candidate : services.endpoints.Candidates(entry)) {
-    const EndpointHealthView& health = candidate.route.health;
-    if (health.state != EndpointState::kLive) continue;
-    if (!counted.insert(candidate.route.endpoint).second) continue;
-    if (credits != nullptr) {
-      free += credits->Free(candidate.route.endpoint, SteadyNow());
-      continue;
-    }
-    // Without credits, the free slots that the endpoints last reported are shared by all daemons;
-    // a daemon that finds them taken learns it from the next report.
-    free += std::max(
-        0, health.slots - health.active - health.queued - candidate.route.started_since_report);
+    if (candidate.route.health.state != EndpointState::kLive) continue;
+    if (counted.insert(candidate.route.endpoint).second) free += free_at(candidate.route);
   }
   return std::min(entry.limits.max_concurrent, table.LoadOf(entry.service).running + free);
 }
@@ -122,7 +136,8 @@
       const ServiceEntryPtr entry = catalogue->Find(service);
       const TimePoint now = SteadyNow();
       const int slots = entry ? SlotsOf(*entry->entry) : 0;
-      Execute(table.Handle(service, AdmissionSlotsChanged{slots}, now));
+      const int expected = entry ? ExpectedOf(*entry->entry) : 0;
+      Execute(table.Handle(service, AdmissionSlotsChanged{slots, expected}, now));
       Execute(table.Handle(service, AdmissionTimerFired{}, now));
       const AdmissionTable::Load load = table.LoadOf(service);
       services.metrics.SetGauge("admission_running", service, load.running);
@@ -178,7 +193,8 @@
   event.priority = ticket.priority;
   event.deadline = ticket.deadline;
   const TimePoint start = SteadyNow();
-  state->Execute(state->table.Request(*ticket.entry, event, state->SlotsOf(*ticket.entry), start));
+  state->Execute(state->table.Request(*ticket.entry, event, state->SlotsOf(*ticket.entry), start,
+                                      state->ExpectedOf(*ticket.entry)));
   exchange.OnClientGone([waiter]() { waiter->wake.Notify(); });
   while (!waiter->decided && !exchange.ClientGone()) co_await waiter->wake.Wait();
   exchange.OnClientGone(nullptr);
