Send a refused generation again in the demo when it has not run; apply through fulmarpointctl

Cause: daemons grant no endpoint slots in their first 5 s and answer not_run with retry_after. Change: the demo's caller repeats such a request; the catalogue is applied with fulmarpointctl catalogue apply.

--- a/scripts/local_cluster.py
+++ b/scripts/local_cluster.py
@@ -9,7 +9,6 @@
 import subprocess
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build")) / "bin"
@@ -144,16 +143,14 @@
         raise RuntimeError(f"{name} is not ready ({path}): {self.log_path(name).read_text()[-2000:]}")
 
     def apply_catalogue(self, path: pathlib.Path) -> None:
-        """Applies the entries through the first daemon."""
+        """Applies the entries through fulmarpointctl; daemons that have just started are busy."""
         deadline = time.monotonic() + START_TIMEOUT_S
-        daemon = next(iter(self.daemons.values()))
         while True:
-            status, text = request(daemon, "PUT", "/v1/admin/catalogue", path.read_text(),
-                                   headers={"Authorization": f"Bearer {OPERATOR_KEY}"}, timeout=20)
-            if status == 200:
+            result = self.ctl("catalogue", "apply", path)
+            if result.returncode == 0:
                 break
             if time.monotonic() > deadline:
-                raise RuntimeError(f"{path} was not applied: {text}")
+                raise RuntimeError(f"{path} was not applied: {result.stdout}{result.stderr}")
             time.sleep(0.2)
         for name in self.daemons:
             self.wait_ready(name, "/readyz")
@@ -260,7 +257,12 @@
             reply = connection.getresponse()
             if reply.status != 200:
                 result.error = json.loads(reply.read())
-                return result
+                if result.error.get("execution") != "not_run":
+                    return result
+                # Nothing has run, so the caller may send it again when the daemon says.
+                time.sleep(result.error.get("retry_after", 0))
+                continue
+            result.error = None
             if _read_events(reply, result, on_token):
                 return result
         except (OSError, http.client.HTTPException):
@@ -268,5 +270,5 @@
         finally:
             connection.close()
         time.sleep(0.1)
-    result.error = {"name": "gave_up"}
+    result.error = result.error or {"name": "gave_up"}
     return result
