Let an operator's change wait for a change of the voters

Cause: tst_control_plane_driver failed once under load (ctest -j 3): the second change was refused as overloaded because its daemon was writing the voters at that moment. Change: the operator's change is kept and begins when the internal one has ended.

--- a/src/libs/coordination/catalogue_writer.cpp
+++ b/src/libs/coordination/catalogue_writer.cpp
@@ -21,12 +21,20 @@
 }
 
 void CatalogueWriter::On(const Apply& event, TimePoint now, Actions& actions) {
-  // A change of the voters that has not been sent yet gives way to an operator.
-  const bool can_yield = m_phase == Phase::kConfirmBase;
-  if (m_phase != Phase::kIdle && !can_yield) {
-    actions.emplace_back(ApplyFinished{event.id, {.status = ApplyStatus::kBusy}});
+  const bool is_internal = m_phase != Phase::kIdle && !m_change.request;
+  // A change of the voters that has not been sent yet gives way to an operator; one that has been
+  // sent is waited for.
+  const bool can_yield = is_internal && m_phase == Phase::kConfirmBase;
+  if (m_phase == Phase::kIdle || can_yield) return Begin(event, now, actions);
+  if (is_internal && !m_waiting) {
+    m_waiting = event;
+    if (!m_waiting->expected_revision) m_waiting->expected_revision = m_replica.Revision();
     return;
   }
+  actions.emplace_back(ApplyFinished{event.id, {.status = ApplyStatus::kBusy}});
+}
+
+void CatalogueWriter::Begin(const Apply& event, TimePoint now, Actions& actions) {
   m_heads.clear();
   m_change = Change{};
   m_change.request = event;
@@ -171,8 +179,12 @@
 
 void CatalogueWriter::On(const TimerFired&, TimePoint now, Actions& actions) {
   switch (m_phase) {
-    case Phase::kIdle:
-      return ConsiderVoters(now, actions);
+    case Phase::kIdle: {
+      if (!m_waiting) return ConsiderVoters(now, actions);
+      const Apply waiting = *m_waiting;
+      m_waiting.reset();
+      return Begin(waiting, now, actions);
+    }
     case Phase::kConfirmBase:
       if (IsAccepted(m_replica.Revision()) || m_options.mutate_change_voters_unconfirmed) {
         return StartWrite(now, actions);
--- a/src/libs/coordination/catalogue_writer.h
+++ b/src/libs/coordination/catalogue_writer.h
@@ -169,6 +169,7 @@
   void On(const HistoryRead& event, TimePoint now, Actions& actions);
   void On(const PeerHead& event, TimePoint now, Actions& actions);
 
+  void Begin(const Apply& event, TimePoint now, Actions& actions);
   void ConsiderVoters(TimePoint now, Actions& actions);
   std::vector<InstanceId> WantedVoters() const;
   bool IsElectedToChangeVoters() const;
@@ -201,6 +202,8 @@
   Random m_random;
   Phase m_phase = Phase::kIdle;
   Change m_change;
+  /// An operator's change that waits for the end of a change of the voters.
+  std::optional<Apply> m_waiting;
   /// Latest head that each daemon stated; kept only while a change is in progress.
   std::map<InstanceId, CatalogueHead> m_heads;
   std::size_t m_next_ping = 0;
--- a/tests/auto/fleet/tst_catalogue_fleet.cpp
+++ b/tests/auto/fleet/tst_catalogue_fleet.cpp
@@ -145,6 +145,23 @@
   world.ExpectNoFailures();
 }
 
+// Guards against an operator who is refused because the daemon is changing the voters.
+Test(catalogue_fleet, change_waits_for_a_change_of_the_voters) {
+  World world(8);
+  std::optional<std::uint64_t> id;
+  const auto record = world.fleet.on_action;
+  world.fleet.on_action = [&](int index, const ControlPlane::Action& action) {
+    record(index, action);
+    if (id || !std::holds_alternative<ControlPlane::WriteRows>(action)) return;
+    id = world.recorder.Apply(index, ExampleEntry("assistant", 90));
+  };
+  world.fleet.Replace(6);
+  world.fleet.RunFor(seconds(60));
+  cr_assert(id.has_value(), "the voters were not changed");
+  cr_assert_eq(world.recorder.StatusOf(*id), ApplyStatus::kAccepted);
+  world.ExpectNoFailures();
+}
+
 /// Parts three of seven daemons with the store from the other four, starts nine more there, and
 /// applies a change there. Returns whether the change was accepted.
 static bool ApplyInGrowingMinority(World& world) {
