--- a/src/libs/coordination/catalogue_replica.cpp
+++ b/src/libs/coordination/catalogue_replica.cpp
@@ -357,7 +357,9 @@
     bytes += sizeof(CatalogueEntry) + kNodeBytes;
     for (const OrganisationAccess& access : entry->organisations) {
       bytes += sizeof access + access.organisation.size() + 1;
-      for (const std::string& hash : access.key_hashes) bytes += sizeof hash + hash.size() + 1;
+      for (const std::string& hash : access.key_hashes) {
+        bytes += sizeof(std::string) + hash.size() + 1;
+      }
     }
   }
   bytes += m_heard.size() * (sizeof(Heard) + sizeof(InstanceId) + kNodeBytes);
--- a/src/libs/server/lease_driver.cpp
+++ b/src/libs/server/lease_driver.cpp
@@ -21,7 +21,7 @@
         callbacks(std::move(own_callbacks)),
         lease(key, shared.self, options, std::random_device{}()) {}
 
-  void Post(Lease::Event event);
+  void Post(const Lease::Event& event);
   void Handle(const Lease::Event& event);
   void Perform(const Lease::Action& action);
   Task<void> Read(Lease::ReadRow read);
@@ -35,7 +35,7 @@
   std::atomic<bool> stopped{false};
 };
 
-void LeaseDriver::State::Post(Lease::Event event) {
+void LeaseDriver::State::Post(const Lease::Event& event) {
   fulmarpoint::Post(strand, [self = shared_from_this(), event]() { self->Handle(event); });
 }
 
