--- a/src/libs/coordination/admission.cpp
+++ b/src/libs/coordination/admission.cpp
@@ -56,7 +56,7 @@
     const double turns = (own_waiting + 1) * other.weight / std::max(1, weight);
     ahead += std::min(turns, static_cast<double>(other.queues[level].waiters.size()));
   }
-  const double free = m_slots - Running();
+  const double free = m_expected - Running();
   const double ends_needed = ahead + 1 - free;
   if (ends_needed <= 0) return Duration::zero();
   return FromSeconds(ends_needed / CompletionsPerSecond());
@@ -68,18 +68,18 @@
       known == m_organisations.end() ? 0 : known->second.running + known->second.waiting;
   if (present >= event.max_concurrent) {
     const Duration run = FromSeconds(MeanRunTime());
-    actions.push_back(Refuse{event.request, ResultCode::kOrganisationLimit,
-                             std::clamp(run, kLeastRetryAfter, kMostRetryAfter)});
+    actions.emplace_back(Refuse{event.request, ResultCode::kOrganisationLimit,
+                                std::clamp(run, kLeastRetryAfter, kMostRetryAfter)});
     return;
   }
   const std::size_t level = static_cast<std::size_t>(event.priority);
   const Duration wait = PredictWait(event.organisation, event.weight, event.priority);
   const Duration patience = m_settings.patience[level];
   const bool too_long = wait > patience || now + wait >= event.deadline;
-  if (m_slots <= 0 || too_long || m_waiting.size() >= m_settings.max_waiting) {
-    const ResultCode code = m_slots <= 0 ? ResultCode::kNoEndpoint : ResultCode::kOverloaded;
-    actions.push_back(Refuse{event.request, code,
-                             std::clamp(wait - patience, kLeastRetryAfter, kMostRetryAfter)});
+  if (m_expected <= 0 || too_long || m_waiting.size() >= m_settings.max_waiting) {
+    const ResultCode code = m_expected <= 0 ? ResultCode::kNoEndpoint : ResultCode::kOverloaded;
+    actions.emplace_back(Refuse{event.request, code,
+                                std::clamp(wait - patience, kLeastRetryAfter, kMostRetryAfter)});
     return;
   }
   Organisation& organisation = m_organisations[event.organisation];
@@ -117,6 +117,7 @@
 
 void Admission::On(const AdmissionSlotsChanged& event, TimePoint now, Actions& actions) {
   m_slots = event.slots;
+  m_expected = std::max(event.slots, event.expected);
   FillSlots(now, actions);
 }
 
@@ -133,8 +134,8 @@
     RemoveWaiter(request);
     const Duration retry_after =
         FromSeconds(static_cast<double>(m_waiting.size() + 1) / CompletionsPerSecond());
-    actions.push_back(Refuse{request, ResultCode::kOverloaded,
-                             std::clamp(retry_after, kLeastRetryAfter, kMostRetryAfter)});
+    actions.emplace_back(Refuse{request, ResultCode::kOverloaded,
+                                std::clamp(retry_after, kLeastRetryAfter, kMostRetryAfter)});
   }
 }
 
@@ -203,7 +204,7 @@
     ++organisation.running;
     m_running[request] = {id, now};
     RemoveWaiter(request);
-    actions.push_back(Admit{request});
+    actions.emplace_back(Admit{request});
     return true;
   }
   return false;
--- a/src/libs/coordination/catalogue_replica.cpp
+++ b/src/libs/coordination/catalogue_replica.cpp
@@ -9,10 +9,18 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(250);
-/// Age of the proof from which the voters are asked. Head reads renew the proof every 4 to 6 s, so
-/// that this happens only without the table service.
-constexpr Duration kPollAge = std::chrono::milliseconds(6300);
-constexpr Duration kPollAgeJitter = std::chrono::milliseconds(1500);
+/// Age of the proof from which it is renewed through the voters. Head reads renew it every 4 to 6
+/// s, so that this happens only without the table service.
+constexpr Duration kAskAge = std::chrono::milliseconds(6250);
+/// Ages from which a poll of a majority becomes more likely. Few daemons poll, and the others take
+/// over their proof by asking one voter per timer; polls of all would exceed the limit on traffic.
+constexpr Duration kLikelyPollAge = std::chrono::milliseconds(7500);
+constexpr Duration kUrgentPollAge = std::chrono::milliseconds(8500);
+/// Polls expected per timer among all voters at these ages, and once the proof has run out.
+constexpr double kPollsPerTick = 0.5;
+constexpr double kLikelyPollsPerTick = 2.0;
+constexpr double kUrgentPollsPerTick = 4.0;
+constexpr double kFencedPollsPerTick = 0.25;
 constexpr Duration kPollPause = std::chrono::seconds(2);
 constexpr std::size_t kMaxAnnouncers = 4;
 
@@ -43,7 +51,7 @@
   }
   if (m_fetching != Source::kNone && now >= m_fetch_deadline) m_fetching = Source::kNone;
   if (m_target > m_revision && m_fetching == Source::kNone) Fetch(now, actions);
-  PollVoters(now, actions);
+  RenewProof(now, actions);
 }
 
 void CatalogueReplica::On(const HeadRead& event, TimePoint now, Actions& actions) {
@@ -262,27 +270,42 @@
   AddProof(m_revision, *oldest, now, actions);
 }
 
-void CatalogueReplica::PollVoters(TimePoint now, Actions& actions) {
-  if (!m_majority_reachable || now < m_next_poll || m_voters.current.empty()) return;
-  const TimePoint due = m_proof ? *m_proof + kPollAge : now;
-  if (now < due) return;
-  m_next_poll = now + kPollPause + Jittered(kPollAgeJitter);
+void CatalogueReplica::RenewProof(TimePoint now, Actions& actions) {
+  if (m_voters.current.empty() || (m_proof && now - *m_proof < kAskAge)) return;
   std::vector<InstanceId> voters = m_voters.current;
   std::erase(voters, m_self);
-  std::shuffle(voters.begin(), voters.end(), m_random);
-  // A quarter more than a majority is asked, so that a few lost answers do not matter.
-  const std::size_t majority = m_voters.current.size() / 2 + 1;
-  const std::size_t wanted = std::max<std::size_t>(majority + majority / 4, majority + 2);
-  if (voters.size() > wanted) voters.resize(wanted);
-  for (const InstanceId& voter : voters) {
+  if (voters.empty()) return;
+  std::size_t wanted = 1;
+  if (m_majority_reachable && now >= m_next_poll && DecidesToPoll(now)) {
+    m_next_poll = now + kPollPause;
+    // A quarter more than a majority is asked, so that a few lost answers do not matter.
+    const std::size_t majority = m_voters.current.size() / 2 + 1;
+    wanted = std::max<std::size_t>(majority + majority / 4, majority + 2);
+  }
+  wanted = std::min(wanted, voters.size());
+  for (std::size_t i = 0; i < wanted; ++i) {
+    std::swap(voters[i], voters[i + m_random() % (voters.size() - i)]);
     ++m_counters.voter_pings;
-    actions.emplace_back(PingVoter{voter});
+    actions.emplace_back(PingVoter{voters[i]});
   }
 }
 
-bool CatalogueReplica::IsFresh(TimePoint now) const {
-  if (m_options.mutate_skip_fencing) return true;
-  return m_proof && now - *m_proof <= m_options.proof_limit;
+bool CatalogueReplica::DecidesToPoll(TimePoint now) {
+  const Duration age = m_proof ? now - *m_proof : m_options.proof_limit;
+  double polls = kPollsPerTick;
+  if (age >= kLikelyPollAge) polls = kLikelyPollsPerTick;
+  if (age >= kUrgentPollAge) polls = kUrgentPollsPerTick;
+  // A fenced daemon is in no hurry; without this limit a parted region sends 11 kB/s per daemon.
+  if (age > m_options.proof_limit) polls = kFencedPollsPerTick;
+  const double probability = polls / static_cast<double>(m_voters.current.size());
+  return std::uniform_real_distribution<double>(0, 1)(m_random) < probability;
+}
+
+bool CatalogueReplica::IsFresh(TimePoint now) const { return now <= FreshUntil(); }
+
+TimePoint CatalogueReplica::FreshUntil() const {
+  if (m_options.mutate_skip_fencing) return TimePoint::max();
+  return m_proof ? *m_proof + m_options.proof_limit : TimePoint::min();
 }
 
 bool CatalogueReplica::MayServe(const CatalogueEntry& entry, TimePoint now) const {
@@ -309,6 +332,21 @@
   return delta;
 }
 
+CatalogueDelta CatalogueReplica::DeltaPage(std::uint64_t from, const std::string& cursor,
+                                           std::size_t max_bytes, bool& is_last) const {
+  CatalogueDelta delta{from, m_revision, {}};
+  std::size_t bytes = 0;
+  is_last = false;
+  for (auto item = m_items.upper_bound(cursor); item != m_items.end(); ++item) {
+    if (item->second.revision <= from) continue;
+    if (bytes >= max_bytes) return delta;
+    bytes += item->first.size() + item->second.value.size();
+    delta.items.push_back(item->second);
+  }
+  is_last = true;
+  return delta;
+}
+
 std::size_t CatalogueReplica::StateBytes() const {
   constexpr std::size_t kNodeBytes = 64;
   std::size_t bytes = sizeof *this;
--- a/src/libs/coordination/credit_owner.h
+++ b/src/libs/coordination/credit_owner.h
@@ -24,6 +24,8 @@
 /// The endpoints that this daemon owns by rendezvous hashing over the members it sees.
 struct OwnedEndpointsChanged {
   std::vector<EndpointHash> endpoints;
+  /// No other daemon can have granted these endpoints, because there is none.
+  bool alone = false;
 };
 
 /// An owner that sees only part of the daemons grants that part of the capacity. `known` includes
@@ -78,6 +80,7 @@
   };
   struct Holder {
     int in_use = 0;
+    int needed = 0;
     int wanted = 0;
     std::int64_t last_sent_at = 0;
     TimePoint expires{};
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -5,8 +5,14 @@
 #include <random>
 #include <utility>
 
+#include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
-#include "server/catalogue_loader.h"
+#include "server/admission_gate.h"
+#include "server/call_peers.h"
+#include "server/catalogue_routes.h"
+#include "server/control_plane_driver.h"
+#include "server/credit_driver.h"
+#include "server/credit_sources.h"
 #include "server/dispatcher.h"
 #include "server/drain_driver.h"
 #include "server/endpoint_registry.h"
@@ -14,15 +20,20 @@
 #include "server/instance_list_client.h"
 #include "server/lookup.h"
 #include "server/metrics.h"
+#include "server/notice_exchange.h"
 #include "server/object_client.h"
+#include "server/peer_service.h"
 #include "server/problem_reply.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "server/services.h"
 #include "server/table_client.h"
+#include "state/admission_table.h"
 #include "state/burn_table.h"
+#include "state/credit_table.h"
 #include "state/rollout_table.h"
+#include "state/suspect_table.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
@@ -57,12 +68,31 @@
   return buffers;
 }
 
-std::vector<EntryDaemon> ListedDaemons(const EndpointRegistry& endpoints) {
-  std::vector<EntryDaemon> daemons;
-  for (const ListedInstance& instance : endpoints.Daemons()) {
-    daemons.push_back({instance.name, instance.address, instance.failure_domain, instance.leaving});
+/// Tells the crash suspects which endpoint processes answer and which have gone.
+void ConnectSuspects(EndpointRegistry& endpoints, Dispatcher& dispatcher) {
+  endpoints.SetListener([&dispatcher](const EndpointHealthAction& action) {
+    const EndpointCrashed* crashed = std::get_if<EndpointCrashed>(&action);
+    if (crashed == nullptr) return;
+    dispatcher.HandleSuspects(EndpointProcessLost{crashed->endpoint, crashed->lost_incarnation});
+  });
+  endpoints.SetProcessListener(
+      [&dispatcher](const EndpointId& endpoint, std::uint64_t incarnation, bool alive) {
+        if (alive) {
+          dispatcher.HandleSuspects(EndpointProcessAlive{endpoint, incarnation});
+        } else {
+          dispatcher.HandleSuspects(EndpointProcessLost{endpoint, incarnation});
+        }
+      });
+}
+
+/// Returns whether this daemon is the owner of an endpoint among the daemons that it knows.
+bool OwnsEndpoint(const LookupDirectory& lookup, const InstanceId& self,
+                  const EndpointId& endpoint) {
+  std::vector<InstanceId> daemons = {InstanceId{self.name, 0}};
+  for (const EntryDaemon& daemon : lookup.Daemons()) {
+    if (!daemon.leaving && daemon.name != self.name) daemons.push_back({daemon.name, 0});
   }
-  return daemons;
+  return CreditOwnerOf(endpoint, daemons).name == self.name;
 }
 
 }  // namespace
@@ -87,17 +117,29 @@
   LookupDirectory lookup;
   EventIdCodec event_ids;
   RolloutTable rollouts;
+  SuspectTable suspects;
   BurnTable burn;
+  AdmissionTable admission;
+  CreditTable credits;
   EndpointRegistry endpoints;
   Dispatcher dispatcher;
   RequestDrivers drivers;
   Services services;
+  AdmissionGate gate;
   AdminRoutes admin;
   HttpFront front;
-  CatalogueLoader loader;
+  PeerService peers;
+  ControlPlaneDriver control;
+  NoticeExchange notices;
+  CreditDriver credit_driver;
   HttpServer server;
   DrainDriver drain;
   std::atomic<bool> stopped{false};
+  std::atomic<bool> destroyed{false};
+
+  /// Connects the drivers with each other. Call before anything runs.
+  void Connect();
+  Task<void> RunSuspectTimer();
 };
 
 Daemon::State::State(Settings own_settings)
@@ -112,28 +154,71 @@
       running(settings.limits.requests),
       event_ids(settings.secrets.shared_key, settings.secrets.previous_shared_key),
       rollouts(self),
+      credits(self),
       endpoints(http, instances, settings.polling, metrics),
-      dispatcher(endpoints, rollouts, metrics, request_log, settings.daemon.failure_domain),
+      dispatcher(endpoints, rollouts, suspects, metrics, request_log,
+                 settings.daemon.failure_domain),
       drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers), tables, self),
       services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
                instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
                request_log, running,   rollouts,           burn,      event_ids, drivers},
+      gate(services, admission),
       admin(services),
-      front(services, admin),
-      loader(services),
+      front(services, admin, gate),
+      peers(services),
+      control(services, peers),
+      notices(services, control),
+      credit_driver(self, credits, MakeCreditSources(services, admission, peers)),
       server(
           pool.GetExecutor(), ToLimits(settings.limits),
           [this](HttpExchange& exchange) { return front.Handle(exchange); }, RejectionReply),
-      drain(services, {[this]() { lookup.LeaveLookups(); }, [this]() { front.RefuseNewWork(); },
+      drain(services, {[this]() {
+                         lookup.LeaveLookups();
+                         control.Leave(false);
+                       },
+                       [this]() { front.RefuseNewWork(); },
                        [this]() {
                          server.StopAccepting();
+                         control.Leave(true);
                          stopped = true;
                        }}) {}
 
+void Daemon::State::Connect() {
+  catalogue.SetListener([this](const CatalogueSnapshot& snapshot) {
+    std::vector<CatalogueEntry> entries;
+    for (const auto& [name, service] : snapshot.services) {
+      if (service->entry->rollout) entries.push_back(*service->entry);
+    }
+    rollouts.SetEntries(entries);
+  });
+  ConnectSuspects(endpoints, dispatcher);
+  dispatcher.SetOwnership(
+      [this](const EndpointId& endpoint) { return OwnsEndpoint(lookup, self, endpoint); });
+  notices.Connect();
+  ConnectCallPeers(services, peers, control);
+  if (!settings.use_credits) return;
+  dispatcher.SetCredits(credits);
+  gate.SetCredits(credits);
+  control.SetMemberHandler([this](const MemberUpdate& member) { credit_driver.OnMember(member); });
+  peers.SetFrameHandler(PeerFrameKind::kCredits, [this](std::string body) -> Task<std::string> {
+    co_return credit_driver.Answer(body);
+  });
+}
+
+Task<void> Daemon::State::RunSuspectTimer() {
+  while (!destroyed) {
+    co_await Sleep(std::chrono::seconds(1));
+    if (!destroyed) dispatcher.HandleSuspects(SuspectTimerFired{});
+  }
+}
+
 Daemon::State::~State() {
+  destroyed = true;
   drivers.buffers.Stop();
   drivers.calls.Stop();
-  loader.Stop();
+  gate.Stop();
+  credit_driver.Stop();
+  control.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -151,27 +236,26 @@
     const nlohmann::json body = {{"draining", true}};
     co_return JsonReply(202, body);
   });
-  state.lookup.SetDaemons([&state]() { return ListedDaemons(state.endpoints); });
+  RegisterCatalogueRoutes(state.admin, state.services, state.control);
+  state.control.SetSupersededHandler([&state]() { state.drain.RequestStop(); });
+  state.Connect();
   const std::error_code error = state.server.Listen(state.settings.listen.http);
   if (error) {
     Log(LogLevel::kError, "listen_failed",
         "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
     return error;
   }
-  state.catalogue.SetListener([&state](const CatalogueSnapshot& snapshot) {
-    std::vector<CatalogueEntry> entries;
-    for (const auto& [name, service] : snapshot.services) {
-      if (service->entry->rollout) entries.push_back(*service->entry);
-    }
-    state.rollouts.SetEntries(entries);
-  });
   state.drivers.buffers.Start();
   state.drivers.calls.Start();
   state.lookup.SetKeys([&state]() -> std::optional<IssuedKeys> {
     CallCoordinator& calls = state.drivers.calls;
     return IssuedKeys{calls.IssueKeyPrefix(), calls.KeyValidity()};
   });
-  state.loader.Start();
+  state.gate.Start();
+  Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
+  const std::error_code peer_error = state.control.Start(state.server.Address());
+  if (peer_error) return peer_error;
+  if (state.settings.use_credits) state.credit_driver.Start(state.pool.GetExecutor());
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
--- a/src/libs/server/settings.h
+++ b/src/libs/server/settings.h
@@ -84,6 +84,9 @@
   DrainSettings drain;
   /// How long callers keep a lookup answer.
   int keep_seconds = 10;
+  /// Whether requests need credits of the endpoints' owners. Without them, a daemon relies on the
+  /// load that the endpoints report.
+  bool use_credits = true;
   /// Requests whose decisions are kept for operators.
   std::size_t request_records = 2048;
 };
--- a/src/tools/fulmarpoint-load/experiment.cpp
+++ b/src/tools/fulmarpoint-load/experiment.cpp
@@ -12,11 +12,13 @@
 constexpr std::int64_t kMaxMs = 3'600'000;
 constexpr std::int64_t kMaxRatePerMinute = 600'000;
 constexpr int kMaxTokens = 100'000;
+constexpr int kMaxCallers = 10'000;
 
 GenerationLoad ReadGenerations(FieldReader& reader) {
   GenerationLoad load;
   reader.String("service", true, load.service);
   reader.String("api_key", true, load.api_key);
+  reader.Int("callers", 1, kMaxCallers, load.callers);
   reader.String("model", true, load.model);
   reader.Integer("rate_per_minute", true, 1, kMaxRatePerMinute, load.rate_per_minute);
   reader.Int("prompt_words", 1, kMaxTokens, load.prompt_words);
@@ -34,6 +36,7 @@
   CallLoad load;
   reader.String("service", true, load.service);
   reader.String("api_key", true, load.api_key);
+  reader.Int("callers", 1, kMaxCallers, load.callers);
   reader.Integer("rate_per_minute", true, 1, kMaxRatePerMinute, load.rate_per_minute);
   reader.String("method", false, load.method);
   reader.String("path", false, load.path);
@@ -48,12 +51,12 @@
   std::int64_t at_ms = 0;
   reader.Integer("at_ms", true, 0, kMaxMs, at_ms);
   fault.at = std::chrono::milliseconds(at_ms);
-  reader.String("target", true, fault.target);
   reader.String("control", false, fault.control);
   reader.String("signal", false, fault.signal);
-  if (fault.control.empty() == fault.signal.empty()) {
-    reader.Fail("control", "set either control or signal");
-  }
+  reader.String("apply", false, fault.apply);
+  reader.String("target", fault.apply.empty(), fault.target);
+  const int set = !fault.control.empty() + !fault.signal.empty() + !fault.apply.empty();
+  if (set != 1) reader.Fail("control", "set exactly one of control, signal and apply");
   const bool known = fault.signal.empty() || fault.signal == "stop" || fault.signal == "cont" ||
                      fault.signal == "term" || fault.signal == "kill";
   if (!known) reader.Fail("signal", "must be one of \"stop\" \"cont\" \"term\" \"kill\"");
--- a/src/tools/fulmarpoint-load/experiment.h
+++ b/src/tools/fulmarpoint-load/experiment.h
@@ -23,7 +23,9 @@
 /// Generations that arrive at a mean rate, regardless of how many run (open loop).
 struct GenerationLoad {
   std::string service;
+  /// With several callers, the beginning of their keys: "KEY-1", "KEY-2" and so on.
   std::string api_key;
+  int callers = 1;
   std::string model;
   std::int64_t rate_per_minute = 60;
   int prompt_words = 32;
@@ -42,6 +44,7 @@
 struct CallLoad {
   std::string service;
   std::string api_key;
+  int callers = 1;
   std::int64_t rate_per_minute = 60;
   std::string method = "POST";
   std::string path = "/orders";
@@ -50,14 +53,16 @@
   Duration timeout = std::chrono::seconds(5);
 };
 
-/// A request to `POST /control` of a stand-in, or a signal to a process.
+/// A request to `POST /control` of a stand-in, a signal to a process, or a catalogue change.
 struct Fault {
   Duration at = Duration::zero();
   std::string target;
-  /// JSON text; empty if a signal is sent.
+  /// JSON text for `/control`. Exactly one of this and the next two is set.
   std::string control;
-  /// "stop", "cont", "term" or "kill"; empty if `control` is set.
+  /// "stop", "cont", "term" or "kill".
   std::string signal;
+  /// Entries of a catalogue in TOML, applied at any daemon; `target` is not used.
+  std::string apply;
 };
 
 struct Experiment {
--- a/tests/auto/server/tst_daemon.cpp
+++ b/tests/auto/server/tst_daemon.cpp
@@ -49,6 +49,21 @@
   cr_assert_eq(Json::parse(completion.events[5].data)["total"], 5);
 }
 
+// Guards against a daemon that never grants itself the slots of the endpoints that it owns.
+Test(daemon, credits_are_granted_to_the_only_daemon) {
+  FakePlatform platform;
+  Settings settings = platform.MakeSettings();
+  settings.use_credits = true;
+  Daemon daemon(settings);
+  cr_assert_not(daemon.Start());
+  DaemonClient client(daemon.HttpAddress());
+  client.WaitUntilReady();
+  // Without a grant, this ends in the test's time-out.
+  while (client.Complete("key-model", kBody).reply.status != 200) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+}
+
 // Guards against answers that tell a caller without a key which services exist, and against work
 // for a key of another service.
 Test(daemon, keys_are_checked_before_anything_is_sent) {
