--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -8,6 +8,7 @@
 #include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
 #include "server/admission_gate.h"
+#include "server/call_peers.h"
 #include "server/catalogue_routes.h"
 #include "server/control_plane_driver.h"
 #include "server/credit_driver.h"
@@ -194,6 +195,7 @@
   dispatcher.SetOwnership(
       [this](const EndpointId& endpoint) { return OwnsEndpoint(lookup, self, endpoint); });
   notices.Connect();
+  ConnectCallPeers(services, peers, control);
   if (!settings.use_credits) return;
   dispatcher.SetCredits(credits);
   gate.SetCredits(credits);
