Admit one request for the trial of a suspect endpoint

Cause: the admission gate counted no slot at a suspect endpoint, so no request was admitted for its trial and the only endpoint of a service stayed unused (tst_lost_answer in KNOWN-RED.txt). Change: a due trial counts as one slot.

--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -74,8 +74,12 @@
   std::set<EndpointId> counted;
   for (const EndpointCandidate& candidate : services.endpoints.Candidates(entry)) {
     const EndpointHealthView& health = candidate.route.health;
-    if (health.state != EndpointState::kLive) continue;
     if (!counted.insert(candidate.route.endpoint).second) continue;
+    if (health.state != EndpointState::kLive) {
+      // A trial needs one request to be admitted; without it the endpoint would stay unused.
+      free += health.trial_due ? 1 : 0;
+      continue;
+    }
     if (credits != nullptr) {
       free += credits->Free(candidate.route.endpoint, SteadyNow());
       continue;
