--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -96,8 +96,14 @@
   // An engine with several versions is a candidate for each of them.
   std::set<EndpointId> counted;
   for (const EndpointCandidate& candidate : services.endpoints.Candidates(entry)) {
-    if (candidate.route.health.state != EndpointState::kLive) continue;
-    if (counted.insert(candidate.route.endpoint).second) free += free_at(candidate.route);
+    const EndpointHealthView& health = candidate.route.health;
+    if (!counted.insert(candidate.route.endpoint).second) continue;
+    if (health.state == EndpointState::kLive) {
+      free += free_at(candidate.route);
+    } else {
+      // A trial needs one request to be admitted; without it the endpoint would stay unused.
+      free += health.trial_due ? 1 : 0;
+    }
   }
   return std::min(entry.limits.max_concurrent, table.LoadOf(entry.service).running + free);
 }
--- a/src/libs/server/call_coordinator.h
+++ b/src/libs/server/call_coordinator.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/call.h"
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -8,6 +8,7 @@
 #include "coordination/credit_holder.h"
 #include "server/admin_routes.h"
 #include "server/admission_gate.h"
+#include "server/call_peers.h"
 #include "server/catalogue_routes.h"
 #include "server/control_plane_driver.h"
 #include "server/credit_driver.h"
@@ -199,6 +200,7 @@
       [this](const EndpointId& endpoint) { return OwnsEndpoint(lookup, self, endpoint); });
   notices.Connect();
   rollout_driver.Connect();
+  ConnectCallPeers(services, peers, control);
   if (!settings.use_credits) return;
   dispatcher.SetCredits(credits);
   gate.SetCredits(credits);
@@ -218,11 +220,11 @@
 Daemon::State::~State() {
   destroyed = true;
   drivers.buffers.Stop();
+  drivers.calls.Stop();
   gate.Stop();
   rollout_driver.Stop();
   credit_driver.Stop();
   control.Stop();
-  drivers.calls.Stop();
   endpoints.Stop();
   server.Close();
   pool.Stop();
@@ -253,17 +255,17 @@
     return error;
   }
   state.drivers.buffers.Start();
+  state.drivers.calls.Start();
+  state.lookup.SetKeys([&state]() -> std::optional<IssuedKeys> {
+    CallCoordinator& calls = state.drivers.calls;
+    return IssuedKeys{calls.IssueKeyPrefix(), calls.KeyValidity()};
+  });
   state.gate.Start();
   Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
   const std::error_code peer_error = state.control.Start(state.server.Address());
   if (peer_error) return peer_error;
   state.rollout_driver.Start();
   if (state.settings.use_credits) state.credit_driver.Start(state.pool.GetExecutor());
-  state.drivers.calls.Start();
-  state.lookup.SetKeys([&state]() -> std::optional<IssuedKeys> {
-    CallCoordinator& calls = state.drivers.calls;
-    return IssuedKeys{calls.IssueKeyPrefix(), calls.KeyValidity()};
-  });
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
       "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
