Construct a resumed attempt in a form that clang accepts

Cause: clang-tidy could not parse optional<Attempt>::emplace of a nested aggregate. Change: the attempt is built first and then moved.

--- a/src/libs/coordination/generation.cpp
+++ b/src/libs/coordination/generation.cpp
@@ -109,12 +109,13 @@
     m_state = State::kEnded;
     return;
   }
-  m_current.emplace();
-  m_current->number = point.attempt;
-  m_current->endpoint = point.endpoint;
-  m_current->stream = point.stream;
-  m_current->version = point.version;
-  m_current->last_progress = now;
+  Attempt resumed;
+  resumed.number = point.attempt;
+  resumed.endpoint = point.endpoint;
+  resumed.stream = point.stream;
+  resumed.version = point.version;
+  resumed.last_progress = now;
+  m_current = std::move(resumed);
   Reconnect(*m_current, now, actions);
 }
 
