--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -157,7 +157,7 @@
       endpoints(http, instances, settings.polling, metrics),
       dispatcher(endpoints, rollouts, suspects, metrics, request_log,
                  settings.daemon.failure_domain),
-      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers)),
+      drivers(pool.GetExecutor(), ToBufferSettings(settings.buffers), tables, self),
       services{settings,    self,      pool.GetExecutor(), http,      tables,    objects,
                instances,   endpoints, dispatcher,         catalogue, lookup,    metrics,
                request_log, running,   rollouts,           burn,      event_ids, drivers},
@@ -213,6 +213,7 @@
 Daemon::State::~State() {
   destroyed = true;
   drivers.buffers.Stop();
+  drivers.calls.Stop();
   gate.Stop();
   credit_driver.Stop();
   control.Stop();
@@ -243,6 +244,11 @@
     return error;
   }
   state.drivers.buffers.Start();
+  state.drivers.calls.Start();
+  state.lookup.SetKeys([&state]() -> std::optional<IssuedKeys> {
+    CallCoordinator& calls = state.drivers.calls;
+    return IssuedKeys{calls.IssueKeyPrefix(), calls.KeyValidity()};
+  });
   state.gate.Start();
   Spawn(MakeStrand(state.pool.GetExecutor()), [&state]() { return state.RunSuspectTimer(); });
   const std::error_code peer_error = state.control.Start(state.server.Address());
