--- a/src/libs/server/generation_driver.cpp
+++ b/src/libs/server/generation_driver.cpp
@@ -88,7 +88,7 @@
 
 Task<SessionResult> GenerationDriver::Run() {
   const std::weak_ptr<GenerationDriver*> weak = m_self;
-  const auto push_later = [weak](Generation::Event event) {
+  const auto push_later = [weak](const Generation::Event& event) {
     return [weak, event]() {
       if (const auto self = weak.lock()) (*self)->Push(event);
     };
--- a/src/libs/server/peer_service.cpp
+++ b/src/libs/server/peer_service.cpp
@@ -90,7 +90,7 @@
   if (!connection) {
     connection = std::make_shared<FramedConnection>(services.executor, address, FrameLimits{});
   }
-  const std::shared_ptr<FramedConnection> result = connection;
+  std::shared_ptr<FramedConnection> result = connection;
   if (connections.size() > kMaxConnections) {
     // Any other connection may go: requests in progress keep theirs alive.
     const auto first = connections.begin();
--- a/src/tools/fulmarpoint-measure/rollout_simulation.cpp
+++ b/src/tools/fulmarpoint-measure/rollout_simulation.cpp
@@ -247,8 +247,8 @@
     After(m_scenario.notice_delay,
           [this, notice] { ToController(RolloutController::NoticeReceived{notice}); });
     for (std::size_t i = 0; i < m_daemons.size(); ++i) {
-      const Duration delay(
-          static_cast<Duration::rep>(Uniform() * 2 * m_scenario.notice_delay.count()));
+      const double mean_us = static_cast<double>(m_scenario.notice_delay.count());
+      const Duration delay(static_cast<Duration::rep>(Uniform() * 2 * mean_us));
       After(delay, [this, i, notice] { ToDaemon(i, RolloutParticipant::NoticeReceived{notice}); });
     }
   }
