Share the outbox of rollout reports between participant and aggregator

Cause: numbering, in-flight times and reset of a report stood twice. Before and after: tst_rollout 20 of 20 pass, concurrent_rollout_table passes; behaviour unchanged.

--- a/src/libs/coordination/rollout_aggregator.cpp
+++ b/src/libs/coordination/rollout_aggregator.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t kMaxSenders = 256;
-constexpr std::size_t kMaxReportsInFlight = 8;
 constexpr std::size_t kMaxStrata = 128;
 constexpr std::size_t kMaxEndpoints = 32;
 
@@ -48,10 +47,8 @@
   for (const EndpointCounts& endpoint : from.endpoints) MergeEndpoint(endpoint, into.endpoints);
 }
 
-RolloutAggregator::RolloutAggregator(InstanceId self, const std::string& rollout) {
-  m_pending.rollout = rollout;
-  m_pending.sender = std::move(self);
-}
+RolloutAggregator::RolloutAggregator(const InstanceId& self, const std::string& rollout)
+    : m_rollout(rollout), m_outbox(self, rollout) {}
 
 void RolloutAggregator::Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
   std::visit(
@@ -63,13 +60,13 @@
 
 void RolloutAggregator::OnReport(const RolloutReport& report, TimePoint now,
                                  std::vector<Action>& actions) {
-  if (report.rollout != m_pending.rollout) return;
+  if (report.rollout != m_rollout) return;
   const bool known = m_last_sequence.contains(report.sender);
   if (!known && m_last_sequence.size() >= kMaxSenders) return;
   std::uint64_t& last = m_last_sequence[report.sender];
   if (report.sequence <= last) return;
   last = report.sequence;
-  MergeReport(report, m_pending);
+  MergeReport(report, m_outbox.Pending());
   if (!m_directive) return;
   RolloutDirective directive = *m_directive;
   directive.sequence = report.sequence;
@@ -80,29 +77,19 @@
 }
 
 void RolloutAggregator::OnDirective(const RolloutDirective& directive) {
-  auto sent = m_reports_sent.find(directive.sequence);
-  if (directive.rollout != m_pending.rollout || sent == m_reports_sent.end()) return;
-  const TimePoint issued = sent->second - Duration(std::max<std::int64_t>(0, directive.age_us));
-  m_reports_sent.erase(m_reports_sent.begin(), std::next(sent));
+  const std::optional<TimePoint> issued = m_outbox.IssueTimeOf(directive);
+  if (!issued) return;
   if (m_directive && directive.controller_token < m_directive->controller_token) return;
   const bool same_controller =
       m_directive && directive.controller_token == m_directive->controller_token;
   m_permits = (same_controller ? m_permits : 0) + directive.permits;
   m_directive = directive;
-  m_directive_issued = issued;
+  m_directive_issued = *issued;
 }
 
 void RolloutAggregator::OnTick(TimePoint now, std::vector<Action>& actions) {
-  if (m_next_report && now < *m_next_report) return;
-  m_next_report = now + kReportInterval;
-  ++m_pending.sequence;
-  m_reports_sent[m_pending.sequence] = now;
-  if (m_reports_sent.size() > kMaxReportsInFlight) m_reports_sent.erase(m_reports_sent.begin());
-  actions.emplace_back(SendReport{m_pending});
-  m_pending.strata.clear();
-  m_pending.endpoints.clear();
-  m_pending.requests = 0;
-  m_pending.permits_wanted = 0;
+  std::optional<RolloutReport> report = m_outbox.TakeDue(kReportInterval, now);
+  if (report) actions.emplace_back(SendReport{std::move(*report)});
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/rollout_aggregator.h
+++ b/src/libs/coordination/rollout_aggregator.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/rollout_report_outbox.h"
 #include "protocol/rollout_messages.h"
 #include "utils/time.h"
 
@@ -40,7 +41,7 @@
   };
   using Action = std::variant<SendReport, SendDirective>;
 
-  RolloutAggregator(InstanceId self, const std::string& rollout);
+  RolloutAggregator(const InstanceId& self, const std::string& rollout);
 
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
 
@@ -49,13 +50,12 @@
   void OnDirective(const RolloutDirective& directive);
   void OnTick(TimePoint now, std::vector<Action>& actions);
 
-  RolloutReport m_pending;
+  std::string m_rollout;
+  RolloutReportOutbox m_outbox;
   std::map<InstanceId, std::uint64_t> m_last_sequence;
-  std::map<std::uint64_t, TimePoint> m_reports_sent;
   std::optional<RolloutDirective> m_directive;
   TimePoint m_directive_issued{};
   std::uint32_t m_permits = 0;
-  std::optional<TimePoint> m_next_report;
 };
 
 /// Adds the counts, requests and wanted permits of `from` to `into`. The result is bounded: strata
--- a/src/libs/coordination/rollout_participant.cpp
+++ b/src/libs/coordination/rollout_participant.cpp
@@ -16,7 +16,6 @@
 /// Keeps a daemon with a burst of requests from saving up a burst for the new version.
 constexpr double kMaxShareSaved = 1.0;
 constexpr std::uint32_t kMaxPermitsWanted = 4;
-constexpr std::size_t kMaxReportsInFlight = 8;
 constexpr std::size_t kMaxStrataPerReport = 64;
 constexpr std::size_t kMaxEndpointsPerReport = 16;
 /// Latencies within this factor of the old version's 95th percentile do not count as slow.
@@ -37,10 +36,8 @@
     : m_self(std::move(self)),
       m_service(std::move(service)),
       m_rollout(std::move(rollout)),
-      m_comparison(VersionComparison::Settings{.false_alarm_rate = kFalseAlarmRatePerDaemon}) {
-  m_pending.rollout = m_rollout.id;
-  m_pending.sender = m_self;
-}
+      m_comparison(VersionComparison::Settings{.false_alarm_rate = kFalseAlarmRatePerDaemon}),
+      m_outbox(m_self, m_rollout.id) {}
 
 void RolloutParticipant::Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
   std::visit(
@@ -53,14 +50,15 @@
 
 bool RolloutParticipant::ChooseNewVersion(int new_version_endpoints, TimePoint now) {
   m_new_version_endpoints = new_version_endpoints;
-  ++m_pending.requests;
+  ++m_outbox.Pending().requests;
   m_last_used_permit = false;
   const std::optional<RolloutDirective> directive = Directive(now);
   if (!directive || new_version_endpoints == 0) return false;
   switch (directive->phase) {
     case RolloutPhase::kCanary:
       if (m_permits == 0) {
-        m_pending.permits_wanted = std::min(kMaxPermitsWanted, m_pending.permits_wanted + 1);
+        m_outbox.Pending().permits_wanted =
+            std::min(kMaxPermitsWanted, m_outbox.Pending().permits_wanted + 1);
         return false;
       }
       --m_permits;
@@ -146,32 +144,31 @@
   const auto same = [&stratum](const StratumCounts& other) {
     return other.route == stratum.route && other.failure_domain == stratum.failure_domain;
   };
-  auto found = std::find_if(m_pending.strata.begin(), m_pending.strata.end(), same);
-  if (found != m_pending.strata.end()) {
+  auto found =
+      std::find_if(m_outbox.Pending().strata.begin(), m_outbox.Pending().strata.end(), same);
+  if (found != m_outbox.Pending().strata.end()) {
     found->old_version += stratum.old_version;
     found->new_version += stratum.new_version;
-  } else if (m_pending.strata.size() < kMaxStrataPerReport) {
-    m_pending.strata.push_back(stratum);
+  } else if (m_outbox.Pending().strata.size() < kMaxStrataPerReport) {
+    m_outbox.Pending().strata.push_back(stratum);
   }
   if (endpoint.endpoint.empty()) return;
   const auto same_endpoint = [&endpoint](const EndpointCounts& other) {
     return other.endpoint == endpoint.endpoint;
   };
-  auto entry = std::find_if(m_pending.endpoints.begin(), m_pending.endpoints.end(), same_endpoint);
-  if (entry != m_pending.endpoints.end()) {
+  auto entry = std::find_if(m_outbox.Pending().endpoints.begin(),
+                            m_outbox.Pending().endpoints.end(), same_endpoint);
+  if (entry != m_outbox.Pending().endpoints.end()) {
     entry->new_version += endpoint.new_version;
-  } else if (m_pending.endpoints.size() < kMaxEndpointsPerReport) {
-    m_pending.endpoints.push_back(endpoint);
+  } else if (m_outbox.Pending().endpoints.size() < kMaxEndpointsPerReport) {
+    m_outbox.Pending().endpoints.push_back(endpoint);
   }
 }
 
 void RolloutParticipant::OnDirective(const RolloutDirective& directive, TimePoint now) {
-  if (directive.rollout != m_rollout.id) return;
-  auto sent = m_reports_sent.find(directive.sequence);
-  if (sent == m_reports_sent.end()) return;
-  const TimePoint valid_until =
-      sent->second + kDirectiveValidity - Duration(std::max<std::int64_t>(0, directive.age_us));
-  m_reports_sent.erase(m_reports_sent.begin(), std::next(sent));
+  const std::optional<TimePoint> issued = m_outbox.IssueTimeOf(directive);
+  if (!issued) return;
+  const TimePoint valid_until = *issued + kDirectiveValidity;
   if (m_directive && directive.controller_token < m_directive->controller_token) return;
   if (now >= valid_until) return;
   if (directive.phase == RolloutPhase::kRolledBack) m_known_bad = true;
@@ -191,16 +188,8 @@
 }
 
 void RolloutParticipant::OnTick(TimePoint now, std::vector<Action>& actions) {
-  if (m_next_report && now < *m_next_report) return;
-  m_next_report = now + kReportInterval;
-  ++m_pending.sequence;
-  m_reports_sent[m_pending.sequence] = now;
-  if (m_reports_sent.size() > kMaxReportsInFlight) m_reports_sent.erase(m_reports_sent.begin());
-  actions.emplace_back(SendReport{m_pending});
-  m_pending.strata.clear();
-  m_pending.endpoints.clear();
-  m_pending.requests = 0;
-  m_pending.permits_wanted = 0;
+  std::optional<RolloutReport> report = m_outbox.TakeDue(kReportInterval, now);
+  if (report) actions.emplace_back(SendReport{std::move(*report)});
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/rollout_participant.h
+++ b/src/libs/coordination/rollout_participant.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coordination/quantile_estimator.h"
+#include "coordination/rollout_report_outbox.h"
 #include "coordination/version_comparison.h"
 #include "protocol/catalogue.h"
 #include "protocol/rollout_messages.h"
@@ -104,12 +105,10 @@
   RolloutRequest m_rollout;
   VersionComparison m_comparison;
   std::map<std::uint32_t, LatencyLimits> m_limits;
-  RolloutReport m_pending;
-  std::map<std::uint64_t, TimePoint> m_reports_sent;
+  RolloutReportOutbox m_outbox;
   std::optional<RolloutDirective> m_directive;
   std::set<EndpointId> m_excluded_by_controller;
   TimePoint m_directive_until{};
-  std::optional<TimePoint> m_next_report;
   std::uint32_t m_permits = 0;
   double m_share_saved = 0;
   int m_new_version_endpoints = 0;
