Build only the concurrent tests with the thread sanitizer

Cause: scripts/check built all 271 objects with the thread sanitizer, of which only the concurrent tests run. Change: target concurrent_tests.

--- a/cmake/FulmarpointTarget.cmake
+++ b/cmake/FulmarpointTarget.cmake
@@ -14,6 +14,9 @@
   set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
 endif()
 
+# Builds the tests that run under the thread sanitizer.
+add_custom_target(concurrent_tests)
+
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
 find_package(Boost 1.81 REQUIRED COMPONENTS program_options)
@@ -76,6 +79,7 @@
   fulmarpoint_configure(${name})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_LINKS} Threads::Threads)
+  add_dependencies(concurrent_tests ${name})
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS concurrent)
 endfunction()
