--- a/tests/auto/server/tst_daemon.cpp
+++ b/tests/auto/server/tst_daemon.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "daemon_client.h"
+#include "expect_problem.h"
 #include "fake_platform.h"
 #include "server/daemon.h"
 
@@ -25,13 +26,6 @@
   std::unique_ptr<DaemonClient> client;
 };
 
-void ExpectProblem(const HttpReply& reply, const std::string& name, const std::string& execution) {
-  const Json json = Json::parse(reply.body, nullptr, false);
-  cr_assert(json.is_object(), "%d %s", reply.status, reply.body.c_str());
-  cr_assert_eq(json.value("name", ""), name, "%s", reply.body.c_str());
-  cr_assert_eq(json.value("execution", ""), execution, "%s", reply.body.c_str());
-}
-
 }  // namespace
 
 Test(daemon, completion_is_streamed_with_event_ids) {
--- a/tests/auto/server/tst_sessions.cpp
+++ b/tests/auto/server/tst_sessions.cpp
@@ -3,6 +3,8 @@
 #include <thread>
 
 #include "daemon_client.h"
+#include "endpoints_fixture.h"
+#include "expect_problem.h"
 #include "fake_endpoints.h"
 #include "server/daemon.h"
 
@@ -14,28 +16,6 @@
 using StreamFault = FakeEndpoints::StreamFault;
 
 const char kBody[] = R"({"service":"assistant","prompt":"hello","max_tokens":20,"seed":7})";
-const char kOrders[] = "/v1/services/orders/orders";
-
-struct Fixture {
-  Fixture() : daemon(endpoints.MakeSettings()) {
-    cr_assert_not(daemon.Start());
-    client = std::make_unique<DaemonClient>(daemon.HttpAddress());
-    client->WaitUntilReady();
-    // A daemon may be ready before it has proof that its catalogue is current.
-    const auto serves = [this]() {
-      return client->Send("GET", "/v1/services/orders/items", "key-application").status == 200;
-    };
-    while (!serves()) std::this_thread::yield();
-  }
-
-  HttpReply Order(const std::string& key, const std::string& body) {
-    return client->Send("POST", kOrders, "key-application", body, {{"Idempotency-Key", key}});
-  }
-
-  FakeEndpoints endpoints;
-  Daemon daemon;
-  std::unique_ptr<DaemonClient> client;
-};
 
 void ExpectTokens(const Completion& completion, int from) {
   const int count = FakeEndpoints::kTokens - from;
@@ -49,18 +29,11 @@
   cr_assert_eq(completion.events.back().event, "done");
 }
 
-void ExpectProblem(const HttpReply& reply, const std::string& name, const std::string& execution) {
-  const Json json = Json::parse(reply.body, nullptr, false);
-  cr_assert(json.is_object(), "%d %s", reply.status, reply.body.c_str());
-  cr_assert_eq(json.value("name", ""), name, "%s", reply.body.c_str());
-  cr_assert_eq(json.value("execution", ""), execution, "%s", reply.body.c_str());
-}
-
 }  // namespace
 
 // Guards against a connection whose loss ends the generation although the engine holds the stream.
 Test(sessions, lost_connection_is_replaced_by_another_to_the_same_engine) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   fixture.endpoints.FailAt(8, StreamFault::kClose, true);
   ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
   cr_assert_eq(fixture.endpoints.Reconnected(), 1);
@@ -69,7 +42,7 @@
 
 // Guards against a connection that a middlebox forgot: nothing arrives and nothing fails.
 Test(sessions, silent_connection_is_replaced) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   fixture.endpoints.FailAt(8, StreamFault::kSilent, true);
   ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
   cr_assert_eq(fixture.endpoints.Reconnected(), 1);
@@ -77,7 +50,7 @@
 
 // Guards against a restart from the beginning when the engine has lost the stream.
 Test(sessions, lost_stream_continues_with_the_delivered_tokens) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   fixture.endpoints.FailAt(8, StreamFault::kClose, false);
   ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
   cr_assert_eq(fixture.endpoints.Opened(), 2);
@@ -86,7 +59,7 @@
 
 // Guards against a daemon that can't continue what another daemon began (6.2).
 Test(sessions, event_id_continues_at_another_daemon) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   const Completion first = fixture.client->Complete("key-model", kBody);
   Daemon other(fixture.endpoints.MakeSettings("d2"));
   cr_assert_not(other.Start());
@@ -109,7 +82,7 @@
 
 // Guards against a call that takes effect twice because its caller sends it again.
 Test(sessions, repeated_key_gets_the_same_answer) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   const HttpReply first = fixture.Order("k1", "one");
   cr_assert_eq(first.status, 200, "%s", first.body.c_str());
   cr_assert_eq(first.body, "answer to one");
@@ -120,7 +93,7 @@
 
 // Guards against a call that is sent although its claim was not written.
 Test(sessions, nothing_is_sent_while_the_table_service_is_down) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   fixture.endpoints.FailTables(true);
   ExpectProblem(fixture.Order("k1", "one"), "store_unavailable", "not_run");
   cr_assert_eq(fixture.endpoints.Effects(), 0);
@@ -135,7 +108,7 @@
 
 // Guards against rows that grow with the answers.
 Test(sessions, large_outcomes_are_kept_in_the_object_store) {
-  Fixture fixture;
+  EndpointsFixture fixture;
   fixture.endpoints.SetAnswerBytes(20000);
   const HttpReply first = fixture.Order("k1", "one");
   cr_assert_eq(first.body.size(), 20000);
