--- /dev/null
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -0,0 +1,136 @@
+#include "coordination/endpoint_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr int kMaxBlockDoublings = 5;
+// A full endpoint has room again when the next request there ends.
+constexpr Duration kRefusedBlock = std::chrono::milliseconds(100);
+
+bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
+  if (endpoint.record.draining || now < endpoint.blocked_until) return false;
+  return !endpoint.gone_at || now < *endpoint.gone_at;
+}
+
+}  // namespace
+
+void EndpointUsage::Add(const EndpointUse& use) {
+  unread_tokens += use.unread_tokens;
+  memory_tokens += use.memory_tokens;
+  if (use.takes_slot) ++requests;
+}
+
+void EndpointUsage::Remove(const EndpointUse& use) {
+  unread_tokens = std::max<std::int64_t>(0, unread_tokens - use.unread_tokens);
+  memory_tokens = std::max<std::int64_t>(0, memory_tokens - use.memory_tokens);
+  if (use.takes_slot) requests = std::max(0, requests - 1);
+}
+
+void EndpointDirectory::Put(const EndpointRecord& record) {
+  DirectoryEndpoint& endpoint = m_endpoints[record.id];
+  const EndpointRecord before = std::exchange(endpoint.record, record);
+  endpoint.gone_at.reset();
+  if (before.incarnation == record.incarnation && before.address == record.address) return;
+  // A new process knows nothing of the failures of the one before.
+  endpoint.failures = 0;
+  endpoint.blocked_until = TimePoint{};
+  endpoint.load = EndpointLoad{};
+}
+
+void EndpointDirectory::Remove(const EndpointId& id, TimePoint at) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.gone_at = at;
+}
+
+void EndpointDirectory::OnFailure(const EndpointId& id, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found == m_endpoints.end()) return;
+  DirectoryEndpoint& endpoint = found->second;
+  // Requests that fail together are one failure.
+  if (now < endpoint.blocked_until) return;
+  const int doublings = std::min(endpoint.failures++, kMaxBlockDoublings);
+  Block(id, now + std::min(m_options.longest_block, m_options.first_block * (1 << doublings)));
+}
+
+void EndpointDirectory::OnMisdirected(const EndpointId& id, TimePoint now) {
+  Block(id, now + m_options.misdirected_block);
+}
+
+void EndpointDirectory::OnRefused(const EndpointId& id, TimePoint now) {
+  Block(id, now + kRefusedBlock);
+}
+
+void EndpointDirectory::OnSuccess(const EndpointId& id) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.failures = 0;
+}
+
+void EndpointDirectory::OnLoad(const EndpointId& id, const EndpointLoad& load) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.load = load;
+}
+
+void EndpointDirectory::AddUse(const EndpointUse& use) {
+  const auto found = m_endpoints.find(use.endpoint);
+  if (found != m_endpoints.end()) found->second.own.Add(use);
+}
+
+void EndpointDirectory::RemoveUse(const EndpointUse& use) {
+  const auto found = m_endpoints.find(use.endpoint);
+  if (found != m_endpoints.end()) found->second.own.Remove(use);
+}
+
+void EndpointDirectory::SetPeerUses(const std::string& peer, std::vector<EndpointUse> uses) {
+  std::vector<EndpointUse>& known = m_peer_uses[peer];
+  for (const EndpointUse& use : known) {
+    const auto found = m_endpoints.find(use.endpoint);
+    if (found != m_endpoints.end()) found->second.peers.Remove(use);
+  }
+  for (const EndpointUse& use : uses) {
+    const auto found = m_endpoints.find(use.endpoint);
+    if (found != m_endpoints.end()) found->second.peers.Add(use);
+  }
+  known = std::move(uses);
+  if (known.empty()) m_peer_uses.erase(peer);
+}
+
+std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const ServiceName& service,
+                                                                TimePoint now) const {
+  std::vector<const DirectoryEndpoint*> usable;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.record.service == service && MayReceive(endpoint, now)) {
+      usable.push_back(&endpoint);
+    }
+  }
+  return usable;
+}
+
+const DirectoryEndpoint* EndpointDirectory::Find(const EndpointId& id) const {
+  const auto found = m_endpoints.find(id);
+  return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+bool EndpointDirectory::IsUsable(const EndpointId& id, TimePoint now) const {
+  const DirectoryEndpoint* endpoint = Find(id);
+  return endpoint != nullptr && MayReceive(*endpoint, now);
+}
+
+void EndpointDirectory::Forget(TimePoint now) {
+  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+    const DirectoryEndpoint& endpoint = it->second;
+    const bool is_gone = endpoint.gone_at && now >= *endpoint.gone_at;
+    it = is_gone && endpoint.Requests() == 0 ? m_endpoints.erase(it) : std::next(it);
+  }
+}
+
+void EndpointDirectory::Block(const EndpointId& id, TimePoint until) {
+  const auto found = m_endpoints.find(id);
+  if (found == m_endpoints.end()) return;
+  found->second.blocked_until = std::max(found->second.blocked_until, until);
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/endpoint_directory.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/endpoint_record.h"
+#include "protocol/relay_messages.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// What one request occupies at an endpoint.
+struct EndpointUse {
+  EndpointId endpoint;
+  /// Prompt tokens that the endpoint has yet to read for this request.
+  std::int64_t unread_tokens = 0;
+  /// Tokens of the endpoint's memory that the request will fill, or that a copy of its run fills.
+  std::int64_t memory_tokens = 0;
+  /// False for a copy, which needs no slot.
+  bool takes_slot = true;
+
+  bool operator==(const EndpointUse&) const = default;
+};
+
+/// Sum of the uses of an endpoint.
+struct EndpointUsage {
+  std::int64_t unread_tokens = 0;
+  std::int64_t memory_tokens = 0;
+  int requests = 0;
+
+  void Add(const EndpointUse& use);
+  void Remove(const EndpointUse& use);
+};
+
+/// An endpoint as this daemon sees it.
+struct DirectoryEndpoint {
+  EndpointRecord record;
+  /// Requests of this daemon, and of its peers as they last reported them.
+  EndpointUsage own;
+  EndpointUsage peers;
+  /// Load that came with the latest answer.
+  EndpointLoad load;
+  /// Failures in a row; the endpoint gets no request until `blocked_until`.
+  int failures = 0;
+  TimePoint blocked_until{};
+  /// Set once the store no longer has the row: the endpoint is gone from then on.
+  std::optional<TimePoint> gone_at;
+
+  std::int64_t UnreadTokens() const { return own.unread_tokens + peers.unread_tokens; }
+  std::int64_t MemoryTokens() const { return own.memory_tokens + peers.memory_tokens; }
+  int Requests() const { return own.requests + peers.requests; }
+};
+
+/// Endpoints that the store lists, what is known of their health, and what they are used for. An
+/// endpoint that fails is left out for a growing time; one that is draining or gone gets nothing.
+/// Not thread-safe.
+class EndpointDirectory {
+ public:
+  struct Options {
+    Duration first_block = std::chrono::milliseconds(400);
+    Duration longest_block = std::chrono::seconds(4);
+    /// An address that answered for another endpoint is left out this long, or until the row
+    /// changes.
+    Duration misdirected_block = std::chrono::seconds(10);
+  };
+
+  EndpointDirectory() = default;
+  explicit EndpointDirectory(Options options) : m_options(options) {}
+
+  /// The store lists an endpoint, anew or changed.
+  void Put(const EndpointRecord& record);
+  /// The store no longer lists an endpoint; it is gone from `at` on.
+  void Remove(const EndpointId& id, TimePoint at);
+
+  /// Connecting failed, the connection broke, or the endpoint fell silent during a request.
+  void OnFailure(const EndpointId& id, TimePoint now);
+  /// Another endpoint answered at the address.
+  void OnMisdirected(const EndpointId& id, TimePoint now);
+  /// The endpoint refused a request without running it: it is full or leaving.
+  void OnRefused(const EndpointId& id, TimePoint now);
+  void OnSuccess(const EndpointId& id);
+  void OnLoad(const EndpointId& id, const EndpointLoad& load);
+
+  void AddUse(const EndpointUse& use);
+  void RemoveUse(const EndpointUse& use);
+  /// Replaces all that a peer uses.
+  void SetPeerUses(const std::string& peer, std::vector<EndpointUse> uses);
+
+  /// Returns the endpoints of `service` that may receive a request now. The pointers are valid
+  /// until the next call of a function that is not const.
+  std::vector<const DirectoryEndpoint*> Usable(const ServiceName& service, TimePoint now) const;
+  /// Returns null if the endpoint is unknown.
+  const DirectoryEndpoint* Find(const EndpointId& id) const;
+  bool IsUsable(const EndpointId& id, TimePoint now) const;
+  /// Forgets endpoints that are gone and unused.
+  void Forget(TimePoint now);
+  std::size_t Size() const { return m_endpoints.size(); }
+
+ private:
+  void Block(const EndpointId& id, TimePoint until);
+
+  Options m_options;
+  std::map<EndpointId, DirectoryEndpoint> m_endpoints;
+  std::map<std::string, std::vector<EndpointUse>> m_peer_uses;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/freshness_proof.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <optional>
+
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// How long this daemon may rely on its configuration. A reply of the store proves that the
+/// configuration was current when the call began, whatever happened to the daemon since. All
+/// instants are of a clock that counts suspension. Not thread-safe.
+class FreshnessProof {
+ public:
+  /// `validity` is the time after a key's removal from which no request may run with it.
+  explicit FreshnessProof(Duration validity) : m_validity(validity) {}
+
+  /// A call that began at `started` returned the current configuration.
+  void Confirm(TimePoint started) {
+    if (!m_confirmed || started > *m_confirmed) m_confirmed = started;
+  }
+
+  /// Returns whether a request that arrived no later than `now` may run with a key.
+  bool Holds(TimePoint now) const { return m_confirmed && now - *m_confirmed < m_validity; }
+
+  /// Returns the age of the proof, or nothing if there is none.
+  std::optional<Duration> Age(TimePoint now) const {
+    if (!m_confirmed) return std::nullopt;
+    return now - *m_confirmed;
+  }
+
+ private:
+  Duration m_validity;
+  std::optional<TimePoint> m_confirmed;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/peer_directory.cpp
@@ -0,0 +1,133 @@
+#include "coordination/peer_directory.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "protocol/identifiers.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+using Json = nlohmann::json;
+
+}  // namespace
+
+std::string ToJson(const PeerRecord& record) {
+  return Json{{"name", record.name},
+              {"incarnation", record.incarnation},
+              {"peer_address", record.peer_address},
+              {"caller_address", record.caller_address},
+              {"failure_domain", record.failure_domain}}
+      .dump();
+}
+
+std::optional<PeerRecord> ParsePeerRecord(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  try {
+    PeerRecord record;
+    record.name = json.at("name").get<std::string>();
+    record.incarnation = json.at("incarnation").get<std::uint64_t>();
+    record.peer_address = json.at("peer_address").get<std::string>();
+    record.caller_address = json.at("caller_address").get<std::string>();
+    record.failure_domain = json.at("failure_domain").get<std::string>();
+    return record;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+void PeerDirectory::Put(const PeerRecord& record, TimePoint now) {
+  if (record.name == m_self) return;
+  Peer& peer = m_peers[record.name];
+  const bool is_new = peer.record.name.empty() || peer.record.incarnation != record.incarnation;
+  peer.record = record;
+  if (!is_new || record.incarnation <= peer.incarnation) return;
+  // It has just written its row, so it counts as heard until it has had time to send a heartbeat.
+  peer.incarnation = record.incarnation;
+  peer.sequence = 0;
+  peer.last_heard = now;
+  peer.heard = false;
+  peer.ready = false;
+  peer.leaving = false;
+}
+
+void PeerDirectory::Remove(const std::string& name) { m_peers.erase(name); }
+
+bool PeerDirectory::OnHeartbeat(const RelayHeartbeat& heartbeat, TimePoint now) {
+  const auto found = m_peers.find(heartbeat.name);
+  if (found == m_peers.end()) return false;
+  Peer& peer = found->second;
+  if (heartbeat.incarnation < peer.incarnation) return false;
+  if (heartbeat.incarnation == peer.incarnation && heartbeat.sequence <= peer.sequence) {
+    return false;
+  }
+  peer.incarnation = heartbeat.incarnation;
+  peer.sequence = heartbeat.sequence;
+  peer.last_heard = now;
+  peer.heard = true;
+  peer.ready = heartbeat.ready;
+  peer.leaving = heartbeat.leaving;
+  peer.record.caller_address = heartbeat.caller_address;
+  return true;
+}
+
+void PeerDirectory::ForgiveSilence(TimePoint now) {
+  for (auto& [name, peer] : m_peers) peer.last_heard = now;
+}
+
+std::vector<PeerRecord> PeerDirectory::Neighbours() const {
+  std::vector<PeerRecord> neighbours;
+  for (const Peer* peer : Ring()) neighbours.push_back(peer->record);
+  return neighbours;
+}
+
+std::vector<std::string> PeerDirectory::CallerAddresses(TimePoint now) const {
+  std::set<std::string> neighbours;
+  for (const Peer* peer : Ring()) neighbours.insert(peer->record.name);
+  std::vector<std::string> addresses;
+  for (const auto& [name, peer] : m_peers) {
+    // Of daemons that are no neighbours only the row is known.
+    const bool is_neighbour = neighbours.count(name) > 0;
+    const bool answers = now - peer.last_heard < m_options.silence_limit;
+    if (is_neighbour && !(peer.heard && answers && peer.ready && !peer.leaving)) continue;
+    addresses.push_back(peer.record.caller_address);
+  }
+  return addresses;
+}
+
+std::vector<std::string> PeerDirectory::Lost(TimePoint now) const {
+  std::vector<std::string> lost;
+  for (const Peer* peer : Ring()) {
+    if (now - peer->last_heard >= m_options.removal_time) lost.push_back(peer->record.name);
+  }
+  return lost;
+}
+
+bool PeerDirectory::IsReachable(const std::string& name, TimePoint now) const {
+  const auto found = m_peers.find(name);
+  return found != m_peers.end() && now - found->second.last_heard < m_options.silence_limit;
+}
+
+std::vector<const PeerDirectory::Peer*> PeerDirectory::Ring() const {
+  std::vector<std::pair<std::uint64_t, const Peer*>> ring;
+  ring.reserve(m_peers.size());
+  for (const auto& [name, peer] : m_peers) ring.emplace_back(StableHash(name), &peer);
+  std::sort(ring.begin(), ring.end());
+  const std::uint64_t self = StableHash(m_self);
+  const auto after = std::find_if(ring.begin(), ring.end(),
+                                  [self](const auto& entry) { return entry.first > self; });
+  std::rotate(ring.begin(), after, ring.end());
+  // Half of the neighbours follow on the ring and half precede, so that being a neighbour is mutual.
+  std::vector<const Peer*> neighbours;
+  const std::size_t half = m_options.max_neighbours / 2;
+  for (std::size_t index = 0; index < ring.size(); ++index) {
+    if (index < half || index + half >= ring.size()) neighbours.push_back(ring[index].second);
+  }
+  return neighbours;
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/relay_placement.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/endpoint_directory.h"
+#include "utils/random.h"
+
+namespace fulmarpoint {
+
+/// What a request needs of an endpoint.
+struct PlacementRequest {
+  /// Failure domain of this daemon.
+  std::string failure_domain;
+  /// Endpoints that have failed or refused this request.
+  std::set<EndpointId> excluded;
+  /// An endpoint that probably still holds the prompt in memory; empty if none.
+  EndpointId preferred;
+  /// Tokens to read and to keep; zero for requests to application engines.
+  std::int64_t prompt_tokens = 0;
+  std::int64_t memory_tokens = 0;
+  /// Memory of each engine; 0 if unlimited.
+  std::int64_t engine_memory_tokens = 0;
+};
+
+/// Chooses the endpoint for a request to an application engine: the one with the fewest requests
+/// for its slots, of equal ones one in this daemon's failure domain. Returns null if there is none.
+const DirectoryEndpoint* PlaceCall(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                   const PlacementRequest& request, Random& random);
+
+/// Chooses the engine for a generation: the one that will begin with its prompt first and has room
+/// for the whole run. Returns null if none has room.
+const DirectoryEndpoint* PlaceStream(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                     const PlacementRequest& request, Random& random);
+
+/// Chooses the engine that keeps a copy of a run's memory: in another failure domain than
+/// `primary` if one has room, and with the most room. Returns null if none has room.
+const DirectoryEndpoint* PlaceBackup(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                     const PlacementRequest& request,
+                                     const DirectoryEndpoint& primary, Random& random);
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/relay_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/relay_configuration.h"
+#include "utils/random.h"
+
+namespace fulmarpoint {
+
+/// One version of the relay's configuration, indexed for requests. Immutable, so that a request
+/// keeps the version it began with. Thread-safe.
+class RelayTable {
+ public:
+  explicit RelayTable(RelayConfiguration configuration);
+  RelayTable(const RelayTable&) = delete;
+  RelayTable& operator=(const RelayTable&) = delete;
+
+  std::int64_t Version() const { return m_configuration.version; }
+  const CallerLimits& Limits() const { return m_configuration.limits; }
+  const RelayConfiguration& Configuration() const { return m_configuration; }
+
+  /// Returns the route of `host` with the longest prefix that begins `path`, or null. A port in
+  /// `host` and the case of its letters do not count.
+  const RelayRoute* FindRoute(std::string_view host, std::string_view path) const;
+  /// Returns the organisation that holds `key`, or null.
+  const RelayOrganisation* FindOrganisation(std::string_view key) const;
+  /// Returns null for a service that is not configured.
+  const RelayService* FindService(std::string_view name) const;
+
+ private:
+  RelayConfiguration m_configuration;
+  /// Routes of each host, longest prefix first.
+  std::unordered_map<std::string, std::vector<const RelayRoute*>> m_routes;
+  std::unordered_map<std::string_view, const RelayOrganisation*> m_organisations;
+  std::map<std::string_view, const RelayService*> m_services;
+};
+
+/// Chooses one of the route's services by weight; empty if the route has none. Thread-safe for
+/// separate `random` objects.
+ServiceName ChooseService(const RelayRoute& route, Random& random);
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/stream_continuation.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// What to do with an event of a stream.
+enum class EventVerdict {
+  kDeliver,
+  /// The caller has it already.
+  kDuplicate,
+  /// An event before it is missing: the run must not be delivered further.
+  kGap,
+};
+
+/// What to do about a run that is silent.
+enum class SilenceVerdict { kWait, kProbe, kAbandon };
+
+/// Decides for one relayed stream which events the caller gets, and when a silent run is given up.
+/// Not thread-safe.
+class StreamContinuation {
+ public:
+  struct Limits {
+    /// Objective for the first event and for the pause between events.
+    Duration goal{};
+    Duration gap_goal{};
+    /// Endpoints on which the stream may run.
+    int max_runs = 1;
+    bool can_resume = false;
+  };
+
+  /// `last_event` is the event after which the caller resumes.
+  StreamContinuation(const Limits& limits, std::optional<std::uint64_t> last_event);
+
+  /// A run begins. `from_copy`: the endpoint holds a copy of the run's memory and needs to read
+  /// little.
+  void OnRunStarted(bool from_copy, TimePoint now);
+  /// The endpoint refused the run before it began.
+  void OnRunRefused();
+  EventVerdict OnEvent(std::uint64_t id, TimePoint now);
+  /// The endpoint accepted a new connection while the run was silent.
+  void OnProbeAnswered(TimePoint now);
+
+  /// Judges the silence since the last event or the start of the run.
+  SilenceVerdict Judge(TimePoint now) const;
+  /// Returns when `Judge` may next change if nothing happens.
+  TimePoint NextJudgement(TimePoint now) const;
+
+  /// Returns whether another run may be started after the current one.
+  bool MayStartRun() const { return m_runs < m_limits.max_runs; }
+  /// Returns whether a later run may continue what was delivered.
+  bool MayContinue() const { return !m_delivered || m_limits.can_resume; }
+  bool HasDelivered() const { return m_delivered; }
+  /// Returns the event after which the next run begins.
+  std::optional<std::uint64_t> LastEvent() const { return m_last_event; }
+  int Runs() const { return m_runs; }
+
+ private:
+  Duration Patience() const;
+
+  Limits m_limits;
+  std::optional<std::uint64_t> m_last_event;
+  bool m_delivered = false;
+  bool m_run_has_event = false;
+  bool m_from_copy = false;
+  int m_runs = 0;
+  TimePoint m_last_progress{};
+  TimePoint m_last_probe{};
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/table_follower.cpp
@@ -0,0 +1,141 @@
+#include "coordination/table_follower.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr int kMaxBackoffDoublings = 6;
+
+}  // namespace
+
+TableFollower::TableFollower(Options options, std::uint64_t seed)
+    : m_options(std::move(options)), m_random(seed) {}
+
+TableFollower::NextCall TableFollower::Next() {
+  NextCall next;
+  if (m_failures > 0) {
+    const Duration longest = std::min(
+        m_options.longest_backoff,
+        m_options.first_backoff * (1 << std::min(m_failures - 1, kMaxBackoffDoublings)));
+    // Daemons that lost the store together must not return together.
+    std::uniform_int_distribution<Duration::rep> jitter(longest.count() / 2, longest.count());
+    next.delay = Duration(jitter(m_random));
+  }
+  if (m_reading) {
+    next.call = StoreRead{m_options.table, "", m_from};
+  } else {
+    // After a failure an answer is needed at once, to know how old the copy is.
+    const Duration wait = m_failures > 0 ? Duration::zero() : m_options.watch_wait;
+    next.call = StoreWatch{m_options.table, m_after, wait};
+  }
+  return next;
+}
+
+std::vector<TableFollower::Change> TableFollower::OnReply(StoreReply reply, TimePoint now) {
+  std::vector<Change> changes;
+  if (reply.status == StoreStatus::kHistoryGone) {
+    m_reading = true;
+    m_first_page = true;
+    m_from.clear();
+    m_pages.clear();
+    return changes;
+  }
+  if (reply.status != StoreStatus::kOk) {
+    OnFailure(now);
+    return changes;
+  }
+  if (m_failures > 0) m_returned = now;
+  m_failures = 0;
+  if (m_reading) {
+    OnPage(reply, now, changes);
+  } else {
+    OnChanges(reply, now, changes);
+  }
+  return changes;
+}
+
+void TableFollower::OnFailure(TimePoint now) {
+  ++m_failures;
+  m_returned = now;
+  // A read that was interrupted starts anew: its pages may be of different ages.
+  m_first_page = true;
+  m_from.clear();
+  m_pages.clear();
+}
+
+void TableFollower::OnPage(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
+  // The first page's version: changes during the later pages are then seen again by the watch.
+  if (std::exchange(m_first_page, false)) m_read_version = reply.version;
+  for (StoreRow& row : reply.rows) {
+    if (!row.partition.empty() || row.removed) continue;
+    const std::string key = row.key;
+    m_pages[key] = std::move(row);
+  }
+  if (reply.has_more && !reply.rows.empty() && !m_pages.empty()) {
+    m_from = m_pages.rbegin()->first + '\0';
+    return;
+  }
+  FinishRead(now, changes);
+}
+
+void TableFollower::FinishRead(TimePoint now, std::vector<Change>& changes) {
+  std::vector<std::string> missing;
+  for (const auto& [key, version] : m_versions) {
+    if (m_pages.count(key) == 0) missing.push_back(key);
+  }
+  for (const std::string& key : missing) Remove(key, m_read_version, now, changes);
+  for (auto& [key, row] : m_pages) {
+    std::uint64_t& known = m_versions[key];
+    if (row.version <= known) continue;
+    known = row.version;
+    changes.push_back({std::move(row)});
+  }
+  m_pages.clear();
+  m_from.clear();
+  m_first_page = true;
+  m_reading = false;
+  m_complete = true;
+  m_after = std::max(m_after, m_read_version);
+}
+
+void TableFollower::OnChanges(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
+  for (StoreRow& row : reply.rows) {
+    if (!row.partition.empty()) continue;
+    if (row.removed) {
+      Remove(row.key, row.version, now, changes);
+      continue;
+    }
+    std::uint64_t& known = m_versions[row.key];
+    if (row.version <= known) continue;
+    known = row.version;
+    changes.push_back({std::move(row)});
+  }
+  m_after = std::max(m_after, reply.version);
+}
+
+void TableFollower::Remove(const std::string& key, std::uint64_t version, TimePoint now,
+                           std::vector<Change>& changes) {
+  const auto found = m_versions.find(key);
+  if (found == m_versions.end()) return;
+  // A row that was written again after this removal exists.
+  if (version != 0 && version < found->second) return;
+  m_versions.erase(found);
+  Change change;
+  change.row.table = m_options.table;
+  change.row.key = key;
+  change.row.version = version;
+  change.row.removed = true;
+  change.provisional = IsProvisional(now);
+  if (change.provisional) change.until = m_returned + m_options.lapse_time;
+  changes.push_back(std::move(change));
+}
+
+bool TableFollower::IsProvisional(TimePoint now) const {
+  return m_returned != TimePoint::min() && now < m_returned + m_options.lapse_time;
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/coordination/table_follower.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "protocol/store_messages.h"
+#include "utils/random.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// Keeps a copy of one table of the store up to date: reads all rows, then watches for changes, and
+/// reads all rows again when the history is gone. It never goes back to an older row. Not
+/// thread-safe.
+class TableFollower {
+ public:
+  struct Options {
+    std::string table;
+    /// How long a watch waits for a change. Each empty answer is a call that is paid for and a
+    /// proof that nothing has changed.
+    Duration watch_wait = std::chrono::milliseconds(1500);
+    Duration first_backoff = std::chrono::milliseconds(50);
+    Duration longest_backoff = std::chrono::milliseconds(800);
+    /// Rows that the store drops while it is away come back within this time if their writer lives.
+    Duration lapse_time = std::chrono::milliseconds(1700);
+  };
+
+  /// A row was added, changed or removed.
+  struct Change {
+    StoreRow row;
+    /// The row vanished while the store was away; it counts as removed only from `until` on.
+    bool provisional = false;
+    TimePoint until{};
+  };
+
+  using Call = std::variant<StoreRead, StoreWatch>;
+  struct NextCall {
+    Duration delay{};
+    Call call;
+  };
+
+  TableFollower(Options options, std::uint64_t seed);
+
+  /// Returns the call to make next and the pause before it.
+  NextCall Next();
+  /// Takes the reply to the last call and returns what has changed.
+  std::vector<Change> OnReply(StoreReply reply, TimePoint now);
+
+  /// Returns whether all rows have been read once.
+  bool IsComplete() const { return m_complete; }
+  /// Returns whether no read is in progress, so that the copy was current at the last reply.
+  bool IsUpToDate() const { return m_complete && !m_reading; }
+  /// Returns whether the last call succeeded.
+  bool IsConnected() const { return m_failures == 0; }
+
+ private:
+  void OnFailure(TimePoint now);
+  void OnPage(StoreReply& reply, TimePoint now, std::vector<Change>& changes);
+  void FinishRead(TimePoint now, std::vector<Change>& changes);
+  void OnChanges(StoreReply& reply, TimePoint now, std::vector<Change>& changes);
+  void Remove(const std::string& key, std::uint64_t version, TimePoint now,
+              std::vector<Change>& changes);
+  bool IsProvisional(TimePoint now) const;
+
+  Options m_options;
+  Random m_random;
+  /// Version of each row that exists.
+  std::map<std::string, std::uint64_t> m_versions;
+  /// Rows of the read in progress.
+  std::map<std::string, StoreRow> m_pages;
+  std::string m_from;
+  bool m_reading = true;
+  bool m_first_page = true;
+  bool m_complete = false;
+  /// Version from which the watch continues.
+  std::uint64_t m_after = 0;
+  std::uint64_t m_read_version = 0;
+  int m_failures = 0;
+  /// The store was away until this time.
+  TimePoint m_returned = TimePoint::min();
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/server/problem_reply.cpp
+++ b/src/libs/http_api/problem_reply.cpp
@@ -1,4 +1,4 @@
-#include "server/problem_reply.h"
+#include "http_api/problem_reply.h"
 
 #include <cmath>
 #include <nlohmann/json.hpp>
--- a/src/libs/server/url.cpp
+++ b/src/libs/http_api/url.cpp
@@ -1,4 +1,4 @@
-#include "server/url.h"
+#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- /dev/null
+++ b/src/libs/protocol/relay_configuration.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/identifiers.h"
+#include "utils/enum_names.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// How often a relayed request may run.
+enum class Repeatability { kIdempotent, kNonIdempotent, kStream };
+
+inline constexpr std::array<EnumName<Repeatability>, 3> kRepeatabilityNames = {{
+    {Repeatability::kIdempotent, "idempotent"},
+    {Repeatability::kNonIdempotent, "non_idempotent"},
+    {Repeatability::kStream, "stream"},
+}};
+
+/// A service that receives a share of a route's requests.
+struct RouteTarget {
+  ServiceName service;
+  double weight = 1.0;
+};
+
+/// Requests to `host` whose path begins with `prefix` are relayed to the services in `targets`.
+struct RelayRoute {
+  std::string name;
+  std::string host;
+  std::string prefix;
+  Repeatability repeatability = Repeatability::kNonIdempotent;
+  std::vector<RouteTarget> targets;
+  /// Longest time from the arrival of a request to its complete answer.
+  Duration timeout = std::chrono::seconds(30);
+  /// Latency objective: time to the answer, for streams to the first event.
+  Duration goal = std::chrono::seconds(1);
+  /// Streams: longest pause between events that meets the objective.
+  Duration gap_goal = std::chrono::milliseconds(700);
+  /// 0 is the most urgent.
+  int priority = 5;
+  /// Endpoints on which one request may run.
+  int max_attempts = 1;
+  bool needs_key = true;
+  /// Streams: another endpoint may continue after a given event.
+  bool can_resume = false;
+};
+
+/// Limits of the model engines of a service.
+struct EngineCapacity {
+  int slots = 1;
+  /// Tokens of running requests and their copies that fit into an engine's memory.
+  std::int64_t memory_tokens = 0;
+  /// An engine sends a copy of a run's memory to another engine while it grows.
+  bool sends_backups = false;
+};
+
+struct RelayService {
+  ServiceName name;
+  /// Connections that one endpoint accepts from all daemons together; 0 if unlimited.
+  int max_connections = 0;
+  /// Nothing for application engines.
+  std::optional<EngineCapacity> engine;
+};
+
+struct RelayOrganisation {
+  OrganisationId name;
+  std::vector<std::string> keys;
+  /// Overrides the priority of the route.
+  std::optional<int> priority;
+};
+
+/// What callers may send.
+struct CallerLimits {
+  std::size_t head_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
+  Duration head_time = std::chrono::seconds(5);
+  Duration idle_time = std::chrono::seconds(30);
+};
+
+/// The operator's configuration of the relay. `version` grows with each change.
+struct RelayConfiguration {
+  std::int64_t version = 0;
+  std::vector<RelayRoute> routes;
+  std::vector<RelayService> services;
+  CallerLimits limits;
+  /// False if requests carry no keys at all.
+  bool has_organisations = false;
+  std::vector<RelayOrganisation> organisations;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/protocol/relay_heartbeat.cpp
@@ -0,0 +1,35 @@
+#include "protocol/relay_heartbeat.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <exception>
+#include <sstream>
+
+namespace fulmarpoint {
+
+std::string EncodeHeartbeat(RelayHeartbeat heartbeat) {
+  if (heartbeat.streams.size() > kMaxHeartbeatStreams) {
+    heartbeat.streams.resize(kMaxHeartbeatStreams);
+  }
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(heartbeat);
+  }
+  return stream.str();
+}
+
+std::optional<RelayHeartbeat> DecodeHeartbeat(std::string_view bytes) {
+  std::istringstream stream{std::string(bytes)};
+  RelayHeartbeat heartbeat;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(heartbeat);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  if (heartbeat.name.empty() || heartbeat.caller_address.empty()) return std::nullopt;
+  if (stream.peek() != std::istringstream::traits_type::eof()) return std::nullopt;
+  return heartbeat;
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/protocol/relay_messages.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/identifiers.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// A part of a prompt that requests share, in the order of the prompt.
+struct PromptPart {
+  std::uint64_t id = 0;
+  std::int64_t tokens = 0;
+};
+
+/// What a caller says about its request, besides method, path and body.
+struct CallerFields {
+  /// Identifies this attempt of the caller. Never empty.
+  std::string request_id;
+  std::string api_key;
+  /// How long the caller waits.
+  std::optional<Duration> deadline;
+  /// The last event that the caller holds of a stream that it resumes.
+  std::optional<std::uint64_t> last_event;
+  std::string model;
+  std::int64_t prompt_tokens = 0;
+  std::int64_t max_output_tokens = 0;
+  std::vector<PromptPart> prompt;
+};
+
+/// What the relay tells an endpoint about a request.
+struct EndpointFields {
+  std::string request_id;
+  Duration deadline{};
+  /// Only this endpoint may run the request.
+  EndpointId endpoint;
+  OrganisationId organisation;
+  /// The endpoint continues the stream after this event.
+  std::optional<std::uint64_t> last_event;
+  std::optional<int> priority;
+  /// "ip:port" of the engine that receives a copy of the run's memory.
+  std::string backup_address;
+  /// "ip:port" of this engine if it holds a copy of the run's memory to continue from.
+  std::string copy_address;
+};
+
+/// Load as an endpoint reports it with an answer.
+struct EndpointLoad {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+};
+
+/// What an endpoint says about its answer, besides status, headers and body.
+struct EndpointAnswerFields {
+  std::string request_id;
+  /// The endpoint states that it has not run the request.
+  bool not_run = false;
+  /// Another endpoint than the expected one has the address.
+  bool misdirected = false;
+  /// The answer bears the mark of an endpoint.
+  bool is_sealed = false;
+  std::optional<EndpointLoad> load;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/call_relay.cpp
@@ -0,0 +1,281 @@
+#include "relay/call_relay.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "utils/logging.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
+constexpr Duration kShortestConnectTime = std::chrono::milliseconds(40);
+constexpr Duration kLongestConnectTime = std::chrono::milliseconds(250);
+// Answers to other requests that may come before the one that is expected.
+constexpr int kMaxStrayAnswers = 2;
+// Refusals and failed connections before the request is given up.
+constexpr int kMaxTries = 6;
+constexpr Duration kRetryAfterNoEndpoint = std::chrono::milliseconds(200);
+// An answer that is this many times later than the objective is asked for elsewhere.
+constexpr int kPatienceFactor = 2;
+constexpr Duration kShortestPatience = std::chrono::milliseconds(250);
+
+enum class TryEnd {
+  kAnswered,
+  /// The endpoint has certainly not run the request.
+  kNotRun,
+  /// The endpoint may have run it, and there is no valid answer.
+  kLost,
+  /// A kept connection turned out to be closed; the endpoint gets the request on a new one.
+  kClosedIdle,
+  kCallerGone,
+};
+
+class CallSession {
+ public:
+  CallSession(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
+              RelayedRequest request)
+      : m_context(context), m_pool(pool), m_exchange(exchange), m_request(std::move(request)) {}
+
+  Task<void> Run();
+
+ private:
+  Task<TryEnd> TryOnce();
+  Task<bool> Connect();
+  Task<TryEnd> Exchange();
+  Task<TryEnd> ReadAnswer();
+  TryEnd JudgeHead(const EndpointAnswerFields& answer);
+  void OnBroken(std::string_view reason);
+  Task<void> Answer(HttpReply reply, std::string_view outcome);
+  Task<void> AnswerFailure();
+  bool MayRepeat();
+  bool IsRepeatable() const {
+    return m_request.route->repeatability == Repeatability::kIdempotent;
+  }
+  Duration Left() const { return m_request.deadline - SteadyNow(); }
+  Duration Patience() const;
+
+  RelayContext& m_context;
+  EndpointPool& m_pool;
+  HttpExchange& m_exchange;
+  RelayedRequest m_request;
+  std::set<EndpointId> m_excluded;
+  std::shared_ptr<HttpClientExchange> m_connection;
+  EndpointRecord m_endpoint;
+  bool m_is_reused = false;
+  HttpReply m_reply;
+  /// An endpoint's failure that is passed on if no other endpoint does better.
+  std::optional<HttpReply> m_failure;
+  int m_tries = 0;
+  /// Endpoints that may have received the request, and those of them that may have run it.
+  int m_arrivals = 0;
+  int m_runs = 0;
+  bool m_use_idle = true;
+  bool m_may_have_run = false;
+  bool m_stale = false;
+};
+
+Task<void> CallSession::Run() {
+  m_context.Retries(m_request.service).OnFirstAttempt();
+  m_exchange.OnClientGone([this]() {
+    if (m_connection) m_connection->Close();
+  });
+  while (m_tries++ < kMaxTries && Left() > Duration::zero() && !m_exchange.ClientGone()) {
+    const std::vector<const DirectoryEndpoint*> usable =
+        m_context.endpoints.Usable(m_request.service, SteadyNow());
+    PlacementRequest placement;
+    placement.failure_domain = m_context.settings.failure_domain;
+    placement.excluded = m_excluded;
+    const DirectoryEndpoint* endpoint = PlaceCall(usable, placement, m_context.random);
+    if (endpoint == nullptr) break;
+    m_endpoint = endpoint->record;
+    const EndpointUse use{m_endpoint.id};
+    m_context.endpoints.AddUse(use);
+    const TryEnd end = co_await TryOnce();
+    m_context.endpoints.RemoveUse(use);
+    m_connection.reset();
+    if (end == TryEnd::kCallerGone) break;
+    if (end == TryEnd::kAnswered) co_return;
+    if (m_stale) break;
+    if (end == TryEnd::kClosedIdle) continue;
+    m_excluded.insert(m_endpoint.id);
+    if (end == TryEnd::kLost) m_may_have_run = true;
+    if (end == TryEnd::kLost && !IsRepeatable()) break;
+    if (m_runs >= m_request.route->max_attempts) break;
+    if (m_arrivals > 0 && !MayRepeat()) break;
+  }
+  m_exchange.OnClientGone(nullptr);
+  if (m_exchange.ClientGone()) {
+    LogRequestEnd(m_request, "caller_gone", 0, "runs=" + std::to_string(m_runs));
+    co_return;
+  }
+  co_await AnswerFailure();
+}
+
+Task<TryEnd> CallSession::TryOnce() {
+  // On a kept connection a close by the endpoint could be taken for the loss of a request that ran.
+  if (IsRepeatable() && m_use_idle) m_connection = m_pool.TakeIdle(m_endpoint.id, SteadyNow());
+  m_is_reused = m_connection != nullptr;
+  if (!m_is_reused && !co_await Connect()) co_return TryEnd::kNotRun;
+  if (m_exchange.ClientGone()) co_return TryEnd::kCallerGone;
+  if (!MayRun(m_context, m_request)) {
+    m_stale = true;
+    co_return TryEnd::kNotRun;
+  }
+  const TryEnd end = co_await Exchange();
+  if (m_exchange.ClientGone()) co_return TryEnd::kCallerGone;
+  co_return end;
+}
+
+Task<bool> CallSession::Connect() {
+  m_connection = m_pool.MakeNew();
+  const Duration limit =
+      std::clamp(m_request.route->goal / 2, kShortestConnectTime, kLongestConnectTime);
+  const std::error_code error =
+      co_await m_connection->Connect(m_endpoint.address, std::min(limit, Left()));
+  m_context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
+  if (!error) co_return true;
+  if (!m_exchange.ClientGone()) OnBroken("connect: " + error.message());
+  co_return false;
+}
+
+Task<TryEnd> CallSession::Exchange() {
+  EndpointFields fields;
+  fields.endpoint = m_endpoint.id;
+  m_connection->Start(BuildEndpointRequest(m_context, m_request, m_endpoint.address,
+                                           std::move(fields), SteadyNow()));
+  ++m_arrivals;
+  ++m_runs;
+  const TryEnd end = co_await ReadAnswer();
+  if (end == TryEnd::kNotRun || end == TryEnd::kClosedIdle) --m_runs;
+  co_return end;
+}
+
+Task<TryEnd> CallSession::ReadAnswer() {
+  for (int stray = 0; stray <= kMaxStrayAnswers; ++stray) {
+    std::error_code error = co_await m_connection->ReadHead(m_reply, Patience());
+    if (error) {
+      const bool was_closed = m_is_reused && error != std::errc::timed_out;
+      m_use_idle = m_use_idle && !was_closed;
+      if (was_closed) co_return TryEnd::kClosedIdle;
+      OnBroken("answer: " + error.message());
+      co_return TryEnd::kLost;
+    }
+    const EndpointAnswerFields answer =
+        m_context.wire.decode_answer(m_reply.status, m_reply.headers);
+    const bool is_own = answer.request_id == m_request.fields.request_id ||
+                        (answer.request_id.empty() && !m_is_reused);
+    error = co_await m_connection->ReadBody(m_reply.body, kMaxAnswerBytes, Patience());
+    if (!is_own) {
+      Log(LogLevel::kWarning, "stray_answer",
+          "request=" + m_request.fields.request_id + " endpoint=" + m_endpoint.id +
+              " answer_to=" + answer.request_id);
+      if (error || !m_connection->BodyDone()) co_return TryEnd::kLost;
+      continue;
+    }
+    const TryEnd end = JudgeHead(answer);
+    if (end != TryEnd::kAnswered) co_return end;
+    if (error) {
+      OnBroken("body: " + error.message());
+      co_return TryEnd::kLost;
+    }
+    m_context.endpoints.OnSuccess(m_endpoint.id);
+    if (answer.load) m_context.endpoints.OnLoad(m_endpoint.id, *answer.load);
+    m_pool.PutIdle(m_endpoint.id, std::move(m_connection), m_reply, SteadyNow());
+    const bool try_elsewhere = m_reply.status >= 500 && IsRepeatable() &&
+                               m_runs < m_request.route->max_attempts;
+    if (try_elsewhere) {
+      m_failure = std::move(m_reply);
+      co_return TryEnd::kLost;
+    }
+    co_await Answer(std::move(m_reply), "answered");
+    co_return TryEnd::kAnswered;
+  }
+  OnBroken("only stray answers");
+  co_return TryEnd::kLost;
+}
+
+/// Returns `kAnswered` if the answer is the endpoint's own.
+TryEnd CallSession::JudgeHead(const EndpointAnswerFields& answer) {
+  if (answer.misdirected) {
+    m_context.endpoints.OnMisdirected(m_endpoint.id, SteadyNow());
+    return TryEnd::kNotRun;
+  }
+  if (answer.not_run) {
+    m_context.endpoints.OnRefused(m_endpoint.id, SteadyNow());
+    return TryEnd::kNotRun;
+  }
+  const bool is_encoded = FindHeader(m_reply.headers, "Content-Encoding").has_value();
+  if (!answer.is_sealed || is_encoded) {
+    OnBroken("answer is not the endpoint's");
+    return TryEnd::kLost;
+  }
+  return TryEnd::kAnswered;
+}
+
+void CallSession::OnBroken(std::string_view reason) {
+  if (m_exchange.ClientGone()) return;
+  m_context.endpoints.OnFailure(m_endpoint.id, SteadyNow());
+  Log(LogLevel::kWarning, "endpoint_failure",
+      "request=" + m_request.fields.request_id + " endpoint=" + m_endpoint.id + " reason=\"" +
+          std::string(reason) + "\"");
+}
+
+Task<void> CallSession::Answer(HttpReply reply, std::string_view outcome) {
+  const int status = reply.status;
+  const std::string details = "endpoint=" + m_endpoint.id + " runs=" + std::to_string(m_runs);
+  reply.headers = EndToEndHeaders(reply.headers);
+  m_context.metrics.Count("relay_requests", outcome);
+  m_context.metrics.Observe("relay_call", NameOf(kRepeatabilityNames, m_request.route->repeatability),
+                            SteadyNow() - m_request.arrived);
+  co_await m_exchange.Respond(std::move(reply));
+  LogRequestEnd(m_request, outcome, status, details);
+}
+
+Task<void> CallSession::AnswerFailure() {
+  if (m_failure) {
+    co_await Answer(std::move(*m_failure), "endpoint_failed");
+    co_return;
+  }
+  const bool late = Left() <= Duration::zero();
+  if (m_may_have_run || m_runs > 0) {
+    co_await Answer(RelayProblem(late ? ResultCode::kOutcomeUnknown : ResultCode::kEndpointFailed,
+                                 "the request was sent to an endpoint and its answer was lost"),
+                    "lost");
+  } else if (m_stale) {
+    co_await Answer(RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterNoEndpoint),
+                    "stale");
+  } else {
+    co_await Answer(RelayProblem(ResultCode::kNoEndpoint, "no endpoint has taken the request",
+                                 kRetryAfterNoEndpoint),
+                    "refused");
+  }
+}
+
+bool CallSession::MayRepeat() {
+  if (m_context.Retries(m_request.service).TryTake()) return true;
+  Log(LogLevel::kWarning, "retry_budget_empty",
+      "request=" + m_request.fields.request_id + " service=" + m_request.service);
+  return false;
+}
+
+Duration CallSession::Patience() const {
+  const bool other_run_left = m_runs < m_request.route->max_attempts;
+  if (!IsRepeatable() || !other_run_left) return Left();
+  return std::min(Left(), std::max(kShortestPatience, m_request.route->goal * kPatienceFactor));
+}
+
+}  // namespace
+
+Task<void> RelayCall(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
+                     RelayedRequest request) {
+  CallSession session(context, pool, exchange, std::move(request));
+  co_await session.Run();
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/endpoint_pool.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "protocol/identifiers.h"
+#include "transport/http_client_exchange.h"
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+/// Idle connections to endpoints. Used on one strand.
+class EndpointPool {
+ public:
+  explicit EndpointPool(const Executor& executor) : m_executor(executor) {}
+
+  /// Returns an idle connection that is known to be open, or null.
+  std::shared_ptr<HttpClientExchange> TakeIdle(const EndpointId& endpoint, TimePoint now);
+  /// Returns a connection that is not connected yet.
+  std::shared_ptr<HttpClientExchange> MakeNew() const;
+  /// Keeps a connection for later if it can be used again. `reply` is the last one on it.
+  void PutIdle(const EndpointId& endpoint, std::shared_ptr<HttpClientExchange> connection,
+               const HttpReply& reply, TimePoint now);
+  /// Closes connections that have been idle for too long.
+  void Forget(TimePoint now);
+
+ private:
+  struct Idle {
+    std::shared_ptr<HttpClientExchange> connection;
+    TimePoint expires{};
+  };
+
+  Executor m_executor;
+  std::map<EndpointId, std::deque<Idle>> m_idle;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/peer_exchange.cpp
@@ -0,0 +1,144 @@
+#include "relay/peer_exchange.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "protocol/relay_heartbeat.h"
+#include "transport/notification.h"
+#include "transport/udp_socket.h"
+#include "utils/logging.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kInterval = std::chrono::milliseconds(300);
+// Changes within this time share a heartbeat.
+constexpr Duration kAnnouncePause = std::chrono::milliseconds(15);
+// A heartbeat that is this late shows that the process was paused.
+constexpr Duration kPauseLimit = std::chrono::milliseconds(700);
+
+std::vector<EndpointUse> UsesOf(const std::vector<RelayedStream>& streams) {
+  std::vector<EndpointUse> uses;
+  for (const RelayedStream& stream : streams) {
+    uses.push_back({stream.endpoint, stream.unread_tokens, stream.memory_tokens, true});
+    if (!stream.backup.empty()) uses.push_back({stream.backup, 0, stream.memory_tokens, false});
+  }
+  return uses;
+}
+
+}  // namespace
+
+struct PeerExchange::State : std::enable_shared_from_this<PeerExchange::State> {
+  explicit State(RelayContext& shared)
+      : context(shared), socket(shared.executor), wake(shared.executor) {}
+
+  Task<void> SendLoop();
+  Task<void> ReceiveLoop();
+  void SendAll();
+  void OnDatagram(const Datagram& datagram);
+  void LogReachability();
+
+  RelayContext& context;
+  UdpSocket socket;
+  Notification wake;
+  std::uint64_t sequence = 0;
+  std::map<std::string, bool> reachable;
+  bool stopped = false;
+};
+
+Task<void> PeerExchange::State::SendLoop() {
+  const std::shared_ptr<State> self = shared_from_this();
+  while (!stopped) {
+    const TimePoint before = SteadyNow();
+    const bool announced = co_await wake.WaitFor(kInterval);
+    if (stopped) break;
+    if (announced) co_await Sleep(kAnnouncePause);
+    if (stopped) break;
+    if (SteadyNow() - before > kPauseLimit) context.peers.ForgiveSilence(SteadyNow());
+    SendAll();
+    LogReachability();
+  }
+}
+
+Task<void> PeerExchange::State::ReceiveLoop() {
+  const std::shared_ptr<State> self = shared_from_this();
+  while (!stopped) {
+    const Datagram datagram = co_await socket.Receive();
+    if (stopped) break;
+    if (datagram.error) {
+      co_await Sleep(kAnnouncePause);
+      continue;
+    }
+    OnDatagram(datagram);
+  }
+}
+
+void PeerExchange::State::SendAll() {
+  RelayHeartbeat heartbeat;
+  heartbeat.name = context.settings.name;
+  heartbeat.incarnation = context.incarnation;
+  heartbeat.sequence = ++sequence;
+  heartbeat.caller_address = context.settings.caller_address;
+  heartbeat.ready = context.IsServing();
+  heartbeat.leaving = context.leaving;
+  heartbeat.streams = context.streams.Streams();
+  const std::string bytes = EncodeHeartbeat(std::move(heartbeat));
+  for (const PeerRecord& peer : context.peers.Neighbours()) {
+    const std::error_code error = socket.Send(peer.peer_address, bytes);
+    context.metrics.Count("heartbeats", error ? "send_failed" : "sent");
+  }
+}
+
+void PeerExchange::State::OnDatagram(const Datagram& datagram) {
+  const std::optional<RelayHeartbeat> heartbeat = DecodeHeartbeat(datagram.data);
+  if (!heartbeat) {
+    context.metrics.Count("heartbeats", "malformed");
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  if (!context.peers.OnHeartbeat(*heartbeat, now)) {
+    context.metrics.Count("heartbeats", "old_or_unknown");
+    return;
+  }
+  context.streams.OnPeerStreams(heartbeat->streams, now);
+  context.endpoints.SetPeerUses(heartbeat->name, UsesOf(heartbeat->streams));
+}
+
+void PeerExchange::State::LogReachability() {
+  const TimePoint now = SteadyNow();
+  std::map<std::string, bool> seen;
+  for (const PeerRecord& peer : context.peers.Neighbours()) {
+    const bool is_reachable = context.peers.IsReachable(peer.name, now);
+    seen[peer.name] = is_reachable;
+    const auto known = reachable.find(peer.name);
+    if (known != reachable.end() && known->second == is_reachable) continue;
+    Log(LogLevel::kInfo, is_reachable ? "peer_reachable" : "peer_silent", "peer=" + peer.name);
+    // What a lost daemon used is free: its connections to the endpoints are gone.
+    if (!is_reachable) context.endpoints.SetPeerUses(peer.name, {});
+  }
+  reachable = std::move(seen);
+}
+
+PeerExchange::PeerExchange(RelayContext& context) : m_state(std::make_shared<State>(context)) {}
+
+PeerExchange::~PeerExchange() {
+  m_state->stopped = true;
+  m_state->socket.Close();
+  m_state->wake.Notify();
+}
+
+std::error_code PeerExchange::Start() {
+  const std::error_code error = m_state->socket.Open(m_state->context.settings.peer_address);
+  if (error) return error;
+  Spawn(m_state->context.executor, [state = m_state]() { return state->SendLoop(); });
+  Spawn(m_state->context.executor, [state = m_state]() { return state->ReceiveLoop(); });
+  return {};
+}
+
+std::string PeerExchange::Address() const { return m_state->socket.Address(); }
+
+void PeerExchange::Announce() { m_state->wake.Notify(); }
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/peer_exchange.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+#include <system_error>
+
+#include "relay/relay_context.h"
+
+namespace fulmarpoint {
+
+/// Exchanges heartbeats with this daemon's neighbours over UDP, and reports their streams to the
+/// context's directories. Used on the daemon's thread.
+class PeerExchange {
+ public:
+  explicit PeerExchange(RelayContext& context);
+  /// Stops.
+  ~PeerExchange();
+  PeerExchange(const PeerExchange&) = delete;
+  PeerExchange& operator=(const PeerExchange&) = delete;
+
+  /// Opens the socket of the settings.
+  std::error_code Start();
+  /// "ip:port" of the socket.
+  std::string Address() const;
+  /// Sends a heartbeat soon because something has changed.
+  void Announce();
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/relay_context.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/endpoint_directory.h"
+#include "coordination/freshness_proof.h"
+#include "coordination/peer_directory.h"
+#include "coordination/relay_table.h"
+#include "coordination/retry_budget.h"
+#include "coordination/stream_registry.h"
+#include "relay/relay_settings.h"
+#include "relay/relay_wire.h"
+#include "transport/task.h"
+#include "utils/metrics.h"
+#include "utils/random.h"
+
+namespace fulmarpoint {
+
+/// State that the parts of one relaying daemon share. The daemon has one thread, so that none of it
+/// is locked.
+struct RelayContext {
+  RelayContext(RelaySettings own_settings, RelayWire own_wire, Store own_store,
+               Executor own_executor, std::uint64_t seed);
+
+  /// Returns whether requests may be accepted: a configuration is known and proven current.
+  bool IsServing() const;
+  /// Returns the budget for repeated requests of a service.
+  RetryBudget& Retries(const ServiceName& service);
+
+  RelaySettings settings;
+  RelayWire wire;
+  Store store;
+  Executor executor;
+  Random random;
+  Metrics metrics;
+  /// Start of this process in microseconds since the Unix epoch.
+  std::uint64_t incarnation = 0;
+  /// Null until the first configuration was read.
+  std::shared_ptr<const RelayTable> table;
+  /// Proof for `table`, on the clock `BootNow()`.
+  FreshnessProof freshness;
+  EndpointDirectory endpoints;
+  PeerDirectory peers;
+  StreamRegistry streams;
+  /// Callers are sent elsewhere because the process is about to stop.
+  bool leaving = false;
+  /// New requests are refused.
+  bool refusing = false;
+  /// Requests in progress.
+  std::size_t requests = 0;
+  /// Calls when a stream of this daemon was placed or ended.
+  std::function<void()> on_streams_changed;
+  /// Calls when `requests` has changed.
+  std::function<void()> on_requests_changed;
+
+ private:
+  std::map<ServiceName, RetryBudget> m_retries;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/relay_daemon.cpp
@@ -0,0 +1,408 @@
+#include "relay/relay_daemon.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "coordination/drain.h"
+#include "relay/caller_front.h"
+#include "relay/endpoint_pool.h"
+#include "relay/peer_exchange.h"
+#include "relay/peer_registration.h"
+#include "relay/relay_context.h"
+#include "relay/table_feed.h"
+#include "transport/http_server.h"
+#include "utils/logging.h"
+#include "utils/overloaded.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(500);
+constexpr Duration kConfigurationWatch = std::chrono::milliseconds(1500);
+constexpr Duration kEndpointWatch = std::chrono::milliseconds(2000);
+constexpr Duration kPeerWatch = std::chrono::seconds(5);
+constexpr Duration kBodyTime = std::chrono::seconds(30);
+constexpr std::size_t kMaxUrlBytes = std::size_t{16} * 1024;
+// Connections that are kept free for endpoints, the store and lookups.
+constexpr std::size_t kConnectionShareOfCallers = 2;
+// Callers use a lookup answer somewhat longer than they are told.
+constexpr int kKeepFactor = 3;
+// Time before the forced end at which streams that are left are cut.
+constexpr Duration kStopMargin = std::chrono::milliseconds(1200);
+constexpr std::size_t kMaxLookupAddresses = 64;
+
+HttpServerLimits LimitsOf(const RelaySettings& settings, const CallerLimits& callers) {
+  HttpServerLimits limits;
+  limits.head_bytes = callers.head_bytes;
+  limits.body_bytes = callers.body_bytes;
+  limits.total_body_bytes = settings.max_body_bytes;
+  limits.url_bytes = std::min(callers.head_bytes, kMaxUrlBytes);
+  limits.connections = settings.max_connections / kConnectionShareOfCallers;
+  limits.connections_per_address = limits.connections;
+  limits.request_time = callers.head_time;
+  limits.body_time = kBodyTime;
+  limits.idle_time = callers.idle_time;
+  return limits;
+}
+
+DrainOptions DrainOptionsOf(const RelaySettings& settings) {
+  DrainOptions options;
+  options.keep = settings.lookup_keep * kKeepFactor;
+  options.margin = Duration::zero();
+  options.limit = std::max(Duration::zero(), settings.stop_grace - kStopMargin - options.keep);
+  return options;
+}
+
+PeerRecord RecordOf(const RelayContext& context, const std::string& peer_address) {
+  PeerRecord record;
+  record.name = context.settings.name;
+  record.incarnation = context.incarnation;
+  record.peer_address = peer_address;
+  record.caller_address = context.settings.caller_address;
+  record.failure_domain = context.settings.failure_domain;
+  return record;
+}
+
+}  // namespace
+
+struct RelayDaemon::State : std::enable_shared_from_this<RelayDaemon::State> {
+  State(const Executor& executor, RelaySettings settings, RelayWire wire, Store store,
+        RelaySources own_sources, std::uint64_t own_seed);
+
+  std::error_code Open();
+  std::error_code OpenServer(std::unique_ptr<HttpServer>& server, const std::string& address,
+                             HttpServerLimits limits, HttpHandler handler);
+  void StartFeeds();
+  void OnConfigurationRows(std::vector<TableFollower::Change> changes);
+  void OnEndpointRows(std::vector<TableFollower::Change> changes);
+  void OnPeerRows(const std::vector<TableFollower::Change>& changes);
+  void Apply(RelayConfiguration configuration);
+  Task<void> Housekeeping();
+  Task<void> AnswerLookup(HttpExchange& exchange);
+  Task<void> AnswerReadiness(HttpExchange& exchange);
+  Task<void> AnswerMetrics(HttpExchange& exchange);
+  void HandleDrain(const Drain::Event& event);
+  void Perform(const Drain::Action& action);
+  void LogReadiness();
+
+  RelaySources sources;
+  std::uint64_t seed;
+  RelayContext context;
+  EndpointPool pool;
+  CallerFront front;
+  PeerExchange exchange;
+  std::unique_ptr<PeerRegistration> registration;
+  std::unique_ptr<HttpServer> callers;
+  std::unique_ptr<HttpServer> lookups;
+  std::unique_ptr<HttpServer> readiness;
+  std::unique_ptr<HttpServer> metrics;
+  std::vector<std::unique_ptr<TableFeed>> feeds;
+  std::unique_ptr<Drain> drain;
+  std::function<void()> on_stopped;
+  bool was_ready = false;
+  bool stopped = false;
+};
+
+RelayDaemon::State::State(const Executor& executor, RelaySettings settings, RelayWire wire,
+                          Store store, RelaySources own_sources, std::uint64_t own_seed)
+    : sources(std::move(own_sources)),
+      seed(own_seed),
+      context(std::move(settings), std::move(wire), std::move(store), executor, own_seed),
+      pool(executor),
+      front(context, pool),
+      exchange(context) {
+  context.on_streams_changed = [this]() { exchange.Announce(); };
+  context.on_requests_changed = [this]() {
+    if (drain) HandleDrain(Drain::RequestsLeft{context.requests});
+  };
+}
+
+std::error_code RelayDaemon::State::Open() {
+  const RelaySettings& settings = context.settings;
+  const HttpServerLimits limits = LimitsOf(settings, CallerLimits());
+  std::error_code error = exchange.Start();
+  if (!error) {
+    error = OpenServer(callers, settings.caller_address, limits,
+                       [this](HttpExchange& request) { return front.Handle(request); });
+  }
+  if (!error) {
+    error = OpenServer(lookups, settings.lookup_address, limits,
+                       [this](HttpExchange& request) { return AnswerLookup(request); });
+  }
+  if (!error) {
+    error = OpenServer(readiness, settings.ready_address, limits,
+                       [this](HttpExchange& request) { return AnswerReadiness(request); });
+  }
+  if (!error) {
+    error = OpenServer(metrics, settings.metrics_address, limits,
+                       [this](HttpExchange& request) { return AnswerMetrics(request); });
+  }
+  return error;
+}
+
+std::error_code RelayDaemon::State::OpenServer(std::unique_ptr<HttpServer>& server,
+                                               const std::string& address, HttpServerLimits limits,
+                                               HttpHandler handler) {
+  if (address.empty()) return {};
+  server = std::make_unique<HttpServer>(context.executor, limits, std::move(handler),
+                                        &CallerFront::RejectionReply);
+  const std::error_code error = server->Listen(address);
+  if (error) {
+    Log(LogLevel::kError, "listen_failed",
+        "address=" + address + " reason=\"" + error.message() + "\"");
+  }
+  return error;
+}
+
+void RelayDaemon::State::StartFeeds() {
+  TableFollower::Options configuration;
+  configuration.table = sources.configuration_table;
+  configuration.watch_wait = kConfigurationWatch;
+  feeds.push_back(std::make_unique<TableFeed>(
+      context.executor, context.store, configuration,
+      TableFeed::Handlers{[this](std::vector<TableFollower::Change> changes) {
+                            OnConfigurationRows(std::move(changes));
+                          },
+                          [this](TimePoint started) { context.freshness.Confirm(started); }},
+      seed + 1));
+  TableFollower::Options endpoints;
+  endpoints.table = sources.endpoint_table;
+  endpoints.watch_wait = kEndpointWatch;
+  feeds.push_back(std::make_unique<TableFeed>(
+      context.executor, context.store, endpoints,
+      TableFeed::Handlers{[this](std::vector<TableFollower::Change> changes) {
+                            OnEndpointRows(std::move(changes));
+                          },
+                          {}},
+      seed + 2));
+  TableFollower::Options peers;
+  peers.table = kPeerTable;
+  peers.watch_wait = kPeerWatch;
+  feeds.push_back(std::make_unique<TableFeed>(
+      context.executor, context.store, peers,
+      TableFeed::Handlers{
+          [this](const std::vector<TableFollower::Change>& changes) { OnPeerRows(changes); }, {}},
+      seed + 3));
+  for (const std::unique_ptr<TableFeed>& feed : feeds) feed->Start();
+}
+
+void RelayDaemon::State::OnConfigurationRows(std::vector<TableFollower::Change> changes) {
+  for (TableFollower::Change& change : changes) {
+    if (change.row.key != sources.configuration_key || change.row.removed) continue;
+    std::optional<RelayConfiguration> parsed = sources.parse_configuration(change.row.value);
+    if (!parsed) {
+      Log(LogLevel::kError, "configuration_rejected",
+          "row_version=" + std::to_string(change.row.version));
+      continue;
+    }
+    Apply(std::move(*parsed));
+  }
+}
+
+void RelayDaemon::State::Apply(RelayConfiguration configuration) {
+  if (context.table && configuration.version < context.table->Version()) {
+    Log(LogLevel::kWarning, "configuration_ignored",
+        "version=" + std::to_string(configuration.version) +
+            " in_effect=" + std::to_string(context.table->Version()));
+    return;
+  }
+  context.table = std::make_shared<const RelayTable>(std::move(configuration));
+  callers->SetLimits(LimitsOf(context.settings, context.table->Limits()));
+  const RelayConfiguration& applied = context.table->Configuration();
+  Log(LogLevel::kInfo, "configuration_applied",
+      "version=" + std::to_string(applied.version) +
+          " routes=" + std::to_string(applied.routes.size()) +
+          " organisations=" + std::to_string(applied.organisations.size()));
+}
+
+void RelayDaemon::State::OnEndpointRows(std::vector<TableFollower::Change> changes) {
+  const TimePoint now = SteadyNow();
+  for (const TableFollower::Change& change : changes) {
+    const EndpointId& id = change.row.key;
+    if (change.row.removed) {
+      context.endpoints.Remove(id, change.provisional ? change.until : now);
+      Log(LogLevel::kInfo, "endpoint_gone",
+          "endpoint=" + id + " provisional=" + (change.provisional ? "1" : "0"));
+      continue;
+    }
+    const std::optional<EndpointRecord> record = sources.parse_endpoint(id, change.row.value);
+    if (!record) {
+      Log(LogLevel::kWarning, "endpoint_row_ignored", "endpoint=" + id);
+      context.endpoints.Remove(id, now);
+      continue;
+    }
+    context.endpoints.Put(*record);
+    Log(LogLevel::kInfo, record->draining ? "endpoint_draining" : "endpoint_listed",
+        "endpoint=" + id + " service=" + record->service + " address=" + record->address +
+            " version=" + record->version);
+  }
+}
+
+void RelayDaemon::State::OnPeerRows(const std::vector<TableFollower::Change>& changes) {
+  for (const TableFollower::Change& change : changes) registration->OnRow(change.row);
+  exchange.Announce();
+}
+
+Task<void> RelayDaemon::State::Housekeeping() {
+  const std::shared_ptr<State> self = shared_from_this();
+  while (!stopped) {
+    co_await Sleep(kHousekeepingInterval);
+    const TimePoint now = SteadyNow();
+    pool.Forget(now);
+    context.endpoints.Forget(now);
+    context.streams.Forget(now);
+    LogReadiness();
+  }
+}
+
+void RelayDaemon::State::LogReadiness() {
+  const bool is_ready = context.IsServing() && !context.leaving;
+  if (is_ready == was_ready) return;
+  was_ready = is_ready;
+  const std::optional<Duration> age = context.freshness.Age(BootNow());
+  Log(LogLevel::kInfo, is_ready ? "ready" : "not_ready",
+      "endpoints=" + std::to_string(context.endpoints.Size()) +
+          " proof_age_ms=" + (age ? std::to_string(age->count() / 1000) : "none"));
+}
+
+Task<void> RelayDaemon::State::AnswerLookup(HttpExchange& request) {
+  if (!context.wire.is_lookup(request.Request())) {
+    co_await request.Respond(RelayProblem(ResultCode::kNotFound, "only lookups are served here"));
+    co_return;
+  }
+  LookupAnswer answer;
+  answer.keep = context.settings.lookup_keep;
+  if (context.IsServing()) answer.addresses = context.peers.CallerAddresses(SteadyNow());
+  const bool names_self = context.IsServing() && !context.leaving;
+  if (names_self) answer.addresses.push_back(context.settings.caller_address);
+  if (answer.addresses.empty()) {
+    co_await request.Respond(RelayProblem(ResultCode::kStale, "ask another daemon"));
+    co_return;
+  }
+  std::shuffle(answer.addresses.begin(), answer.addresses.end(), context.random);
+  if (answer.addresses.size() > kMaxLookupAddresses) {
+    answer.addresses.resize(kMaxLookupAddresses);
+  }
+  co_await request.Respond(context.wire.encode_lookup(answer));
+}
+
+Task<void> RelayDaemon::State::AnswerReadiness(HttpExchange& request) {
+  if (!context.wire.is_readiness_check(request.Request())) {
+    co_await request.Respond(RelayProblem(ResultCode::kNotFound, "only readiness is served here"));
+    co_return;
+  }
+  if (context.IsServing() && !context.leaving) {
+    co_await request.Respond(HttpReply());
+  } else {
+    co_await request.Respond(RelayProblem(ResultCode::kStale, "not ready"));
+  }
+}
+
+Task<void> RelayDaemon::State::AnswerMetrics(HttpExchange& request) {
+  context.metrics.SetGauge("relay_requests_in_progress", {},
+                           static_cast<double>(context.requests));
+  HttpReply reply;
+  reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+  reply.body = context.metrics.Text();
+  co_await request.Respond(std::move(reply));
+}
+
+void RelayDaemon::State::HandleDrain(const Drain::Event& event) {
+  std::vector<Drain::Action> actions;
+  drain->Handle(event, SteadyNow(), actions);
+  for (const Drain::Action& action : actions) Perform(action);
+}
+
+void RelayDaemon::State::Perform(const Drain::Action& action) {
+  std::visit(Overloaded{
+                 [this](const Drain::LeaveLookups&) {
+                   context.leaving = true;
+                   callers->CloseAfterReplies();
+                   registration->Leave();
+                   exchange.Announce();
+                 },
+                 [this](const Drain::RefuseNewWork&) {
+                   callers->StopAccepting();
+                   if (lookups) lookups->StopAccepting();
+                 },
+                 [this](const Drain::HandOffStreams&) {
+                   // Callers continue elsewhere after the last event that they hold.
+                   callers->Close();
+                 },
+                 [this](const Drain::Exit&) {
+                   Log(LogLevel::kInfo, "stopped",
+                       "requests=" + std::to_string(context.requests));
+                   if (on_stopped) on_stopped();
+                 },
+                 [this](const Drain::SetTimer& timer) {
+                   Spawn(context.executor, [self = shared_from_this(), timer]() -> Task<void> {
+                     co_await Sleep(std::max(Duration::zero(), timer.at - SteadyNow()));
+                     if (!self->stopped) self->HandleDrain(Drain::TimerFired{});
+                   });
+                 },
+             },
+             action);
+}
+
+RelayDaemon::RelayDaemon(const Executor& executor, RelaySettings settings, RelayWire wire,
+                         Store store, RelaySources sources, std::uint64_t seed)
+    : m_state(std::make_shared<State>(executor, std::move(settings), std::move(wire),
+                                      std::move(store), std::move(sources), seed)) {}
+
+RelayDaemon::~RelayDaemon() {
+  m_state->stopped = true;
+  m_state->feeds.clear();
+}
+
+std::error_code RelayDaemon::Start() {
+  State& state = *m_state;
+  const std::error_code error = state.Open();
+  if (error) return error;
+  if (state.callers) state.context.settings.caller_address = state.callers->Address();
+  state.registration = std::make_unique<PeerRegistration>(
+      state.context, RecordOf(state.context, state.exchange.Address()));
+  state.registration->Start();
+  state.StartFeeds();
+  Spawn(state.context.executor, [shared = m_state]() { return shared->Housekeeping(); });
+  Log(LogLevel::kInfo, "started",
+      "name=" + state.context.settings.name +
+          " incarnation=" + std::to_string(state.context.incarnation) +
+          " callers=" + state.context.settings.caller_address);
+  return {};
+}
+
+void RelayDaemon::RequestStop(std::function<void()> on_stopped) {
+  State& state = *m_state;
+  if (state.drain) return;
+  state.on_stopped = std::move(on_stopped);
+  Log(LogLevel::kInfo, "stopping", "requests=" + std::to_string(state.context.requests));
+  state.drain = std::make_unique<Drain>(DrainOptionsOf(state.context.settings));
+  state.HandleDrain(Drain::RequestsLeft{state.context.requests});
+  state.HandleDrain(Drain::StopRequested{});
+}
+
+void RelayDaemon::ApplySettings(const RelaySettings& settings) {
+  RelaySettings& current = m_state->context.settings;
+  RelaySettings applied = settings;
+  applied.name = current.name;
+  applied.caller_address = current.caller_address;
+  applied.lookup_address = current.lookup_address;
+  applied.ready_address = current.ready_address;
+  applied.peer_address = current.peer_address;
+  applied.metrics_address = current.metrics_address;
+  if (applied == current) return;
+  current = applied;
+  const std::shared_ptr<const RelayTable>& table = m_state->context.table;
+  m_state->callers->SetLimits(LimitsOf(current, table ? table->Limits() : CallerLimits()));
+  Log(LogLevel::kInfo, "settings_reloaded", "name=" + current.name);
+}
+
+std::string RelayDaemon::CallerAddress() const { return m_state->callers->Address(); }
+
+std::string RelayDaemon::LookupAddress() const { return m_state->lookups->Address(); }
+
+bool RelayDaemon::IsReady() const { return m_state->context.IsServing(); }
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/relay_daemon.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+
+#include "protocol/endpoint_record.h"
+#include "protocol/relay_configuration.h"
+#include "relay/relay_settings.h"
+#include "relay/relay_wire.h"
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+/// Where the operator's configuration and the endpoints stand in the store, and how they are
+/// written. The parse functions return nothing for a row that is not to be used.
+struct RelaySources {
+  std::string configuration_table;
+  std::string configuration_key;
+  std::function<std::optional<RelayConfiguration>(const std::string& value)> parse_configuration;
+  std::string endpoint_table;
+  std::function<std::optional<EndpointRecord>(const std::string& key, const std::string& value)>
+      parse_endpoint;
+};
+
+/// One relaying daemon: serves callers, lookups, readiness checks and metrics, and follows the
+/// store. Runs on one thread, the one of `executor`.
+class RelayDaemon {
+ public:
+  RelayDaemon(const Executor& executor, RelaySettings settings, RelayWire wire, Store store,
+              RelaySources sources, std::uint64_t seed);
+  /// Stops at once. Tasks in progress must not run any more.
+  ~RelayDaemon();
+  RelayDaemon(const RelayDaemon&) = delete;
+  RelayDaemon& operator=(const RelayDaemon&) = delete;
+
+  /// Opens the addresses of the settings and starts.
+  std::error_code Start();
+  /// Begins the planned shutdown; `on_stopped` is called when no request is left.
+  void RequestStop(std::function<void()> on_stopped);
+  /// Takes changed limits; addresses and names do not change while the process runs.
+  void ApplySettings(const RelaySettings& settings);
+
+  /// "ip:port" of the service for callers and of the lookup.
+  std::string CallerAddress() const;
+  std::string LookupAddress() const;
+  /// Returns whether requests are accepted.
+  bool IsReady() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/relay_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// What a relaying daemon is told about itself and its limits.
+struct RelaySettings {
+  std::string name;
+  std::string failure_domain;
+  /// "ip:port" of the service for callers, of the lookup, of the readiness check, of the UDP socket
+  /// for peers, and of the metrics; an empty address is not opened.
+  std::string caller_address;
+  std::string lookup_address;
+  std::string ready_address;
+  std::string peer_address;
+  std::string metrics_address;
+  /// Connections of callers and to endpoints together.
+  std::size_t max_connections = 1024;
+  /// Memory for request bodies that are being received or relayed.
+  std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+  /// No request runs with a key this long after its removal.
+  Duration key_revocation = std::chrono::seconds(5);
+  /// Time from the stop signal to the forced end of the process.
+  Duration stop_grace = std::chrono::seconds(8);
+  /// Longest time that a lookup answer may be kept.
+  Duration lookup_keep = std::chrono::seconds(1);
+  /// Requests to endpoints beyond the first of each request, of the whole fleet: a share of the
+  /// requests, and a number on top in each window.
+  double retry_share = 0.5;
+  double retry_slack = 100.0;
+
+  bool operator==(const RelaySettings&) const = default;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/relayed_request.cpp
@@ -0,0 +1,107 @@
+#include "relay/relayed_request.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdio>
+#include <set>
+#include <utility>
+
+#include "http_api/problem_reply.h"
+#include "utils/logging.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> kConnectionHeaders = {
+    "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "te",
+    "trailer",    "transfer-encoding", "upgrade",          "content-length",     "expect"};
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  for (char& c : lower) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  return lower;
+}
+
+/// Adds the names in a Connection header.
+void AddListedNames(std::string_view value, std::set<std::string>& names) {
+  while (!value.empty()) {
+    const std::size_t comma = value.find(',');
+    std::string_view name = value.substr(0, comma);
+    while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
+    while (!name.empty() && name.back() == ' ') name.remove_suffix(1);
+    if (!name.empty()) names.insert(LowerCase(name));
+    value = comma == std::string_view::npos ? std::string_view() : value.substr(comma + 1);
+  }
+}
+
+std::string FormatSeconds(Duration duration) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(duration).count());
+  return text.data();
+}
+
+std::int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+bool MayRun(const RelayContext& context, const RelayedRequest& request) {
+  return request.organisation.empty() || context.freshness.Holds(BootNow());
+}
+
+HttpClientRequest BuildEndpointRequest(const RelayContext& context, const RelayedRequest& request,
+                                       const std::string& address, EndpointFields fields,
+                                       TimePoint now) {
+  HttpClientRequest sent;
+  sent.address = address;
+  sent.method = request.method;
+  sent.target = request.target;
+  sent.host = request.host;
+  sent.body = request.body;
+  sent.headers = request.headers;
+  fields.request_id = request.fields.request_id;
+  fields.deadline = request.deadline - now;
+  fields.organisation = request.organisation;
+  for (HttpHeader& header : context.wire.encode_endpoint(fields)) {
+    sent.headers.push_back(std::move(header));
+  }
+  return sent;
+}
+
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
+  std::set<std::string> dropped(kConnectionHeaders.begin(), kConnectionHeaders.end());
+  for (const HttpHeader& header : headers) {
+    if (LowerCase(header.name) == "connection") AddListedNames(header.value, dropped);
+  }
+  HttpHeaders kept;
+  for (const HttpHeader& header : headers) {
+    if (dropped.count(LowerCase(header.name)) == 0) kept.push_back(header);
+  }
+  return kept;
+}
+
+HttpReply RelayProblem(ResultCode code, const std::string& detail, Duration retry_after) {
+  HttpReply reply = ProblemReply(code, detail);
+  if (retry_after > Duration::zero()) {
+    reply.headers.push_back({"Retry-After", FormatSeconds(retry_after)});
+  }
+  return reply;
+}
+
+void LogRequestEnd(const RelayedRequest& request, std::string_view outcome, int status,
+                   const std::string& details) {
+  std::string fields = "request=" + request.fields.request_id;
+  fields += " route=" + request.route->name;
+  if (!request.organisation.empty()) fields += " organisation=" + request.organisation;
+  fields += " outcome=" + std::string(outcome);
+  fields += " status=" + std::to_string(status);
+  fields += " configuration=" + std::to_string(request.table->Version());
+  fields += " ms=" + std::to_string(Millis(SteadyNow() - request.arrived));
+  if (!details.empty()) fields += " " + details;
+  Log(LogLevel::kInfo, "request_end", fields);
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/relayed_request.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "coordination/relay_placement.h"
+#include "coordination/relay_table.h"
+#include "protocol/relay_messages.h"
+#include "protocol/result_code.h"
+#include "relay/relay_context.h"
+#include "transport/http_client.h"
+#include "transport/http_message.h"
+#include "transport/http_server.h"
+
+namespace fulmarpoint {
+
+/// A request that has been accepted for a service.
+struct RelayedRequest {
+  CallerFields fields;
+  std::string method;
+  std::string target;
+  std::string host;
+  std::string body;
+  /// Headers of the caller that the endpoint receives unchanged.
+  HttpHeaders headers;
+  /// Keeps `route` alive.
+  std::shared_ptr<const RelayTable> table;
+  const RelayRoute* route = nullptr;
+  ServiceName service;
+  /// Empty if the route needs no key.
+  OrganisationId organisation;
+  int priority = 5;
+  TimePoint arrived{};
+  /// When the caller or the route's time-out ends the wait.
+  TimePoint deadline{};
+};
+
+/// Returns whether the request may be handed to an endpoint now: its key, if any, is proven valid.
+bool MayRun(const RelayContext& context, const RelayedRequest& request);
+
+/// Returns the request as it is sent to an endpoint at `address`.
+HttpClientRequest BuildEndpointRequest(const RelayContext& context, const RelayedRequest& request,
+                                       const std::string& address, EndpointFields fields,
+                                       TimePoint now);
+
+/// Returns the headers of an endpoint's reply that the caller receives: all but those that concern
+/// one connection.
+HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
+
+/// Returns a refusal or failure of this daemon's own. `retry_after` is sent with fractions of a
+/// second; zero for none.
+HttpReply RelayProblem(ResultCode code, const std::string& detail,
+                       Duration retry_after = Duration::zero());
+
+/// Writes the log line for the end of a request.
+void LogRequestEnd(const RelayedRequest& request, std::string_view outcome, int status,
+                   const std::string& details);
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/src/libs/relay/stream_relay.cpp
@@ -0,0 +1,456 @@
+#include "relay/stream_relay.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/stream_continuation.h"
+#include "relay/stream_run.h"
+#include "transport/notification.h"
+#include "utils/logging.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kConnectTime = std::chrono::milliseconds(250);
+constexpr Duration kRetryAfterNoEngine = std::chrono::milliseconds(300);
+// Pause before engines are looked for again when none has room.
+constexpr Duration kNoEnginePause = std::chrono::milliseconds(50);
+// Refusals and failed connections before the stream is given up.
+constexpr int kMaxTries = 12;
+// A stream without any run is refused after this part of its objective, so that its caller can
+// still try elsewhere.
+constexpr int kRefusalDivisor = 8;
+
+enum class Step { kGoOn, kEnd };
+
+class StreamSession {
+ public:
+  StreamSession(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
+                RelayedRequest request);
+  ~StreamSession();
+  StreamSession(const StreamSession&) = delete;
+  StreamSession& operator=(const StreamSession&) = delete;
+
+  Task<void> Run();
+
+ private:
+  Task<Step> StartRun();
+  std::optional<EndpointRecord> ChooseEngine(PlacementRequest& placement);
+  PlacementRequest MakePlacement() const;
+  EndpointFields MakeFields(const EndpointRecord& engine, bool from_copy,
+                            const PlacementRequest& placement);
+  Task<Step> Deliver();
+  Task<Step> OnRunEnd();
+  Task<Step> OnOtherAnswer();
+  Task<Step> OnSilence();
+  Task<void> Probe(std::shared_ptr<StreamRun> run);
+  void AbandonRun(std::string_view reason, bool is_failure);
+  void SetUses(const EndpointRecord& engine, bool from_copy);
+  void ClearUses();
+  void OnPromptRead();
+  Task<void> Answer(HttpReply reply, std::string_view outcome);
+  Task<void> Fail();
+  void LogEnd(std::string_view outcome, int status);
+  bool HasLeft() const { return SteadyNow() < m_request.deadline; }
+  std::int64_t MemoryTokens() const {
+    return m_request.fields.prompt_tokens + m_request.fields.max_output_tokens;
+  }
+
+  RelayContext& m_context;
+  EndpointPool& m_pool;
+  HttpExchange& m_exchange;
+  RelayedRequest m_request;
+  StreamContinuation m_continuation;
+  std::shared_ptr<Notification> m_wake;
+  std::shared_ptr<StreamRun> m_run;
+  std::set<EndpointId> m_excluded;
+  /// Engine that keeps a copy of the last run's memory; empty if none.
+  EndpointRecord m_backup;
+  std::vector<EndpointUse> m_uses;
+  std::uint64_t m_stream_id = 0;
+  RelayedStream m_stream;
+  bool m_head_sent = false;
+  bool m_stale = false;
+  bool m_from_copy = false;
+  int m_tries = 0;
+  int m_arrivals = 0;
+  int m_resumes = 0;
+  /// A failure of an engine that is passed on if no other engine does better.
+  std::optional<HttpReply> m_failure;
+};
+
+StreamContinuation::Limits LimitsOf(const RelayRoute& route) {
+  return {route.goal, route.gap_goal, route.max_attempts, route.can_resume};
+}
+
+StreamSession::StreamSession(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
+                             RelayedRequest request)
+    : m_context(context),
+      m_pool(pool),
+      m_exchange(exchange),
+      m_request(std::move(request)),
+      m_continuation(LimitsOf(*m_request.route), m_request.fields.last_event),
+      m_wake(std::make_shared<Notification>(context.executor)),
+      m_stream_id(context.streams.NextId()) {}
+
+StreamSession::~StreamSession() {
+  if (m_run) m_run->Cancel();
+  ClearUses();
+  m_context.streams.Remove(m_stream_id);
+  if (m_context.on_streams_changed) m_context.on_streams_changed();
+}
+
+Task<void> StreamSession::Run() {
+  m_context.Retries(m_request.service).OnFirstAttempt();
+  m_exchange.OnClientGone([wake = m_wake]() { wake->Notify(); });
+  Step step = Step::kGoOn;
+  while (step == Step::kGoOn) {
+    if (m_exchange.ClientGone()) {
+      LogEnd("caller_gone", 0);
+      break;
+    }
+    if (!HasLeft()) {
+      co_await Fail();
+      break;
+    }
+    if (!m_run) {
+      step = co_await StartRun();
+      continue;
+    }
+    step = co_await Deliver();
+    if (step == Step::kEnd || !m_run) continue;
+    if (m_run->End()) {
+      step = co_await OnRunEnd();
+      continue;
+    }
+    step = co_await OnSilence();
+  }
+  m_exchange.OnClientGone(nullptr);
+}
+
+/// Starts a run at an engine. Without one it pauses, or ends the request when that has taken too
+/// long.
+Task<Step> StreamSession::StartRun() {
+  const TimePoint now = SteadyNow();
+  const bool may_start = m_continuation.MayStartRun() && m_continuation.MayContinue();
+  if (!may_start || m_tries >= kMaxTries || m_stale) {
+    co_await Fail();
+    co_return Step::kEnd;
+  }
+  PlacementRequest placement = MakePlacement();
+  const std::optional<EndpointRecord> engine = ChooseEngine(placement);
+  if (!engine) {
+    const bool may_wait =
+        m_head_sent || now - m_request.arrived < m_request.route->goal / kRefusalDivisor;
+    if (!may_wait) {
+      co_await Fail();
+      co_return Step::kEnd;
+    }
+    m_excluded.clear();
+    co_await m_wake->WaitFor(kNoEnginePause);
+    co_return Step::kGoOn;
+  }
+  ++m_tries;
+  if (m_arrivals > 0 && !m_context.Retries(m_request.service).TryTake()) {
+    Log(LogLevel::kWarning, "retry_budget_empty",
+        "request=" + m_request.fields.request_id + " service=" + m_request.service);
+    co_await Fail();
+    co_return Step::kEnd;
+  }
+  const std::shared_ptr<HttpClientExchange> connection = m_pool.MakeNew();
+  const std::error_code error = co_await connection->Connect(engine->address, kConnectTime);
+  m_context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
+  if (error) {
+    m_context.endpoints.OnFailure(engine->id, SteadyNow());
+    m_excluded.insert(engine->id);
+    Log(LogLevel::kWarning, "endpoint_failure",
+        "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
+            " reason=\"connect: " + error.message() + "\"");
+    co_return Step::kGoOn;
+  }
+  if (m_exchange.ClientGone()) co_return Step::kGoOn;
+  m_stale = !MayRun(m_context, m_request);
+  if (m_stale) co_return Step::kGoOn;
+  m_from_copy = m_backup.id == engine->id && m_continuation.HasDelivered();
+  EndpointFields fields = MakeFields(*engine, m_from_copy, placement);
+  SetUses(*engine, m_from_copy);
+  m_run = std::make_shared<StreamRun>(*engine, connection, m_wake);
+  ++m_arrivals;
+  m_continuation.OnRunStarted(m_from_copy, SteadyNow());
+  Log(LogLevel::kInfo, "run_started",
+      "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
+          " after=" + std::to_string(fields.last_event.value_or(0)) +
+          " copy=" + (m_from_copy ? "1" : "0") + " backup=" + m_backup.id);
+  m_run->Start(m_context.executor, m_context.wire,
+               BuildEndpointRequest(m_context, m_request, engine->address, std::move(fields),
+                                    SteadyNow()),
+               m_request.fields.request_id);
+  co_return Step::kGoOn;
+}
+
+PlacementRequest StreamSession::MakePlacement() const {
+  PlacementRequest placement;
+  placement.failure_domain = m_context.settings.failure_domain;
+  placement.excluded = m_excluded;
+  placement.prompt_tokens = m_request.fields.prompt_tokens;
+  placement.memory_tokens = MemoryTokens();
+  const RelayService* service = m_request.table->FindService(m_request.service);
+  if (service != nullptr && service->engine) {
+    placement.engine_memory_tokens = service->engine->memory_tokens;
+  }
+  if (!m_request.fields.prompt.empty()) {
+    placement.preferred =
+        m_context.streams.FindPrompt(m_request.fields.prompt.back().id, SteadyNow());
+  }
+  return placement;
+}
+
+std::optional<EndpointRecord> StreamSession::ChooseEngine(PlacementRequest& placement) {
+  const TimePoint now = SteadyNow();
+  const bool has_copy = !m_backup.id.empty() && m_continuation.HasDelivered() &&
+                        m_excluded.count(m_backup.id) == 0;
+  if (has_copy && m_context.endpoints.IsUsable(m_backup.id, now)) {
+    return m_context.endpoints.Find(m_backup.id)->record;
+  }
+  const std::vector<const DirectoryEndpoint*> usable =
+      m_context.endpoints.Usable(m_request.service, now);
+  const DirectoryEndpoint* engine = PlaceStream(usable, placement, m_context.random);
+  if (engine == nullptr) return std::nullopt;
+  return engine->record;
+}
+
+/// Fills what the engine is told, and chooses the engine that receives the copy.
+EndpointFields StreamSession::MakeFields(const EndpointRecord& engine, bool from_copy,
+                                         const PlacementRequest& placement) {
+  EndpointFields fields;
+  fields.endpoint = engine.id;
+  fields.last_event = m_continuation.LastEvent();
+  fields.priority = m_request.priority;
+  if (from_copy) fields.copy_address = engine.address;
+  m_backup = EndpointRecord();
+  const RelayService* service = m_request.table->FindService(m_request.service);
+  const bool sends_backups = service != nullptr && service->engine &&
+                             service->engine->sends_backups && m_request.route->can_resume;
+  const DirectoryEndpoint* primary = m_context.endpoints.Find(engine.id);
+  if (!sends_backups || primary == nullptr) return fields;
+  const std::vector<const DirectoryEndpoint*> usable =
+      m_context.endpoints.Usable(m_request.service, SteadyNow());
+  const DirectoryEndpoint* backup = PlaceBackup(usable, placement, *primary, m_context.random);
+  if (backup == nullptr) return fields;
+  m_backup = backup->record;
+  fields.backup_address = m_backup.address;
+  return fields;
+}
+
+/// Passes on the events that have arrived.
+Task<Step> StreamSession::Deliver() {
+  std::string bytes;
+  bool has_gap = false;
+  while (m_run->HasEvent() && !has_gap) {
+    ArrivedEvent arrived = m_run->TakeEvent();
+    if (!arrived.event.id) {
+      bytes += arrived.event.bytes;
+      continue;
+    }
+    const EventVerdict verdict = m_continuation.OnEvent(*arrived.event.id, arrived.at);
+    if (verdict == EventVerdict::kDeliver) bytes += arrived.event.bytes;
+    has_gap = verdict == EventVerdict::kGap;
+  }
+  if (!bytes.empty()) {
+    OnPromptRead();
+    if (!m_head_sent) {
+      m_head_sent = true;
+      m_context.metrics.Observe("relay_first_event", {}, SteadyNow() - m_request.arrived);
+      co_await m_exchange.StartStream(m_run->Reply().status,
+                                      EndToEndHeaders(m_run->Reply().headers));
+    }
+    co_await m_exchange.WriteChunk(std::move(bytes));
+  }
+  if (has_gap) AbandonRun("gap between events", true);
+  co_return Step::kGoOn;
+}
+
+Task<Step> StreamSession::OnRunEnd() {
+  switch (*m_run->End()) {
+    case StreamRunEnd::kComplete:
+      break;
+    case StreamRunEnd::kAnswered:
+      co_return co_await OnOtherAnswer();
+    case StreamRunEnd::kBroken:
+      AbandonRun(m_run->Reason(), true);
+      co_return Step::kGoOn;
+  }
+  m_context.endpoints.OnSuccess(m_run->Endpoint().id);
+  const int status = m_run->Reply().status;
+  if (!m_head_sent) {
+    co_await m_exchange.StartStream(status, EndToEndHeaders(m_run->Reply().headers));
+  }
+  co_await m_exchange.FinishStream();
+  m_context.metrics.Count("relay_requests", "answered");
+  LogEnd("answered", status);
+  co_return Step::kEnd;
+}
+
+/// The engine answered with something else than events.
+Task<Step> StreamSession::OnOtherAnswer() {
+  const EndpointAnswerFields& answer = m_run->Answer();
+  const EndpointId engine = m_run->Endpoint().id;
+  if (answer.not_run || answer.misdirected) {
+    m_continuation.OnRunRefused();
+    // A missing copy says nothing about the engine, which may run the stream without it.
+    const bool copy_missing = m_from_copy && !answer.misdirected;
+    if (answer.misdirected) m_context.endpoints.OnMisdirected(engine, SteadyNow());
+    if (!answer.misdirected && !copy_missing) {
+      m_context.endpoints.OnRefused(engine, SteadyNow());
+    }
+    if (!copy_missing) m_excluded.insert(engine);
+    m_backup = EndpointRecord();
+    AbandonRun(copy_missing ? "no copy" : "refused", false);
+    co_return Step::kGoOn;
+  }
+  const int status = m_run->Reply().status;
+  if (!answer.is_sealed || m_head_sent) {
+    AbandonRun("answer with status " + std::to_string(status), true);
+    co_return Step::kGoOn;
+  }
+  if (status >= 500 && m_continuation.MayStartRun() && m_continuation.MayContinue()) {
+    m_failure = std::move(m_run->Reply());
+    AbandonRun("status " + std::to_string(status), false);
+    m_excluded.insert(engine);
+    co_return Step::kGoOn;
+  }
+  co_await Answer(std::move(m_run->Reply()), "answered");
+  co_return Step::kEnd;
+}
+
+/// Waits for events, and judges the run if none come.
+Task<Step> StreamSession::OnSilence() {
+  const TimePoint now = SteadyNow();
+  switch (m_continuation.Judge(now)) {
+    case SilenceVerdict::kAbandon:
+      AbandonRun("silent", true);
+      co_return Step::kGoOn;
+    case SilenceVerdict::kProbe:
+      co_await Probe(m_run);
+      co_return Step::kGoOn;
+    case SilenceVerdict::kWait:
+      break;
+  }
+  const TimePoint next = std::min(m_continuation.NextJudgement(now), m_request.deadline);
+  co_await m_wake->WaitFor(next - now);
+  co_return Step::kGoOn;
+}
+
+/// Opens a connection to the engine of a run that has sent nothing yet.
+Task<void> StreamSession::Probe(std::shared_ptr<StreamRun> run) {
+  HttpClientExchange connection(m_context.executor, HttpClientExchange::Options());
+  const std::error_code error = co_await connection.Connect(run->Endpoint().address, kConnectTime);
+  m_context.metrics.Count("endpoint_probes", error ? "failed" : "answered");
+  m_continuation.OnProbeAnswered(SteadyNow());
+  const bool is_lost = error && run == m_run && !run->HasEvent() && !run->End();
+  if (is_lost) AbandonRun("probe: " + error.message(), true);
+}
+
+void StreamSession::AbandonRun(std::string_view reason, bool is_failure) {
+  const EndpointId engine = m_run->Endpoint().id;
+  m_run->Cancel();
+  m_run.reset();
+  ClearUses();
+  if (is_failure) {
+    m_context.endpoints.OnFailure(engine, SteadyNow());
+    m_excluded.insert(engine);
+    if (m_continuation.HasDelivered()) ++m_resumes;
+  }
+  m_context.metrics.Count("relay_runs_abandoned", is_failure ? "failed" : "refused");
+  Log(LogLevel::kWarning, "run_abandoned",
+      "request=" + m_request.fields.request_id + " endpoint=" + engine + " after=" +
+          std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" +
+          std::string(reason) + "\"");
+}
+
+void StreamSession::SetUses(const EndpointRecord& engine, bool from_copy) {
+  ClearUses();
+  const std::int64_t unread = from_copy ? 0 : m_request.fields.prompt_tokens;
+  m_uses.push_back({engine.id, unread, MemoryTokens(), true});
+  if (!m_backup.id.empty()) m_uses.push_back({m_backup.id, 0, MemoryTokens(), false});
+  for (const EndpointUse& use : m_uses) m_context.endpoints.AddUse(use);
+  m_stream.endpoint = engine.id;
+  m_stream.backup = m_backup.id;
+  m_stream.prompt = m_request.fields.prompt.empty() ? 0 : m_request.fields.prompt.back().id;
+  m_stream.unread_tokens = static_cast<std::uint32_t>(unread);
+  m_stream.memory_tokens = static_cast<std::uint32_t>(MemoryTokens());
+  m_context.streams.Set(m_stream_id, m_stream, SteadyNow());
+  if (m_context.on_streams_changed) m_context.on_streams_changed();
+}
+
+void StreamSession::ClearUses() {
+  for (const EndpointUse& use : m_uses) m_context.endpoints.RemoveUse(use);
+  m_uses.clear();
+}
+
+/// The first event of a run shows that its engine has read the prompt.
+void StreamSession::OnPromptRead() {
+  if (m_uses.empty() || m_uses.front().unread_tokens == 0) return;
+  m_context.endpoints.RemoveUse(m_uses.front());
+  m_uses.front().unread_tokens = 0;
+  m_context.endpoints.AddUse(m_uses.front());
+  m_context.endpoints.OnSuccess(m_uses.front().endpoint);
+  m_stream.unread_tokens = 0;
+  m_context.streams.Set(m_stream_id, m_stream, SteadyNow());
+  if (m_context.on_streams_changed) m_context.on_streams_changed();
+}
+
+Task<void> StreamSession::Answer(HttpReply reply, std::string_view outcome) {
+  const int status = reply.status;
+  reply.headers = EndToEndHeaders(reply.headers);
+  m_context.metrics.Count("relay_requests", outcome);
+  co_await m_exchange.Respond(std::move(reply));
+  LogEnd(outcome, status);
+}
+
+/// Ends the request without an answer of an engine. A stream that has begun is cut, so that it does
+/// not look complete.
+Task<void> StreamSession::Fail() {
+  if (m_run) AbandonRun("deadline", false);
+  if (m_head_sent) {
+    m_exchange.CloseAfterwards();
+    m_context.metrics.Count("relay_requests", "cut");
+    LogEnd("cut", 200);
+    co_return;
+  }
+  if (m_failure) {
+    co_await Answer(std::move(*m_failure), "endpoint_failed");
+  } else if (m_stale) {
+    co_await Answer(RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterNoEngine),
+                    "stale");
+  } else if (m_continuation.Runs() == 0) {
+    co_await Answer(RelayProblem(ResultCode::kNoEndpoint, "no engine has taken the request",
+                                 kRetryAfterNoEngine),
+                    "refused");
+  } else {
+    co_await Answer(RelayProblem(ResultCode::kEndpointFailed, "the engines failed"), "lost");
+  }
+}
+
+void StreamSession::LogEnd(std::string_view outcome, int status) {
+  LogRequestEnd(m_request, outcome, status,
+                "runs=" + std::to_string(m_continuation.Runs()) +
+                    " resumes=" + std::to_string(m_resumes) +
+                    " last_event=" + std::to_string(m_continuation.LastEvent().value_or(0)));
+}
+
+}  // namespace
+
+Task<void> RelayStream(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
+                       RelayedRequest request) {
+  StreamSession session(context, pool, exchange, std::move(request));
+  co_await session.Run();
+}
+
+}  // namespace fulmarpoint
--- a/src/libs/server/admin_routes.cpp
+++ b/src/libs/server/admin_routes.cpp
@@ -6,9 +6,9 @@
 
 #include "server/api_key.h"
 #include "server/endpoint_registry.h"
-#include "server/problem_reply.h"
+#include "http_api/problem_reply.h"
 #include "server/request_log.h"
-#include "server/url.h"
+#include "http_api/url.h"
 #include "state/burn_table.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -11,7 +11,7 @@
 
 #include "server/catalogue_view.h"
 #include "server/endpoint_registry.h"
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "server/request_log.h"
 #include "state/admission_table.h"
 #include "state/credit_table.h"
--- a/src/libs/server/call_session.cpp
+++ b/src/libs/server/call_session.cpp
@@ -6,7 +6,7 @@
 
 #include "coordination/idempotency_key.h"
 #include "server/call_driver.h"
-#include "server/problem_reply.h"
+#include "http_api/problem_reply.h"
 #include "server/request_drivers.h"
 #include "server/table_client.h"
 #include "transport/notification.h"
--- a/src/libs/server/catalogue_routes.cpp
+++ b/src/libs/server/catalogue_routes.cpp
@@ -10,9 +10,9 @@
 #include "server/admin_routes.h"
 #include "server/api_key.h"
 #include "server/control_plane_driver.h"
-#include "server/problem_reply.h"
+#include "http_api/problem_reply.h"
 #include "server/table_client.h"
-#include "server/url.h"
+#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -10,7 +10,7 @@
 #include "coordination/resume_budget.h"
 #include "coordination/retry_budget.h"
 #include "server/endpoint_registry.h"
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "server/request_log.h"
 #include "state/credit_table.h"
 #include "state/rollout_table.h"
--- a/src/libs/server/endpoint_registry.cpp
+++ b/src/libs/server/endpoint_registry.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 
 #include "protocol/identifiers.h"
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "utils/logging.h"
 #include "utils/overloaded.h"
 
--- a/src/libs/server/generation_driver.cpp
+++ b/src/libs/server/generation_driver.cpp
@@ -6,8 +6,8 @@
 #include <variant>
 
 #include "server/endpoint_registry.h"
-#include "server/metrics.h"
-#include "server/problem_reply.h"
+#include "utils/metrics.h"
+#include "http_api/problem_reply.h"
 #include "server/request_checks.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -11,12 +11,12 @@
 #include "server/endpoint_registry.h"
 #include "server/generation_session.h"
 #include "server/lookup.h"
-#include "server/metrics.h"
-#include "server/problem_reply.h"
+#include "utils/metrics.h"
+#include "http_api/problem_reply.h"
 #include "server/request_checks.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
-#include "server/url.h"
+#include "http_api/url.h"
 #include "state/burn_table.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/lease_driver.cpp
+++ b/src/libs/server/lease_driver.cpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <utility>
 
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "server/table_client.h"
 #include "utils/logging.h"
 #include "utils/overloaded.h"
--- a/src/libs/server/lookup.cpp
+++ b/src/libs/server/lookup.cpp
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "server/catalogue_view.h"
-#include "server/problem_reply.h"
+#include "http_api/problem_reply.h"
 #include "server/services.h"
-#include "server/url.h"
+#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/notice_exchange.cpp
+++ b/src/libs/server/notice_exchange.cpp
@@ -5,7 +5,7 @@
 
 #include "server/control_plane_driver.h"
 #include "server/dispatcher.h"
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "state/rollout_table.h"
 #include "utils/logging.h"
 
--- a/src/libs/server/object_client.cpp
+++ b/src/libs/server/object_client.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "server/url.h"
+#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/peer_service.cpp
+++ b/src/libs/server/peer_service.cpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <utility>
 
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "transport/framed_connection.h"
 #include "transport/framed_server.h"
 #include "transport/udp_socket.h"
--- a/src/libs/server/request_checks.cpp
+++ b/src/libs/server/request_checks.cpp
@@ -9,7 +9,7 @@
 #include "protocol/field_reader.h"
 #include "server/api_key.h"
 #include "server/catalogue_view.h"
-#include "server/url.h"
+#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/table_client.cpp
+++ b/src/libs/server/table_client.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "server/url.h"
+#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/transport/http_client.h
+++ b/src/libs/transport/http_client.h
@@ -25,6 +25,8 @@
   std::string address;
   std::string method = "GET";
   std::string target = "/";
+  /// Value of the Host header; the address if empty.
+  std::string host;
   HttpHeaders headers;
   std::string body;
   /// Longest time until the reply is complete; for a stream, until its head is complete.
--- a/src/libs/transport/http_client_connection.cpp
+++ b/src/libs/transport/http_client_connection.cpp
@@ -26,8 +26,10 @@
 constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 
 bool IsSafe(const HttpClientRequest& request) {
-  if (!internal::IsSafeToken(request.method) || !internal::IsSafeToken(request.target))
+  if (!internal::IsSafeToken(request.method) || !internal::IsSafeToken(request.target)) {
     return false;
+  }
+  if (!request.host.empty() && !internal::IsSafeToken(request.host)) return false;
   for (const HttpHeader& header : request.headers) {
     if (!internal::IsSafeHeader(header)) return false;
   }
@@ -50,8 +52,9 @@
 Task<boost::system::error_code> HttpEventStream::Connection::WriteRequest(
     const HttpClientRequest& request, std::size_t& written) {
   if (!IsSafe(request)) co_return asio::error::invalid_argument;
+  const std::string& host = request.host.empty() ? address : request.host;
   std::string head =
-      internal::FormatRequestHead(request.method, request.target, address, request.headers);
+      internal::FormatRequestHead(request.method, request.target, host, request.headers);
   if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
     head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -28,6 +28,7 @@
 
 // After a rejection the peer may still be sending; data that is not read would make the kernel
 // reset the connection before the peer has read the answer.
+constexpr std::size_t kBufferSlackBytes = 4096;
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = std::size_t{256} * 1024;
 
@@ -43,6 +44,8 @@
          error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// Returns the request without its body. Call it before the body is read, because trailers join
+/// the headers.
 HttpRequest ToRequest(HttpExchange::Connection::Parser& parser, const std::string& peer) {
   http::request<http::string_body>& message = parser.get();
   HttpRequest request;
@@ -51,7 +54,6 @@
   for (const auto& field : message) {
     request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
-  request.body = std::move(message.body());
   request.peer_address = peer;
   return request;
 }
@@ -63,7 +65,7 @@
 bool BodyReservation::GrowTo(std::size_t bytes) {
   if (bytes <= m_bytes) return true;
   const std::size_t more = bytes - m_bytes;
-  if (m_shared.body_bytes.fetch_add(more) + more > m_shared.limits.total_body_bytes) {
+  if (m_shared.body_bytes.fetch_add(more) + more > m_shared.Limits()->total_body_bytes) {
     m_shared.body_bytes -= more;
     return false;
   }
@@ -78,7 +80,7 @@
     : socket(std::move(connected)),
       strand(std::move(own_strand)),
       shared(std::move(server)),
-      buffer(shared->limits.head_bytes + 4096) {}
+      buffer(shared->Limits()->head_bytes + kBufferSlackBytes) {}
 
 bool HttpExchange::Connection::Prepare() {
   boost::system::error_code error;
@@ -87,7 +89,7 @@
   peer_ip = peer.address().to_string();
   peer_address = internal::AddressText(peer);
   socket.set_option(tcp::no_delay(true), error);
-  socket.set_option(asio::socket_base::send_buffer_size(shared->limits.send_buffer_bytes), error);
+  socket.set_option(asio::socket_base::send_buffer_size(shared->Limits()->send_buffer_bytes), error);
   return true;
 }
 
@@ -104,39 +106,46 @@
 
 Task<bool> HttpExchange::Connection::WaitForRequest() {
   if (buffer.size() > 0) co_return true;
-  const internal::Deadline deadline(strand, shared->limits.idle_time, [this]() { CloseSocket(); });
+  const internal::Deadline deadline(strand, shared->Limits()->idle_time, [this]() { CloseSocket(); });
   auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
   co_return !error && socket.is_open();
 }
 
 Task<bool> HttpExchange::Connection::ServeOne(bool first) {
+  const std::shared_ptr<const HttpServerLimits> limits = shared->Limits();
   internal::BodyReservation reservation(*shared);
   std::optional<Parser> parser(std::in_place);
-  parser->header_limit(static_cast<std::uint32_t>(shared->limits.head_bytes));
-  parser->body_limit(shared->limits.body_bytes);
+  parser->header_limit(static_cast<std::uint32_t>(limits->head_bytes));
+  parser->body_limit(limits->body_bytes);
+  buffer.max_size(limits->head_bytes + kBufferSlackBytes);
   std::optional<HttpRejection> rejection;
   idle = first;
-  const boost::system::error_code error = co_await ReadRequest(*parser, reservation, rejection);
+  boost::system::error_code error = co_await ReadHead(*parser, rejection);
   idle = false;
+  std::optional<HttpRequest> request;
+  if (!error && !rejection) {
+    request = ToRequest(*parser, peer_address);
+    error = co_await ReadBody(*parser, reservation, rejection);
+  }
   if (rejection) {
     co_await Reject(*rejection, shared_from_this());
     co_return false;
   }
-  if (error) co_return false;
+  if (error || !request) co_return false;
+  request->body = std::move(parser->get().body());
   const bool keep_alive = parser->get().keep_alive();
-  HttpExchange exchange(*this, ToRequest(*parser, peer_address));
+  HttpExchange exchange(*this, std::move(*request));
   exchange.m_chunked = parser->get().version() >= 11;
   parser.reset();
-  close_afterwards = !keep_alive || shared->stopping;
+  close_afterwards = !keep_alive || shared->stopping || shared->closing_after_replies;
   co_await Handle(exchange);
   co_return !close_afterwards && !client_gone && !shared->stopping;
 }
 
-Task<boost::system::error_code> HttpExchange::Connection::ReadRequest(
-    Parser& parser, internal::BodyReservation& reservation,
-    std::optional<HttpRejection>& rejection) {
+Task<boost::system::error_code> HttpExchange::Connection::ReadHead(
+    Parser& parser, std::optional<HttpRejection>& rejection) {
   // Shutting down the receiving side ends this and all later reads, and still allows an answer.
-  const internal::Deadline deadline(strand, shared->limits.request_time, [this]() {
+  const internal::Deadline deadline(strand, shared->Limits()->request_time, [this]() {
     boost::system::error_code ignored;
     socket.shutdown(tcp::socket::shutdown_receive, ignored);
   });
@@ -147,8 +156,6 @@
     error = std::get<0>(read);
     idle = idle && buffer.size() == 0 && !parser.is_header_done();
   }
-  if (!error) error = co_await ReadBody(parser, reservation, rejection);
-  if (rejection) co_return error;
   if (deadline.Expired()) {
     if (parser.got_some() || buffer.size() > 0) rejection = HttpRejection::kTimeout;
     co_return asio::error::timed_out;
@@ -160,12 +167,13 @@
 Task<boost::system::error_code> HttpExchange::Connection::ReadBody(
     Parser& parser, internal::BodyReservation& reservation,
     std::optional<HttpRejection>& rejection) {
+  const std::shared_ptr<const HttpServerLimits> limits = shared->Limits();
   boost::system::error_code error;
-  if (parser.get().target().size() > shared->limits.url_bytes) {
+  if (parser.get().target().size() > limits->url_bytes) {
     rejection = HttpRejection::kUrlTooLong;
     co_return error;
   }
-  if (parser.content_length() && *parser.content_length() > shared->limits.body_bytes) {
+  if (parser.content_length() && *parser.content_length() > limits->body_bytes) {
     rejection = HttpRejection::kBodyTooLarge;
     co_return error;
   }
@@ -174,6 +182,10 @@
     const std::string text(kContinue);
     if (co_await Write(text)) co_return asio::error::connection_reset;
   }
+  const internal::Deadline deadline(strand, limits->body_time, [this]() {
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_receive, ignored);
+  });
   while (!error && !parser.is_done()) {
     const internal::IoResult read =
         co_await http::async_read_some(socket, buffer, parser, kCompletion);
@@ -183,6 +195,11 @@
       co_return error;
     }
   }
+  if (deadline.Expired()) {
+    rejection = HttpRejection::kTimeout;
+    co_return asio::error::timed_out;
+  }
+  if (error && IsProtocolError(error)) rejection = RejectionOf(error);
   co_return error;
 }
 
@@ -228,7 +245,7 @@
 
 Task<std::error_code> HttpExchange::Connection::Write(const std::string& data) {
   if (client_gone) co_return make_error_code(std::errc::connection_reset);
-  const internal::Deadline deadline(strand, shared->limits.write_time, [this]() { CloseSocket(); });
+  const internal::Deadline deadline(strand, shared->Limits()->write_time, [this]() { CloseSocket(); });
   const internal::IoResult written =
       co_await asio::async_write(socket, asio::buffer(data), kCompletion);
   const boost::system::error_code error = std::get<0>(written);
@@ -334,7 +351,7 @@
 bool HttpExchange::ClientGone() const { return m_connection.client_gone; }
 
 void HttpExchange::OnClientGone(std::function<void()> function) {
-  if (m_connection.client_gone) {
+  if (m_connection.client_gone && function) {
     Post(m_connection.strand, std::move(function));
     return;
   }
--- a/src/libs/transport/http_server.cpp
+++ b/src/libs/transport/http_server.cpp
@@ -32,7 +32,7 @@
         accept_strand(MakeStrand(executor)),
         acceptor(accept_strand),
         shared(std::make_shared<internal::HttpServerShared>()) {
-    shared->limits = server_limits;
+    shared->SetLimits(server_limits);
     shared->handler = std::move(handle);
     shared->rejection_reply = std::move(reject);
   }
@@ -90,8 +90,9 @@
 bool HttpServer::State::Register(const std::shared_ptr<HttpExchange::Connection>& connection) {
   const std::lock_guard<std::mutex> lock(mutex);
   std::size_t& from_address = per_address[connection->PeerIp()];
-  if (connections.size() >= shared->limits.connections ||
-      from_address >= shared->limits.connections_per_address) {
+  const std::shared_ptr<const HttpServerLimits> limits = shared->Limits();
+  if (connections.size() >= limits->connections ||
+      from_address >= limits->connections_per_address) {
     if (from_address == 0) per_address.erase(connection->PeerIp());
     return false;
   }
@@ -146,6 +147,10 @@
   return m_state->connections.size();
 }
 
+void HttpServer::SetLimits(HttpServerLimits limits) { m_state->shared->SetLimits(limits); }
+
+void HttpServer::CloseAfterReplies() { m_state->shared->closing_after_replies = true; }
+
 void HttpServer::StopAccepting() {
   m_state->shared->stopping = true;
   Post(m_state->accept_strand, [state = m_state]() {
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -21,8 +21,10 @@
   std::size_t connections = 4096;
   /// Connections from one IP address.
   std::size_t connections_per_address = 2048;
-  /// Time from the first byte of a request (or the connection's start) to its last byte.
+  /// Time from the first byte of a request (or the connection's start) to the end of its head.
   Duration request_time = std::chrono::seconds(10);
+  /// Time from the end of a request's head to its last byte.
+  Duration body_time = std::chrono::seconds(10);
   /// Time a connection may stay open between two requests.
   Duration idle_time = std::chrono::seconds(60);
   /// Time one write may wait for the client to accept bytes.
@@ -71,7 +73,8 @@
 
   /// Returns whether the client closed its connection or a write failed.
   bool ClientGone() const;
-  /// Calls `function` once on the handler's strand when the client has gone.
+  /// Calls `function` once on the handler's strand when the client has gone. It replaces the
+  /// function set before; an empty one removes it.
   void OnClientGone(std::function<void()> function);
   /// Returns whether a reply was started.
   bool Started() const { return m_started; }
@@ -110,6 +113,10 @@
   /// Returns "ip:port" of the open socket, or an empty text.
   std::string Address() const;
   std::size_t ConnectionCount() const;
+  /// Replaces the limits. Connections that are open use the new ones from their next request on.
+  void SetLimits(HttpServerLimits limits);
+  /// Closes each connection after its next reply, which says so; new ones are still accepted.
+  void CloseAfterReplies();
   /// Accepts no more connections and closes each one after its current request.
   void StopAccepting();
   /// Also aborts the current requests: their clients count as gone.
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -17,13 +18,27 @@
 
 namespace internal {
 
-/// What the connections of one server share. `limits`, `handler` and `rejection_reply` do not
-/// change once the server listens.
+/// What the connections of one server share. `handler` and `rejection_reply` do not change once the
+/// server listens.
 struct HttpServerShared {
-  HttpServerLimits limits;
+  std::shared_ptr<const HttpServerLimits> Limits() const {
+    const std::lock_guard<std::mutex> lock(limits_mutex);
+    return limits;
+  }
+  void SetLimits(const HttpServerLimits& new_limits) {
+    std::shared_ptr<const HttpServerLimits> copy =
+        std::make_shared<const HttpServerLimits>(new_limits);
+    const std::lock_guard<std::mutex> lock(limits_mutex);
+    limits = std::move(copy);
+  }
+
+  /// Guards `limits`. No other lock is taken while it is held.
+  mutable std::mutex limits_mutex;
+  std::shared_ptr<const HttpServerLimits> limits;
   HttpHandler handler;
   HttpRejectionReply rejection_reply;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> closing_after_replies{false};
   std::atomic<std::size_t> body_bytes{0};
 };
 
@@ -77,9 +92,8 @@
  private:
   Task<bool> WaitForRequest();
   Task<bool> ServeOne(bool first);
-  Task<boost::system::error_code> ReadRequest(Parser& parser,
-                                              internal::BodyReservation& reservation,
-                                              std::optional<HttpRejection>& rejection);
+  Task<boost::system::error_code> ReadHead(Parser& parser,
+                                           std::optional<HttpRejection>& rejection);
   Task<boost::system::error_code> ReadBody(Parser& parser, internal::BodyReservation& reservation,
                                            std::optional<HttpRejection>& rejection);
   Task<void> Handle(HttpExchange& exchange);
--- a/src/libs/transport/worker_pool.cpp
+++ b/src/libs/transport/worker_pool.cpp
@@ -2,29 +2,18 @@
 
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <thread>
 #include <utility>
 #include <vector>
 
-namespace fulmarpoint {
-
-namespace {
-
-/// Makes the first phase of the destruction available, which destroys pending work.
-class Context : public boost::asio::io_context {
- public:
-  using boost::asio::io_context::io_context;
+#include "transport/internal/stoppable_context.h"
 
-  void DestroyPendingWork() { shutdown(); }
-};
-
-}  // namespace
+namespace fulmarpoint {
 
 struct WorkerPool::State {
   explicit State(int count) : context(count), work(context.get_executor()) {}
 
-  Context context;
+  internal::StoppableContext context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
   std::vector<std::thread> threads;
   bool stopped = false;
--- a/src/libs/server/metrics.cpp
+++ b/src/libs/utils/metrics.cpp
@@ -1,4 +1,4 @@
-#include "server/metrics.h"
+#include "utils/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
--- a/src/libs/utils/time.h
+++ b/src/libs/utils/time.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace fulmarpoint {
 
@@ -36,4 +37,13 @@
       .count();
 }
 
+/// Returns the current instant of a clock that also advances while the machine is suspended. Use it
+/// for the age of proofs; it must not be mixed with `SteadyNow()`. Thread-safe.
+inline TimePoint BootNow() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                        std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 }  // namespace fulmarpoint
--- a/tests/auto/server/concurrent_server_state.cpp
+++ b/tests/auto/server/concurrent_server_state.cpp
@@ -8,7 +8,7 @@
 
 #include "server/catalogue_view.h"
 #include "server/lookup.h"
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "server/request_checks.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
--- a/tests/auto/server/fake_endpoints.h
+++ b/tests/auto/server/fake_endpoints.h
@@ -10,7 +10,7 @@
 #include "protocol/catalogue_item.h"
 #include "server/api_key.h"
 #include "server/settings.h"
-#include "server/url.h"
+#include "http_api/url.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
 
--- a/tests/auto/server/tst_dispatcher.cpp
+++ b/tests/auto/server/tst_dispatcher.cpp
@@ -5,7 +5,7 @@
 #include "fake_platform.h"
 #include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
-#include "server/metrics.h"
+#include "utils/metrics.h"
 #include "server/request_log.h"
 #include "state/credit_table.h"
 #include "state/rollout_table.h"
--- a/tests/auto/server/tst_settings.cpp
+++ b/tests/auto/server/tst_settings.cpp
@@ -1,7 +1,7 @@
 #include <criterion/criterion.h>
 
 #include "server/settings.h"
-#include "server/url.h"
+#include "http_api/url.h"
 
 using namespace fulmarpoint;
 
