--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -38,6 +38,9 @@
   // A new process knows nothing of the failures of the one before.
   endpoint.failures = 0;
   endpoint.blocked_until = TimePoint{};
+  endpoint.suspected_until = TimePoint{};
+  endpoint.own_failure.reset();
+  endpoint.latest_failure.reset();
   endpoint.load = EndpointLoad{};
   RemovePredecessors(record, now);
 }
@@ -60,12 +63,47 @@
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
   DirectoryEndpoint& endpoint = found->second;
+  endpoint.own_failure = now;
+  Suspect(endpoint, now);
   // Requests that fail together are one failure.
   if (now < endpoint.blocked_until) return;
   const int doublings = std::min(endpoint.failures++, kMaxBlockDoublings);
   Block(id, now + std::min(m_options.longest_block, m_options.first_block * (1 << doublings)));
 }
 
+void EndpointDirectory::OnPeerFailure(const EndpointId& id, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) Suspect(found->second, now);
+}
+
+std::vector<EndpointId> EndpointDirectory::FailedSince(TimePoint since) const {
+  std::vector<EndpointId> failed;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.own_failure && *endpoint.own_failure >= since) failed.push_back(id);
+  }
+  return failed;
+}
+
+/// Suspects the endpoint, and its failure domain if others failed there at about the same time.
+void EndpointDirectory::Suspect(DirectoryEndpoint& endpoint, TimePoint now) {
+  endpoint.latest_failure = now;
+  endpoint.suspected_until = now + m_options.suspicion;
+  const auto is_near = [&](const DirectoryEndpoint& other) {
+    return other.record.service == endpoint.record.service &&
+           other.record.failure_domain == endpoint.record.failure_domain;
+  };
+  std::size_t failed = 0;
+  for (const auto& [id, other] : m_endpoints) {
+    const bool failed_too =
+        other.latest_failure && now - *other.latest_failure <= m_options.domain_failure_time;
+    if (is_near(other) && failed_too) ++failed;
+  }
+  if (failed < m_options.domain_failures) return;
+  for (auto& [id, other] : m_endpoints) {
+    if (is_near(other)) other.suspected_until = endpoint.suspected_until;
+  }
+}
+
 void EndpointDirectory::OnMisdirected(const EndpointId& id, TimePoint now) {
   Block(id, now + m_options.misdirected_block);
 }
@@ -76,7 +114,9 @@
 
 void EndpointDirectory::OnSuccess(const EndpointId& id) {
   const auto found = m_endpoints.find(id);
-  if (found != m_endpoints.end()) found->second.failures = 0;
+  if (found == m_endpoints.end()) return;
+  found->second.failures = 0;
+  found->second.suspected_until = TimePoint{};
 }
 
 void EndpointDirectory::OnLoad(const EndpointId& id, const EndpointLoad& load) {
@@ -129,6 +169,11 @@
   return endpoint != nullptr && MayReceive(*endpoint, now);
 }
 
+bool EndpointDirectory::IsSuspected(const EndpointId& id, TimePoint now) const {
+  const DirectoryEndpoint* endpoint = Find(id);
+  return endpoint == nullptr || now < endpoint->suspected_until;
+}
+
 void EndpointDirectory::Forget(TimePoint now) {
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const DirectoryEndpoint& endpoint = it->second;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -45,7 +45,12 @@
   EndpointLoad load;
   /// Failures in a row; the endpoint gets no request until `blocked_until`.
   int failures = 0;
+  /// The latest failure that this daemon saw itself, and the latest that it knows of.
+  std::optional<TimePoint> own_failure;
+  std::optional<TimePoint> latest_failure;
   TimePoint blocked_until{};
+  /// Requests have lately failed here or near by, so that other endpoints are preferred until then.
+  TimePoint suspected_until{};
   /// Set once the store no longer has the row: the endpoint is gone from then on.
   std::optional<TimePoint> gone_at;
 
@@ -65,6 +70,12 @@
     /// An address that answered for another endpoint is left out this long, or until the row
     /// changes.
     Duration misdirected_block = std::chrono::seconds(10);
+    /// After a failure the endpoint is used only if there is no other for this long.
+    Duration suspicion = std::chrono::milliseconds(1500);
+    /// Failures of this many endpoints of a service in one failure domain within the time make all
+    /// others there suspected.
+    std::size_t domain_failures = 2;
+    Duration domain_failure_time = std::chrono::milliseconds(800);
   };
 
   EndpointDirectory() = default;
@@ -78,6 +89,10 @@
 
   /// Connecting failed, the connection broke, or the endpoint fell silent during a request.
   void OnFailure(const EndpointId& id, TimePoint now);
+  /// A peer saw a failure. It may be the peer's own, so the endpoint is only suspected.
+  void OnPeerFailure(const EndpointId& id, TimePoint now);
+  /// Endpoints that failed here since `since`.
+  std::vector<EndpointId> FailedSince(TimePoint since) const;
   /// Another endpoint answered at the address.
   void OnMisdirected(const EndpointId& id, TimePoint now);
   /// The endpoint refused a request without running it: it is full or leaving.
@@ -96,12 +111,15 @@
   /// Returns null if the endpoint is unknown.
   const DirectoryEndpoint* Find(const EndpointId& id) const;
   bool IsUsable(const EndpointId& id, TimePoint now) const;
+  /// Returns whether requests have lately failed at the endpoint or near it.
+  bool IsSuspected(const EndpointId& id, TimePoint now) const;
   /// Forgets endpoints that are gone and unused.
   void Forget(TimePoint now);
   std::size_t Size() const { return m_endpoints.size(); }
 
  private:
   void Block(const EndpointId& id, TimePoint until);
+  void Suspect(DirectoryEndpoint& endpoint, TimePoint now);
   void RemovePredecessors(const EndpointRecord& record, TimePoint now);
 
   Options m_options;
--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -15,6 +15,8 @@
 constexpr double kPreferredBacklog = 1.0;
 // Random part that separates equal endpoints.
 constexpr double kTieTokens = 20.0;
+// Suspected endpoints are used only if no other has room.
+constexpr double kSuspectedPenalty = 1e9;
 
 bool HasRoom(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
   if (request.engine_memory_tokens <= 0) return true;
@@ -32,6 +34,10 @@
   return tokens;
 }
 
+double SuspicionPenalty(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
+  return request.now < endpoint.suspected_until ? kSuspectedPenalty : 0.0;
+}
+
 double Tie(Random& random) {
   return std::uniform_real_distribution<double>(0.0, kTieTokens)(random);
 }
@@ -39,7 +45,9 @@
 const DirectoryEndpoint* FindPreferred(const std::vector<const DirectoryEndpoint*>& endpoints,
                                        const PlacementRequest& request) {
   for (const DirectoryEndpoint* endpoint : endpoints) {
-    if (endpoint->record.id == request.preferred && !IsExcluded(*endpoint, request)) {
+    const bool is_suspected = request.now < endpoint->suspected_until;
+    if (endpoint->record.id == request.preferred && !is_suspected &&
+        !IsExcluded(*endpoint, request)) {
       return endpoint;
     }
   }
@@ -58,6 +66,7 @@
     double score = endpoint->Requests() / slots;
     if (endpoint->record.failure_domain != request.failure_domain) score += 0.5 / slots;
     score += std::uniform_real_distribution<double>(0.0, 0.1 / slots)(random);
+    score += SuspicionPenalty(*endpoint, request);
     if (best != nullptr && score >= best_score) continue;
     best = endpoint;
     best_score = score;
@@ -71,7 +80,8 @@
   double best_tokens = 0.0;
   for (const DirectoryEndpoint* endpoint : endpoints) {
     if (IsExcluded(*endpoint, request) || !HasRoom(*endpoint, request)) continue;
-    const double tokens = BacklogTokens(*endpoint, request) + Tie(random);
+    const double tokens =
+        BacklogTokens(*endpoint, request) + Tie(random) + SuspicionPenalty(*endpoint, request);
     if (best != nullptr && tokens >= best_tokens) continue;
     best = endpoint;
     best_tokens = tokens;
@@ -95,7 +105,8 @@
     if (!HasRoom(*endpoint, request)) continue;
     const bool elsewhere = endpoint->record.failure_domain != primary.record.failure_domain;
     const double tokens =
-        static_cast<double>(endpoint->MemoryTokens() + endpoint->UnreadTokens()) + Tie(random);
+        static_cast<double>(endpoint->MemoryTokens() + endpoint->UnreadTokens()) + Tie(random) +
+        SuspicionPenalty(*endpoint, request);
     const bool is_better = elsewhere != best_elsewhere ? elsewhere : tokens < best_tokens;
     if (best != nullptr && !is_better) continue;
     best = endpoint;
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -15,6 +15,8 @@
 struct PlacementRequest {
   /// Failure domain of this daemon.
   std::string failure_domain;
+  /// For suspicions.
+  TimePoint now{};
   /// Endpoints that have failed or refused this request.
   std::set<EndpointId> excluded;
   /// An endpoint that probably still holds the prompt in memory; empty if none.
--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -8,10 +8,21 @@
 
 // A run that is given up at this part of the longest good pause can go on elsewhere within it.
 constexpr int kPauseDivisor = 2;
-// Part of the objective after which a run without its first event is tried elsewhere.
-constexpr double kFirstEventShare = 0.6;
-// Silence before the first event is checked with a new connection at this interval.
-constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+// Part of the objective after which a run without its first event is tried elsewhere if nothing is
+// known about when to expect it, and the least part otherwise.
+constexpr double kUnknownFirstShare = 0.6;
+constexpr double kLeastFirstShare = 0.4;
+// How much later than expected the first event may come; a second run costs the whole prompt again.
+constexpr double kLatenessFactor = 1.6;
+constexpr Duration kLatenessSlack = std::chrono::milliseconds(300);
+// Silence before the first event is checked with a new connection at this interval, and sooner where
+// other requests have failed.
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+constexpr Duration kSuspectedProbeInterval = std::chrono::milliseconds(100);
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
 
 }  // namespace
 
@@ -19,9 +30,11 @@
                                        std::optional<std::uint64_t> last_event)
     : m_limits(limits), m_last_event(last_event) {}
 
-void StreamContinuation::OnRunStarted(bool from_copy, TimePoint now) {
+void StreamContinuation::OnRunStarted(bool from_copy, std::optional<Duration> expected_first,
+                                      TimePoint now) {
   ++m_runs;
   m_from_copy = from_copy;
+  m_expected_first = expected_first;
   m_run_has_event = false;
   m_last_progress = now;
   m_last_probe = now;
@@ -43,23 +56,26 @@
 
 void StreamContinuation::OnProbeAnswered(TimePoint now) { m_last_probe = now; }
 
-SilenceVerdict StreamContinuation::Judge(TimePoint now) const {
+SilenceVerdict StreamContinuation::Judge(bool suspected, TimePoint now) const {
   const bool elsewhere_possible = MayStartRun() && MayContinue();
   if (elsewhere_possible && now - m_last_progress >= Patience()) return SilenceVerdict::kAbandon;
-  if (!m_run_has_event && now - m_last_probe >= kProbeInterval) return SilenceVerdict::kProbe;
+  const Duration interval = suspected ? kSuspectedProbeInterval : kProbeInterval;
+  if (!m_run_has_event && now - m_last_probe >= interval) return SilenceVerdict::kProbe;
   return SilenceVerdict::kWait;
 }
 
 TimePoint StreamContinuation::NextJudgement(TimePoint now) const {
-  TimePoint next = m_last_progress + Patience();
-  if (!m_run_has_event) next = std::min(next, m_last_probe + kProbeInterval);
-  return next > now ? next : now + kProbeInterval;
+  const TimePoint end = m_last_progress + Patience();
+  const TimePoint soon = now + kSuspectedProbeInterval;
+  if (!m_run_has_event) return end > now ? std::min(end, soon) : soon;
+  return end > now ? end : now + kProbeInterval;
 }
 
 Duration StreamContinuation::Patience() const {
   if (m_run_has_event || m_from_copy) return m_limits.gap_goal / kPauseDivisor;
-  const double first = static_cast<double>(m_limits.goal.count()) * kFirstEventShare;
-  return Duration(static_cast<Duration::rep>(first));
+  if (!m_expected_first) return Scaled(m_limits.goal, kUnknownFirstShare);
+  return std::max(Scaled(m_limits.goal, kLeastFirstShare),
+                  Scaled(*m_expected_first, kLatenessFactor) + kLatenessSlack);
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -36,17 +36,18 @@
   StreamContinuation(const Limits& limits, std::optional<std::uint64_t> last_event);
 
   /// A run begins. `from_copy`: the endpoint holds a copy of the run's memory and needs to read
-  /// little.
-  void OnRunStarted(bool from_copy, TimePoint now);
+  /// little. `expected_first`: when its first event is expected, if anything is known about it.
+  void OnRunStarted(bool from_copy, std::optional<Duration> expected_first, TimePoint now);
   /// The endpoint refused the run before it began.
   void OnRunRefused();
   EventVerdict OnEvent(std::uint64_t id, TimePoint now);
   /// The endpoint accepted a new connection while the run was silent.
   void OnProbeAnswered(TimePoint now);
 
-  /// Judges the silence since the last event or the start of the run.
-  SilenceVerdict Judge(TimePoint now) const;
-  /// Returns when `Judge` may next change if nothing happens.
+  /// Judges the silence since the last event or the start of the run. `suspected`: other requests
+  /// have lately failed at the endpoint or near it.
+  SilenceVerdict Judge(bool suspected, TimePoint now) const;
+  /// Returns when to call `Judge` again if nothing happens.
   TimePoint NextJudgement(TimePoint now) const;
 
   /// Returns whether another run may be started after the current one.
@@ -68,6 +69,7 @@
   bool m_delivered = false;
   bool m_run_has_event = false;
   bool m_from_copy = false;
+  std::optional<Duration> m_expected_first;
   int m_runs = 0;
   TimePoint m_last_progress{};
   TimePoint m_last_probe{};
--- a/src/libs/protocol/relay_heartbeat.cpp
+++ b/src/libs/protocol/relay_heartbeat.cpp
@@ -10,6 +10,9 @@
   if (heartbeat.streams.size() > kMaxHeartbeatStreams) {
     heartbeat.streams.resize(kMaxHeartbeatStreams);
   }
+  if (heartbeat.failed_endpoints.size() > kMaxHeartbeatFailures) {
+    heartbeat.failed_endpoints.resize(kMaxHeartbeatFailures);
+  }
   std::ostringstream stream;
   {
     cereal::PortableBinaryOutputArchive archive(stream);
--- a/src/libs/protocol/relay_heartbeat.h
+++ b/src/libs/protocol/relay_heartbeat.h
@@ -41,6 +41,8 @@
   bool ready = false;
   bool leaving = false;
   std::vector<RelayedStream> streams;
+  /// Endpoints that have failed at the sender within the last moments.
+  std::vector<std::string> failed_endpoints;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -50,13 +52,16 @@
     internal::SerializeFlag(archive, ready);
     internal::SerializeFlag(archive, leaving);
     internal::SerializeList(archive, streams);
+    internal::SerializeTexts(archive, failed_endpoints);
   }
 };
 
-/// Streams that fit into one heartbeat; the rest is left out.
+/// Streams and failures that fit into one heartbeat; the rest is left out.
 inline constexpr std::size_t kMaxHeartbeatStreams = 24;
+inline constexpr std::size_t kMaxHeartbeatFailures = 12;
 
-/// Encodes a heartbeat with at most `kMaxHeartbeatStreams` streams. Thread-safe.
+/// Encodes a heartbeat with at most `kMaxHeartbeatStreams` streams and `kMaxHeartbeatFailures`
+/// failures. Thread-safe.
 std::string EncodeHeartbeat(RelayHeartbeat heartbeat);
 /// Returns nothing if `bytes` are no heartbeat. Thread-safe.
 std::optional<RelayHeartbeat> DecodeHeartbeat(std::string_view bytes);
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 constexpr Duration kShortestConnectTime = std::chrono::milliseconds(40);
-constexpr Duration kLongestConnectTime = std::chrono::milliseconds(250);
+constexpr Duration kLongestConnectTime = std::chrono::milliseconds(150);
 // Answers to other requests that may come before the one that is expected.
 constexpr int kMaxStrayAnswers = 2;
 // Refusals and failed connections before the request is given up.
@@ -90,6 +90,7 @@
         m_context.endpoints.Usable(m_request.service, SteadyNow());
     PlacementRequest placement;
     placement.failure_domain = m_context.settings.failure_domain;
+    placement.now = SteadyNow();
     placement.excluded = m_excluded;
     const DirectoryEndpoint* endpoint = PlaceCall(usable, placement, m_context.random);
     if (endpoint == nullptr) break;
@@ -220,7 +221,7 @@
 
 void CallSession::OnBroken(std::string_view reason) {
   if (m_exchange.ClientGone()) return;
-  m_context.endpoints.OnFailure(m_endpoint.id, SteadyNow());
+  m_context.OnEndpointFailure(m_endpoint.id);
   Log(LogLevel::kWarning, "endpoint_failure",
       "request=" + m_request.fields.request_id + " endpoint=" + m_endpoint.id + " reason=\"" +
           std::string(reason) + "\"");
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -19,6 +19,9 @@
 // A heartbeat that is this late shows that the process was paused.
 constexpr Duration kPauseLimit = std::chrono::milliseconds(700);
 
+// Failures are reported to the peers for this long.
+constexpr Duration kFailureNews = std::chrono::milliseconds(500);
+
 std::vector<EndpointUse> UsesOf(const std::vector<RelayedStream>& streams) {
   std::vector<EndpointUse> uses;
   for (const RelayedStream& stream : streams) {
@@ -84,6 +87,7 @@
   heartbeat.ready = context.IsServing();
   heartbeat.leaving = context.leaving;
   heartbeat.streams = context.streams.Streams();
+  heartbeat.failed_endpoints = context.endpoints.FailedSince(SteadyNow() - kFailureNews);
   const std::string bytes = EncodeHeartbeat(std::move(heartbeat));
   for (const PeerRecord& peer : context.peers.Neighbours()) {
     const std::error_code error = socket.Send(peer.peer_address, bytes);
@@ -103,6 +107,7 @@
     return;
   }
   context.streams.OnPeerStreams(heartbeat->streams, now);
+  for (const EndpointId& id : heartbeat->failed_endpoints) context.endpoints.OnPeerFailure(id, now);
   context.endpoints.SetPeerUses(heartbeat->name, UsesOf(heartbeat->streams));
 }
 
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -28,6 +28,11 @@
   return table != nullptr && endpoints.Size() > 0 && freshness.Holds(BootNow());
 }
 
+void RelayContext::OnEndpointFailure(const EndpointId& id) {
+  endpoints.OnFailure(id, SteadyNow());
+  if (on_news_for_peers) on_news_for_peers();
+}
+
 RetryBudget& RelayContext::Retries(const ServiceName& service) {
   const auto found = m_retries.find(service);
   if (found != m_retries.end()) return found->second;
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -7,6 +7,7 @@
 #include "coordination/endpoint_directory.h"
 #include "coordination/freshness_proof.h"
 #include "coordination/peer_directory.h"
+#include "coordination/prompt_pace.h"
 #include "coordination/relay_table.h"
 #include "coordination/retry_budget.h"
 #include "coordination/stream_registry.h"
@@ -26,6 +27,10 @@
 
   /// Returns whether requests may be accepted: a configuration is known and proven current.
   bool IsServing() const;
+  /// Reports a failure of an endpoint to the directory and the peers.
+  void OnEndpointFailure(const EndpointId& id);
+  /// Returns how fast the engines of a service read prompts.
+  PromptPace& Pace(const ServiceName& service) { return m_paces[service]; }
   /// Returns the budget for repeated requests of a service.
   RetryBudget& Retries(const ServiceName& service);
 
@@ -50,13 +55,14 @@
   bool refusing = false;
   /// Requests in progress.
   std::size_t requests = 0;
-  /// Calls when a stream of this daemon was placed or ended.
-  std::function<void()> on_streams_changed;
+  /// Calls when a stream of this daemon was placed or ended, or an endpoint has failed.
+  std::function<void()> on_news_for_peers;
   /// Calls when `requests` has changed.
   std::function<void()> on_requests_changed;
 
  private:
   std::map<ServiceName, RetryBudget> m_retries;
+  std::map<ServiceName, PromptPace> m_paces;
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -113,7 +113,7 @@
       pool(executor),
       front(context, pool),
       exchange(context) {
-  context.on_streams_changed = [this]() { exchange.Announce(); };
+  context.on_news_for_peers = [this]() { exchange.Announce(); };
   context.on_requests_changed = [this]() {
     if (drain) HandleDrain(Drain::RequestsLeft{context.requests});
   };
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr Duration kConnectTime = std::chrono::milliseconds(250);
+constexpr Duration kConnectTime = std::chrono::milliseconds(120);
 constexpr Duration kRetryAfterNoEngine = std::chrono::milliseconds(300);
 // Pause before engines are looked for again when none has room.
 constexpr Duration kNoEnginePause = std::chrono::milliseconds(50);
@@ -50,7 +50,7 @@
   Task<Step> OnOtherAnswer();
   Task<Step> OnSilence();
   Task<void> Probe(std::shared_ptr<StreamRun> run);
-  void AbandonRun(std::string_view reason, bool is_failure);
+  void AbandonRun(std::string reason, bool is_failure);
   void SetUses(const EndpointRecord& engine, bool from_copy);
   void ClearUses();
   void OnPromptRead();
@@ -78,6 +78,9 @@
   bool m_head_sent = false;
   bool m_stale = false;
   bool m_from_copy = false;
+  /// Tokens that the engine of the current run had to read when it started.
+  std::int64_t m_backlog = 0;
+  TimePoint m_run_started{};
   int m_tries = 0;
   int m_arrivals = 0;
   int m_resumes = 0;
@@ -105,7 +108,7 @@
   if (m_run) m_run->Cancel();
   ClearUses();
   m_context.streams.Remove(m_stream_id);
-  if (m_context.on_streams_changed) m_context.on_streams_changed();
+  if (m_context.on_news_for_peers) m_context.on_news_for_peers();
 }
 
 Task<void> StreamSession::Run() {
@@ -169,7 +172,7 @@
   const std::error_code error = co_await connection->Connect(engine->address, kConnectTime);
   m_context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
   if (error) {
-    m_context.endpoints.OnFailure(engine->id, SteadyNow());
+    m_context.OnEndpointFailure(engine->id);
     m_excluded.insert(engine->id);
     Log(LogLevel::kWarning, "endpoint_failure",
         "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
@@ -182,9 +185,13 @@
   m_from_copy = m_backup.id == engine->id && m_continuation.HasDelivered();
   EndpointFields fields = MakeFields(*engine, m_from_copy, placement);
   SetUses(*engine, m_from_copy);
+  const DirectoryEndpoint* known = m_context.endpoints.Find(engine->id);
+  m_backlog = known == nullptr ? m_request.fields.prompt_tokens : known->UnreadTokens();
   m_run = std::make_shared<StreamRun>(*engine, connection, m_wake);
   ++m_arrivals;
-  m_continuation.OnRunStarted(m_from_copy, SteadyNow());
+  m_run_started = SteadyNow();
+  m_continuation.OnRunStarted(m_from_copy, m_context.Pace(m_request.service).Expect(m_backlog),
+                              m_run_started);
   Log(LogLevel::kInfo, "run_started",
       "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
           " after=" + std::to_string(fields.last_event.value_or(0)) +
@@ -199,6 +206,7 @@
 PlacementRequest StreamSession::MakePlacement() const {
   PlacementRequest placement;
   placement.failure_domain = m_context.settings.failure_domain;
+  placement.now = SteadyNow();
   placement.excluded = m_excluded;
   placement.prompt_tokens = m_request.fields.prompt_tokens;
   placement.memory_tokens = MemoryTokens();
@@ -335,7 +343,8 @@
 /// Waits for events, and judges the run if none come.
 Task<Step> StreamSession::OnSilence() {
   const TimePoint now = SteadyNow();
-  switch (m_continuation.Judge(now)) {
+  const bool suspected = m_context.endpoints.IsSuspected(m_run->Endpoint().id, now);
+  switch (m_continuation.Judge(suspected, now)) {
     case SilenceVerdict::kAbandon:
       AbandonRun("silent", true);
       co_return Step::kGoOn;
@@ -360,13 +369,13 @@
   if (is_lost) AbandonRun("probe: " + error.message(), true);
 }
 
-void StreamSession::AbandonRun(std::string_view reason, bool is_failure) {
+void StreamSession::AbandonRun(std::string reason, bool is_failure) {
   const EndpointId engine = m_run->Endpoint().id;
   m_run->Cancel();
   m_run.reset();
   ClearUses();
   if (is_failure) {
-    m_context.endpoints.OnFailure(engine, SteadyNow());
+    m_context.OnEndpointFailure(engine);
     m_excluded.insert(engine);
     if (m_continuation.HasDelivered()) ++m_resumes;
   }
@@ -374,7 +383,7 @@
   Log(LogLevel::kWarning, "run_abandoned",
       "request=" + m_request.fields.request_id + " endpoint=" + engine + " after=" +
           std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" +
-          std::string(reason) + "\"");
+          reason + "\"");
 }
 
 void StreamSession::SetUses(const EndpointRecord& engine, bool from_copy) {
@@ -389,7 +398,7 @@
   m_stream.unread_tokens = static_cast<std::uint32_t>(unread);
   m_stream.memory_tokens = static_cast<std::uint32_t>(MemoryTokens());
   m_context.streams.Set(m_stream_id, m_stream, SteadyNow());
-  if (m_context.on_streams_changed) m_context.on_streams_changed();
+  if (m_context.on_news_for_peers) m_context.on_news_for_peers();
 }
 
 void StreamSession::ClearUses() {
@@ -400,13 +409,14 @@
 /// The first event of a run shows that its engine has read the prompt.
 void StreamSession::OnPromptRead() {
   if (m_uses.empty() || m_uses.front().unread_tokens == 0) return;
+  m_context.Pace(m_request.service).Observe(m_backlog, SteadyNow() - m_run_started);
   m_context.endpoints.RemoveUse(m_uses.front());
   m_uses.front().unread_tokens = 0;
   m_context.endpoints.AddUse(m_uses.front());
   m_context.endpoints.OnSuccess(m_uses.front().endpoint);
   m_stream.unread_tokens = 0;
   m_context.streams.Set(m_stream_id, m_stream, SteadyNow());
-  if (m_context.on_streams_changed) m_context.on_streams_changed();
+  if (m_context.on_news_for_peers) m_context.on_news_for_peers();
 }
 
 Task<void> StreamSession::Answer(HttpReply reply, std::string_view outcome) {
