--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -34,6 +34,7 @@
   DirectoryEndpoint& endpoint = m_endpoints[record.id];
   const EndpointRecord before = std::exchange(endpoint.record, record);
   endpoint.gone_at.reset();
+  ResolveSharedAddress(endpoint, now);
   if (before.incarnation == record.incarnation && before.address == record.address) return;
   // A new process knows nothing of the failures of the one before.
   endpoint.failures = 0;
@@ -42,15 +43,16 @@
   endpoint.own_failure.reset();
   endpoint.latest_failure.reset();
   endpoint.load = EndpointLoad{};
-  RemovePredecessors(record, now);
 }
 
-void EndpointDirectory::RemovePredecessors(const EndpointRecord& record, TimePoint now) {
+/// Rows may arrive in any order; the later process has the address.
+void EndpointDirectory::ResolveSharedAddress(DirectoryEndpoint& endpoint, TimePoint now) {
   for (auto& [id, other] : m_endpoints) {
-    const bool same_address = other.record.address == record.address && id != record.id;
-    // Rows may arrive in any order; the later process has the address.
-    const bool is_earlier = other.record.incarnation < record.incarnation;
-    if (same_address && is_earlier && !other.gone_at) other.gone_at = now;
+    const bool shares = other.record.address == endpoint.record.address && &other != &endpoint;
+    if (!shares || other.gone_at) continue;
+    const bool other_is_earlier = other.record.incarnation < endpoint.record.incarnation;
+    DirectoryEndpoint& earlier = other_is_earlier ? other : endpoint;
+    if (other.record.incarnation != endpoint.record.incarnation) earlier.gone_at = now;
   }
 }
 
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -81,8 +81,8 @@
   EndpointDirectory() = default;
   explicit EndpointDirectory(Options options) : m_options(options) {}
 
-  /// The store lists an endpoint, anew or changed. An earlier endpoint with the same address is gone:
-  /// its row outlives it by some heartbeats.
+  /// The store lists an endpoint, anew or changed. Of two endpoints with the same address the
+  /// earlier process is gone: its row outlives it by some heartbeats.
   void Put(const EndpointRecord& record, TimePoint now);
   /// The store no longer lists an endpoint; it is gone from `at` on.
   void Remove(const EndpointId& id, TimePoint at);
@@ -120,7 +120,7 @@
  private:
   void Block(const EndpointId& id, TimePoint until);
   void Suspect(DirectoryEndpoint& endpoint, TimePoint now);
-  void RemovePredecessors(const EndpointRecord& record, TimePoint now);
+  void ResolveSharedAddress(DirectoryEndpoint& endpoint, TimePoint now);
 
   Options m_options;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
--- /dev/null
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -0,0 +1,124 @@
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include "coordination/freshness_proof.h"
+#include "coordination/peer_directory.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+TimePoint At(int milliseconds) { return kStart + std::chrono::milliseconds(milliseconds); }
+
+PeerRecord Record(const std::string& name, std::uint64_t incarnation = 1) {
+  return {name, incarnation, name + ":7200", name + ":8740", "a"};
+}
+
+RelayHeartbeat Heartbeat(const std::string& name, std::uint64_t sequence,
+                         std::uint64_t incarnation = 1) {
+  RelayHeartbeat heartbeat;
+  heartbeat.name = name;
+  heartbeat.incarnation = incarnation;
+  heartbeat.sequence = sequence;
+  heartbeat.caller_address = name + ":8740";
+  heartbeat.ready = true;
+  return heartbeat;
+}
+
+}  // namespace
+
+// Guards against callers that are sent to a daemon that is dead, not ready, or about to stop.
+Test(peer_directory, lookups_name_peers_that_answer) {
+  PeerDirectory peers("self", {});
+  peers.Put(Record("p"), kStart);
+  cr_assert_eq(peers.CallerAddresses(kStart).size(), 0u, "it has not said that it is ready");
+  cr_assert(peers.OnHeartbeat(Heartbeat("p", 1), kStart));
+  cr_assert_eq(peers.CallerAddresses(At(1199)).size(), 1u);
+  cr_assert_eq(peers.CallerAddresses(At(1200)).size(), 0u);
+  RelayHeartbeat leaving = Heartbeat("p", 2);
+  leaving.leaving = true;
+  peers.OnHeartbeat(leaving, At(1300));
+  cr_assert_eq(peers.CallerAddresses(At(1300)).size(), 0u);
+}
+
+// Guards against a delayed datagram that revives what has changed since.
+Test(peer_directory, old_heartbeats_do_not_count) {
+  PeerDirectory peers("self", {});
+  peers.Put(Record("p"), kStart);
+  cr_assert(peers.OnHeartbeat(Heartbeat("p", 5), kStart));
+  cr_assert_not(peers.OnHeartbeat(Heartbeat("p", 5), kStart));
+  cr_assert_not(peers.OnHeartbeat(Heartbeat("p", 4), kStart));
+  cr_assert(peers.OnHeartbeat(Heartbeat("p", 1, 2), kStart), "a restart begins anew");
+  cr_assert_not(peers.OnHeartbeat(Heartbeat("p", 9, 1), kStart));
+  cr_assert_not(peers.OnHeartbeat(Heartbeat("unknown", 1), kStart));
+}
+
+// Guards against a daemon that was paused taking all others for dead.
+Test(peer_directory, silence_during_an_own_pause_is_forgiven) {
+  PeerDirectory peers("self", {});
+  peers.Put(Record("p"), kStart);
+  peers.OnHeartbeat(Heartbeat("p", 1), kStart);
+  peers.ForgiveSilence(At(5000));
+  cr_assert(peers.IsReachable("p", At(5100)));
+}
+
+// Guards against traffic between daemons that grows with the fleet, and against daemons that nobody
+// watches.
+Test(peer_directory, neighbours_are_few_and_mutual) {
+  constexpr int kFleet = 60;
+  PeerDirectory::Options options;
+  std::vector<PeerDirectory> fleet;
+  for (int self = 0; self < kFleet; ++self) {
+    fleet.emplace_back("d" + std::to_string(self), options);
+    for (int peer = 0; peer < kFleet; ++peer) {
+      fleet.back().Put(Record("d" + std::to_string(peer)), kStart);
+    }
+  }
+  const auto has = [&fleet](int self, int peer) {
+    const std::vector<PeerRecord> neighbours =
+        fleet[static_cast<std::size_t>(self)].Neighbours();
+    const std::string name = "d" + std::to_string(peer);
+    return std::any_of(neighbours.begin(), neighbours.end(),
+                       [&name](const PeerRecord& record) { return record.name == name; });
+  };
+  for (int self = 0; self < kFleet; ++self) {
+    cr_assert_eq(fleet[static_cast<std::size_t>(self)].Neighbours().size(),
+                 options.max_neighbours);
+    for (int peer = 0; peer < kFleet; ++peer) {
+      if (self != peer) cr_assert_eq(has(self, peer), has(peer, self));
+    }
+  }
+}
+
+// Guards against rows of dead daemons that stay forever, and rows of live ones that are removed.
+Test(peer_directory, silent_neighbours_are_lost_in_the_end) {
+  PeerDirectory peers("self", {});
+  peers.Put(Record("p"), kStart);
+  peers.Put(Record("q"), kStart);
+  peers.OnHeartbeat(Heartbeat("p", 1), At(29000));
+  const std::vector<std::string> lost = peers.Lost(At(30000));
+  cr_assert_eq(lost.size(), 1u);
+  cr_assert_str_eq(lost[0].c_str(), "q");
+}
+
+// Guards against a row that cannot be read by the next version of the daemon or by a later start.
+Test(peer_directory, records_survive_the_store) {
+  const PeerRecord record = Record("p", 123456789012345);
+  cr_assert(ParsePeerRecord(ToJson(record)) == record);
+  cr_assert_not(ParsePeerRecord("{\"name\":\"p\"}").has_value());
+  cr_assert_not(ParsePeerRecord("not json").has_value());
+}
+
+// Guards against a key that still works after its removal on a daemon that was paused or cut off.
+Test(freshness_proof, holds_from_the_start_of_the_call) {
+  FreshnessProof proof(std::chrono::seconds(5));
+  cr_assert_not(proof.Holds(kStart));
+  proof.Confirm(kStart);
+  cr_assert(proof.Holds(At(4999)));
+  cr_assert_not(proof.Holds(At(5000)));
+  proof.Confirm(At(-1000));
+  cr_assert(proof.Holds(At(4999)), "a late answer to an earlier call changes nothing");
+}
--- /dev/null
+++ b/tests/auto/coordination/tst_relay_table.cpp
@@ -0,0 +1,67 @@
+#include <criterion/criterion.h>
+
+#include <map>
+
+#include "coordination/relay_table.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+
+RelayRoute Route(const std::string& name, const std::string& host, const std::string& prefix) {
+  RelayRoute route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  return route;
+}
+
+RelayConfiguration Configuration() {
+  RelayConfiguration configuration;
+  configuration.version = 7;
+  configuration.routes = {Route("short", "a.example", "/x/"), Route("long", "a.example", "/x/y/"),
+                          Route("other", "b.example", "/x/")};
+  configuration.has_organisations = true;
+  configuration.organisations = {{"roastery", {"key-1", "key-2"}, std::nullopt}};
+  return configuration;
+}
+
+std::string NameOfRoute(const RelayTable& table, std::string_view host, std::string_view path) {
+  const RelayRoute* route = table.FindRoute(host, path);
+  return route == nullptr ? "none" : route->name;
+}
+
+}  // namespace
+
+// Guards against requests that reach the service of a shorter prefix or of another host.
+Test(relay_table, the_longest_prefix_of_the_host_wins) {
+  const RelayTable table(Configuration());
+  cr_assert_str_eq(NameOfRoute(table, "a.example", "/x/y/z").c_str(), "long");
+  cr_assert_str_eq(NameOfRoute(table, "a.example", "/x/yy").c_str(), "short");
+  cr_assert_str_eq(NameOfRoute(table, "A.Example:8740", "/x/").c_str(), "short");
+  cr_assert_str_eq(NameOfRoute(table, "b.example", "/x/y/z").c_str(), "other");
+  cr_assert_str_eq(NameOfRoute(table, "a.example", "/").c_str(), "none");
+  cr_assert_str_eq(NameOfRoute(table, "c.example", "/x/").c_str(), "none");
+}
+
+// Guards against a key that opens the wrong organisation, or an empty key that opens one.
+Test(relay_table, keys_belong_to_their_organisation) {
+  const RelayTable table(Configuration());
+  cr_assert_str_eq(table.FindOrganisation("key-2")->name.c_str(), "roastery");
+  cr_assert_null(table.FindOrganisation("key-3"));
+  cr_assert_null(table.FindOrganisation(""));
+}
+
+// Guards against traffic for a service whose share is zero, and against shares that are not kept.
+Test(relay_table, services_are_chosen_by_weight) {
+  RelayRoute route;
+  route.targets = {{"old", 90}, {"new", 10}, {"none", 0}};
+  Random random(kSeed);
+  std::map<std::string, int> counts;
+  for (int draw = 0; draw < 10000; ++draw) ++counts[ChooseService(route, random)];
+  cr_assert_eq(counts.size(), 2u, "seed %lu", kSeed);
+  cr_assert(counts["new"] > 800 && counts["new"] < 1200, "new: %d, seed %lu", counts["new"], kSeed);
+  cr_assert(ChooseService(RelayRoute(), random).empty());
+}
--- /dev/null
+++ b/tests/auto/coordination/tst_stream_continuation.cpp
@@ -0,0 +1,130 @@
+#include <criterion/criterion.h>
+
+#include "coordination/prompt_pace.h"
+#include "coordination/stream_continuation.h"
+#include "coordination/stream_registry.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+TimePoint At(int milliseconds) { return kStart + std::chrono::milliseconds(milliseconds); }
+
+StreamContinuation::Limits Limits() {
+  return {std::chrono::milliseconds(4500), std::chrono::milliseconds(700), 3, true};
+}
+
+StreamContinuation Started() {
+  StreamContinuation stream(Limits(), std::nullopt);
+  stream.OnRunStarted(false, std::nullopt, kStart);
+  return stream;
+}
+
+}  // namespace
+
+// Guards against events that are missing from, or repeated in, what the caller receives.
+Test(stream_continuation, delivers_each_event_once_and_in_order) {
+  StreamContinuation stream = Started();
+  cr_assert_eq(stream.OnEvent(1, At(10)), EventVerdict::kDeliver);
+  cr_assert_eq(stream.OnEvent(2, At(20)), EventVerdict::kDeliver);
+  cr_assert_eq(stream.OnEvent(2, At(30)), EventVerdict::kDuplicate);
+  cr_assert_eq(stream.OnEvent(4, At(40)), EventVerdict::kGap);
+  stream.OnRunStarted(false, std::nullopt, At(50));
+  cr_assert_eq(stream.LastEvent().value_or(0), 2u);
+  cr_assert_eq(stream.OnEvent(1, At(60)), EventVerdict::kDuplicate);
+  cr_assert_eq(stream.OnEvent(3, At(70)), EventVerdict::kDeliver);
+  cr_assert_eq(stream.LongestPause().count(), Duration(std::chrono::milliseconds(50)).count());
+}
+
+// Guards against a resumed stream that repeats what its caller holds.
+Test(stream_continuation, continues_after_the_callers_event) {
+  StreamContinuation stream(Limits(), 12);
+  stream.OnRunStarted(false, std::nullopt, kStart);
+  cr_assert_eq(stream.OnEvent(12, At(10)), EventVerdict::kDuplicate);
+  cr_assert_eq(stream.OnEvent(13, At(10)), EventVerdict::kDeliver);
+}
+
+// Guards against a dark engine that is noticed too late for the pause that the route allows.
+Test(stream_continuation, a_silent_run_is_given_up_within_half_the_longest_pause) {
+  StreamContinuation stream = Started();
+  stream.OnEvent(1, At(1000));
+  cr_assert_eq(stream.Judge(false, At(1349)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge(false, At(1350)), SilenceVerdict::kAbandon);
+  cr_assert(stream.NextJudgement(At(1000)) == At(1350));
+}
+
+// Guards against a run that is moved, and its prompt read twice, because its engine is busy.
+Test(stream_continuation, patience_before_the_first_event_follows_what_is_expected) {
+  StreamContinuation stream(Limits(), std::nullopt);
+  stream.OnRunStarted(false, Duration(std::chrono::milliseconds(2500)), kStart);
+  stream.OnProbeAnswered(At(4200));
+  cr_assert_eq(stream.Judge(false, At(4250)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge(false, At(4300)), SilenceVerdict::kAbandon);
+  StreamContinuation quick(Limits(), std::nullopt);
+  quick.OnRunStarted(false, Duration(std::chrono::milliseconds(100)), kStart);
+  quick.OnProbeAnswered(At(1750));
+  cr_assert_eq(quick.Judge(false, At(1790)), SilenceVerdict::kWait);
+  cr_assert_eq(quick.Judge(false, At(1800)), SilenceVerdict::kAbandon);
+}
+
+// Guards against a dark engine that is taken for one that reads a long prompt.
+Test(stream_continuation, silence_before_the_first_event_is_probed) {
+  StreamContinuation stream = Started();
+  cr_assert_eq(stream.Judge(false, At(499)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge(true, At(100)), SilenceVerdict::kProbe);
+  cr_assert_eq(stream.Judge(false, At(500)), SilenceVerdict::kProbe);
+  stream.OnProbeAnswered(At(510));
+  cr_assert_eq(stream.Judge(false, At(1000)), SilenceVerdict::kWait);
+}
+
+// Guards against more runs than the route allows, and against giving up the last one.
+Test(stream_continuation, the_last_run_is_kept) {
+  StreamContinuation stream = Started();
+  stream.OnRunStarted(false, std::nullopt, At(0));
+  cr_assert(stream.MayStartRun());
+  stream.OnRunStarted(false, std::nullopt, At(0));
+  cr_assert_not(stream.MayStartRun());
+  stream.OnEvent(1, At(0));
+  cr_assert_eq(stream.Judge(false, At(20000)), SilenceVerdict::kWait);
+  stream.OnRunRefused();
+  cr_assert(stream.MayStartRun(), "a refused run did not happen");
+}
+
+// Guards against a stream that may not be resumed being joined from two runs.
+Test(stream_continuation, only_resumable_streams_are_continued) {
+  StreamContinuation::Limits limits = Limits();
+  limits.can_resume = false;
+  StreamContinuation stream(limits, std::nullopt);
+  stream.OnRunStarted(false, std::nullopt, kStart);
+  cr_assert(stream.MayContinue(), "nothing was delivered");
+  stream.OnEvent(1, At(10));
+  cr_assert_not(stream.MayContinue());
+  cr_assert_eq(stream.Judge(false, At(9000)), SilenceVerdict::kWait);
+}
+
+// Guards against expectations without grounds, and against tiny prompts that distort them.
+Test(prompt_pace, learns_from_first_events) {
+  PromptPace pace;
+  cr_assert_not(pace.Expect(5000).has_value());
+  pace.Observe(10, std::chrono::milliseconds(500));
+  cr_assert_not(pace.Expect(5000).has_value());
+  for (int run = 0; run < 50; ++run) pace.Observe(5000, std::chrono::milliseconds(1000));
+  const Duration expected = pace.Expect(10000).value_or(Duration::zero());
+  cr_assert_eq(expected.count(), Duration(std::chrono::milliseconds(2000)).count());
+}
+
+// Guards against a resumed stream that is sent away from the engine that holds its prompt.
+Test(stream_registry, remembers_where_a_prompt_was_read) {
+  StreamRegistry registry;
+  const std::uint64_t id = registry.NextId();
+  registry.Set(id, {"e1", "e2", 77, 0, 0}, kStart);
+  registry.OnPeerStreams({{"e3", "", 78, 0, 0}}, kStart);
+  registry.Remove(id);
+  cr_assert_str_eq(registry.FindPrompt(77, At(9000)).c_str(), "e1");
+  cr_assert_str_eq(registry.FindPrompt(78, At(9000)).c_str(), "e3");
+  cr_assert(registry.FindPrompt(79, kStart).empty());
+  registry.Forget(At(10000));
+  cr_assert(registry.FindPrompt(77, At(10000)).empty());
+}
--- /dev/null
+++ b/tests/auto/coordination/tst_table_follower.cpp
@@ -0,0 +1,137 @@
+#include <criterion/criterion.h>
+
+#include "coordination/table_follower.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+TableFollower::Options Options() {
+  TableFollower::Options options;
+  options.table = "t";
+  return options;
+}
+
+StoreRow Row(const std::string& key, std::uint64_t version, bool removed = false) {
+  StoreRow row;
+  row.table = "t";
+  row.key = key;
+  row.version = version;
+  row.removed = removed;
+  return row;
+}
+
+StoreReply Reply(std::vector<StoreRow> rows, std::uint64_t version, bool has_more = false) {
+  return {StoreStatus::kOk, std::move(rows), version, has_more};
+}
+
+StoreReply Failure(StoreStatus status) {
+  StoreReply reply;
+  reply.status = status;
+  return reply;
+}
+
+const StoreWatch& NextWatch(TableFollower& follower) {
+  static TableFollower::NextCall next;
+  next = follower.Next();
+  const StoreWatch* watch = std::get_if<StoreWatch>(&next.call);
+  cr_assert_not_null(watch);
+  return *watch;
+}
+
+const StoreRead& NextRead(TableFollower& follower) {
+  static TableFollower::NextCall next;
+  next = follower.Next();
+  const StoreRead* read = std::get_if<StoreRead>(&next.call);
+  cr_assert_not_null(read);
+  return *read;
+}
+
+}  // namespace
+
+// Guards against changes that are lost between the pages of a read and the first watch.
+Test(table_follower, watches_from_the_first_page_on) {
+  TableFollower follower(Options(), kSeed);
+  cr_assert(NextRead(follower).from.empty());
+  cr_assert_eq(follower.OnReply(Reply({Row("a", 3)}, 10, true), kStart).size(), 0u);
+  cr_assert_not(follower.IsComplete());
+  cr_assert_eq(NextRead(follower).from, std::string("a\0", 2));
+  cr_assert_eq(follower.OnReply(Reply({Row("b", 12)}, 12), kStart).size(), 2u);
+  cr_assert(follower.IsComplete());
+  cr_assert_eq(NextWatch(follower).after, 10u);
+}
+
+// Guards against a copy that goes back to an older row, and against news told twice.
+Test(table_follower, never_goes_back) {
+  TableFollower follower(Options(), kSeed);
+  follower.OnReply(Reply({Row("a", 8)}, 8), kStart);
+  cr_assert_eq(follower.OnReply(Reply({Row("a", 5)}, 9), kStart).size(), 0u);
+  cr_assert_eq(follower.OnReply(Reply({Row("a", 8)}, 9), kStart).size(), 0u);
+  cr_assert_eq(follower.OnReply(Reply({Row("a", 4, true)}, 9), kStart).size(), 0u);
+  cr_assert_eq(follower.OnReply(Reply({Row("a", 11)}, 11), kStart).size(), 1u);
+}
+
+// Guards against rows that stay although they were removed while the history was dropped.
+Test(table_follower, reads_again_when_the_history_is_gone) {
+  TableFollower follower(Options(), kSeed);
+  follower.OnReply(Reply({Row("a", 1), Row("b", 2)}, 2), kStart);
+  follower.OnReply(Failure(StoreStatus::kHistoryGone), kStart);
+  cr_assert_not(follower.IsUpToDate());
+  cr_assert(NextRead(follower).from.empty());
+  const std::vector<TableFollower::Change> changes =
+      follower.OnReply(Reply({Row("b", 9)}, 9), kStart);
+  cr_assert_eq(changes.size(), 2u);
+  cr_assert(changes[0].row.removed && changes[0].row.key == "a");
+  cr_assert_not(changes[0].provisional, "the store was not away");
+  cr_assert_eq(changes[1].row.version, 9u);
+}
+
+// Guards against the loss of all endpoints at once when their rows lapse during an outage.
+Test(table_follower, rows_that_vanish_in_an_outage_are_removed_later) {
+  TableFollower follower(Options(), kSeed);
+  follower.OnReply(Reply({Row("a", 1)}, 1), kStart);
+  follower.OnReply(Failure(StoreStatus::kRefused), kStart);
+  cr_assert_not(follower.IsConnected());
+  const TimePoint returned = kStart + std::chrono::seconds(5);
+  std::vector<TableFollower::Change> changes =
+      follower.OnReply(Reply({Row("a", 4, true)}, 4), returned);
+  cr_assert_eq(changes.size(), 1u);
+  cr_assert(changes[0].provisional);
+  cr_assert(changes[0].until == returned + Options().lapse_time);
+  follower.OnReply(Reply({Row("b", 5)}, 5), returned);
+  changes = follower.OnReply(Reply({Row("b", 6, true)}, 6), returned + Options().lapse_time);
+  cr_assert_not(changes[0].provisional, "what vanishes later has gone");
+}
+
+// Guards against a store that is hit harder the worse it does, and against a proof that comes late
+// because the first watch after an outage waits for a change.
+Test(table_follower, backs_off_and_asks_for_an_answer_at_once) {
+  TableFollower follower(Options(), kSeed);
+  follower.OnReply(Reply({}, 1), kStart);
+  cr_assert_eq(follower.Next().delay.count(), 0);
+  Duration longest{};
+  for (int failure = 0; failure < 20; ++failure) {
+    follower.OnReply(Failure(StoreStatus::kUnknown), kStart);
+    longest = std::max(longest, follower.Next().delay);
+    cr_assert_gt(follower.Next().delay.count(), 0);
+    cr_assert_eq(NextWatch(follower).wait.count(), 0);
+  }
+  cr_assert_leq(longest.count(), Options().longest_backoff.count(), "seed %lu", kSeed);
+  follower.OnReply(Reply({}, 1), kStart);
+  cr_assert_eq(NextWatch(follower).wait.count(), Options().watch_wait.count());
+}
+
+// Guards against pages of different ages in one copy.
+Test(table_follower, an_interrupted_read_starts_anew) {
+  TableFollower follower(Options(), kSeed);
+  follower.OnReply(Reply({Row("a", 3)}, 10, true), kStart);
+  follower.OnReply(Failure(StoreStatus::kUnknown), kStart);
+  cr_assert(NextRead(follower).from.empty());
+  const std::vector<TableFollower::Change> changes =
+      follower.OnReply(Reply({Row("b", 12)}, 12), kStart);
+  cr_assert_eq(changes.size(), 1u);
+  cr_assert_eq(NextWatch(follower).after, 12u);
+}
--- /dev/null
+++ b/tests/auto/protocol/tst_relay_heartbeat.cpp
@@ -0,0 +1,56 @@
+#include <criterion/criterion.h>
+
+#include "protocol/relay_heartbeat.h"
+#include "utils/random.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+// The smallest datagram size that every path carries whole, less its headers.
+constexpr std::size_t kMaxBytes = 1400;
+
+RelayHeartbeat Full() {
+  RelayHeartbeat heartbeat;
+  heartbeat.name = "front-a-1";
+  heartbeat.incarnation = 5;
+  heartbeat.sequence = 9;
+  heartbeat.caller_address = "10.1.0.19:8740";
+  heartbeat.ready = true;
+  for (int index = 0; index < 40; ++index) {
+    heartbeat.streams.push_back({"i-0123456789", "i-abcdefabcd", 77, 5000, 5800});
+    heartbeat.failed_endpoints.push_back("i-0123456789");
+  }
+  return heartbeat;
+}
+
+}  // namespace
+
+// Guards against datagrams that are fragmented and lost when a daemon has many streams.
+Test(relay_heartbeat, a_full_heartbeat_fits_into_a_datagram) {
+  const std::string bytes = EncodeHeartbeat(Full());
+  cr_assert_leq(bytes.size(), kMaxBytes);
+  const std::optional<RelayHeartbeat> decoded = DecodeHeartbeat(bytes);
+  cr_assert(decoded.has_value());
+  cr_assert_eq(decoded->streams.size(), kMaxHeartbeatStreams);
+  cr_assert_eq(decoded->failed_endpoints.size(), kMaxHeartbeatFailures);
+  cr_assert_eq(decoded->streams[0].unread_tokens, 5000u);
+  cr_assert(decoded->ready && !decoded->leaving);
+}
+
+// Guards against a crash or a huge allocation by a damaged datagram.
+Test(relay_heartbeat, damaged_datagrams_are_rejected_or_harmless) {
+  const std::string bytes = EncodeHeartbeat(Full());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    cr_assert_not(DecodeHeartbeat(std::string_view(bytes).substr(0, size)).has_value());
+  }
+  cr_assert_not(DecodeHeartbeat(bytes + "x").has_value());
+  Random random(kSeed);
+  for (int round = 0; round < 20000; ++round) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    const std::optional<RelayHeartbeat> decoded = DecodeHeartbeat(damaged);
+    if (decoded) cr_assert_leq(decoded->streams.size(), bytes.size(), "seed %lu", kSeed);
+  }
+}
