--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -121,7 +121,8 @@
   const auto after = std::find_if(ring.begin(), ring.end(),
                                   [self](const auto& entry) { return entry.first > self; });
   std::rotate(ring.begin(), after, ring.end());
-  // Half of the neighbours follow on the ring and half precede, so that being a neighbour is mutual.
+  // Half of the neighbours follow on the ring and half precede, so that being a neighbour is
+  // mutual.
   std::vector<const Peer*> neighbours;
   const std::size_t half = m_options.max_neighbours / 2;
   for (std::size_t index = 0; index < ring.size(); ++index) {
--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -88,8 +88,7 @@
   }
   const DirectoryEndpoint* preferred = FindPreferred(endpoints, request);
   if (preferred == nullptr) return best;
-  const double limit =
-      best_tokens + kPreferredBacklog * static_cast<double>(request.prompt_tokens);
+  const double limit = best_tokens + kPreferredBacklog * static_cast<double>(request.prompt_tokens);
   if (best == nullptr || BacklogTokens(*preferred, request) <= limit) return preferred;
   return best;
 }
@@ -104,9 +103,8 @@
     if (endpoint == &primary || IsExcluded(*endpoint, request)) continue;
     if (!HasRoom(*endpoint, request)) continue;
     const bool elsewhere = endpoint->record.failure_domain != primary.record.failure_domain;
-    const double tokens =
-        static_cast<double>(endpoint->MemoryTokens() + endpoint->UnreadTokens()) + Tie(random) +
-        SuspicionPenalty(*endpoint, request);
+    const double tokens = static_cast<double>(endpoint->MemoryTokens() + endpoint->UnreadTokens()) +
+                          Tie(random) + SuspicionPenalty(*endpoint, request);
     const bool is_better = elsewhere != best_elsewhere ? elsewhere : tokens < best_tokens;
     if (best != nullptr && !is_better) continue;
     best = endpoint;
--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -15,8 +15,8 @@
 // How much later than expected the first event may come; a second run costs the whole prompt again.
 constexpr double kLatenessFactor = 1.6;
 constexpr Duration kLatenessSlack = std::chrono::milliseconds(300);
-// Silence before the first event is checked with a new connection at this interval, and sooner where
-// other requests have failed.
+// Silence before the first event is checked with a new connection at this interval, and sooner
+// where other requests have failed.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kSuspectedProbeInterval = std::chrono::milliseconds(100);
 
--- a/src/libs/coordination/table_follower.cpp
+++ b/src/libs/coordination/table_follower.cpp
@@ -18,9 +18,9 @@
 TableFollower::NextCall TableFollower::Next() {
   NextCall next;
   if (m_failures > 0) {
-    const Duration longest = std::min(
-        m_options.longest_backoff,
-        m_options.first_backoff * (1 << std::min(m_failures - 1, kMaxBackoffDoublings)));
+    const Duration longest =
+        std::min(m_options.longest_backoff,
+                 m_options.first_backoff * (1 << std::min(m_failures - 1, kMaxBackoffDoublings)));
     // Daemons that lost the store together must not return together.
     std::uniform_int_distribution<Duration::rep> jitter(longest.count() / 2, longest.count());
     next.delay = Duration(jitter(m_random));
@@ -70,13 +70,16 @@
 void TableFollower::OnPage(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
   // The first page's version: changes during the later pages are then seen again by the watch.
   if (std::exchange(m_first_page, false)) m_read_version = reply.version;
+  std::string last = m_from;
   for (StoreRow& row : reply.rows) {
+    last = std::max(last, row.key);
     if (!row.partition.empty() || row.removed) continue;
     const std::string key = row.key;
     m_pages[key] = std::move(row);
   }
-  if (reply.has_more && !reply.rows.empty() && !m_pages.empty()) {
-    m_from = m_pages.rbegin()->first + '\0';
+  // The next page begins with the last key of this one, because a range includes its first key.
+  if (reply.has_more && last > m_from) {
+    m_from = last;
     return;
   }
   FinishRead(now, changes);
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -54,9 +54,7 @@
   Task<void> Answer(HttpReply reply, std::string_view outcome);
   Task<void> AnswerFailure();
   bool MayRepeat();
-  bool IsRepeatable() const {
-    return m_request.route->repeatability == Repeatability::kIdempotent;
-  }
+  bool IsRepeatable() const { return m_request.route->repeatability == Repeatability::kIdempotent; }
   Duration Left() const { return m_request.deadline - SteadyNow(); }
   Duration Patience() const;
 
@@ -188,8 +186,8 @@
     m_context.endpoints.OnSuccess(m_endpoint.id);
     if (answer.load) m_context.endpoints.OnLoad(m_endpoint.id, *answer.load);
     m_pool.PutIdle(m_endpoint.id, std::move(m_connection), m_reply, SteadyNow());
-    const bool try_elsewhere = m_reply.status >= 500 && IsRepeatable() &&
-                               m_runs < m_request.route->max_attempts;
+    const bool try_elsewhere =
+        m_reply.status >= 500 && IsRepeatable() && m_runs < m_request.route->max_attempts;
     if (try_elsewhere) {
       m_failure = std::move(m_reply);
       co_return TryEnd::kLost;
@@ -232,7 +230,8 @@
   const std::string details = "endpoint=" + m_endpoint.id + " runs=" + std::to_string(m_runs);
   reply.headers = EndToEndHeaders(reply.headers);
   m_context.metrics.Count("relay_requests", outcome);
-  m_context.metrics.Observe("relay_call", NameOf(kRepeatabilityNames, m_request.route->repeatability),
+  m_context.metrics.Observe("relay_call",
+                            NameOf(kRepeatabilityNames, m_request.route->repeatability),
                             SteadyNow() - m_request.arrived);
   co_await m_exchange.Respond(std::move(reply));
   LogRequestEnd(m_request, outcome, status, details);
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -301,8 +301,7 @@
 }
 
 Task<void> RelayDaemon::State::AnswerMetrics(HttpExchange& request) {
-  context.metrics.SetGauge("relay_requests_in_progress", {},
-                           static_cast<double>(context.requests));
+  context.metrics.SetGauge("relay_requests_in_progress", {}, static_cast<double>(context.requests));
   HttpReply reply;
   reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
   reply.body = context.metrics.Text();
@@ -332,8 +331,7 @@
                    callers->Close();
                  },
                  [this](const Drain::Exit&) {
-                   Log(LogLevel::kInfo, "stopped",
-                       "requests=" + std::to_string(context.requests));
+                   Log(LogLevel::kInfo, "stopped", "requests=" + std::to_string(context.requests));
                    if (on_stopped) on_stopped();
                  },
                  [this](const Drain::SetTimer& timer) {
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -196,10 +196,10 @@
       "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
           " after=" + std::to_string(fields.last_event.value_or(0)) +
           " copy=" + (m_from_copy ? "1" : "0") + " backup=" + m_backup.id);
-  m_run->Start(m_context.executor, m_context.wire,
-               BuildEndpointRequest(m_context, m_request, engine->address, std::move(fields),
-                                    SteadyNow()),
-               m_request.fields.request_id);
+  m_run->Start(
+      m_context.executor, m_context.wire,
+      BuildEndpointRequest(m_context, m_request, engine->address, std::move(fields), SteadyNow()),
+      m_request.fields.request_id);
   co_return Step::kGoOn;
 }
 
@@ -223,8 +223,8 @@
 
 std::optional<EndpointRecord> StreamSession::ChooseEngine(PlacementRequest& placement) {
   const TimePoint now = SteadyNow();
-  const bool has_copy = !m_backup.id.empty() && m_continuation.HasDelivered() &&
-                        m_excluded.count(m_backup.id) == 0;
+  const bool has_copy =
+      !m_backup.id.empty() && m_continuation.HasDelivered() && m_excluded.count(m_backup.id) == 0;
   if (has_copy && m_context.endpoints.IsUsable(m_backup.id, now)) {
     return m_context.endpoints.Find(m_backup.id)->record;
   }
@@ -382,8 +382,7 @@
   m_context.metrics.Count("relay_runs_abandoned", is_failure ? "failed" : "refused");
   Log(LogLevel::kWarning, "run_abandoned",
       "request=" + m_request.fields.request_id + " endpoint=" + engine + " after=" +
-          std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" +
-          reason + "\"");
+          std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" + reason + "\"");
 }
 
 void StreamSession::SetUses(const EndpointRecord& engine, bool from_copy) {
@@ -452,13 +451,12 @@
 }
 
 void StreamSession::LogEnd(std::string_view outcome, int status) {
-  LogRequestEnd(m_request, outcome, status,
-                "runs=" + std::to_string(m_continuation.Runs()) +
-                    " resumes=" + std::to_string(m_resumes) +
-                    " last_event=" + std::to_string(m_continuation.LastEvent().value_or(0)) +
-                    " first_ms=" + std::to_string(m_first_event.count() / 1000) +
-                    " longest_pause_ms=" +
-                    std::to_string(m_continuation.LongestPause().count() / 1000));
+  LogRequestEnd(
+      m_request, outcome, status,
+      "runs=" + std::to_string(m_continuation.Runs()) + " resumes=" + std::to_string(m_resumes) +
+          " last_event=" + std::to_string(m_continuation.LastEvent().value_or(0)) +
+          " first_ms=" + std::to_string(m_first_event.count() / 1000) +
+          " longest_pause_ms=" + std::to_string(m_continuation.LongestPause().count() / 1000));
 }
 
 }  // namespace
--- a/src/libs/server/admin_routes.cpp
+++ b/src/libs/server/admin_routes.cpp
@@ -4,11 +4,11 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "http_api/problem_reply.h"
+#include "http_api/url.h"
 #include "server/api_key.h"
 #include "server/endpoint_registry.h"
-#include "http_api/problem_reply.h"
 #include "server/request_log.h"
-#include "http_api/url.h"
 #include "state/burn_table.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/admission_gate.cpp
+++ b/src/libs/server/admission_gate.cpp
@@ -11,12 +11,12 @@
 
 #include "server/catalogue_view.h"
 #include "server/endpoint_registry.h"
-#include "utils/metrics.h"
 #include "server/request_log.h"
 #include "state/admission_table.h"
 #include "state/credit_table.h"
 #include "transport/http_server.h"
 #include "transport/notification.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/call_session.cpp
+++ b/src/libs/server/call_session.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "coordination/idempotency_key.h"
-#include "server/call_driver.h"
 #include "http_api/problem_reply.h"
+#include "server/call_driver.h"
 #include "server/request_drivers.h"
 #include "server/table_client.h"
 #include "transport/notification.h"
--- a/src/libs/server/catalogue_routes.cpp
+++ b/src/libs/server/catalogue_routes.cpp
@@ -6,13 +6,13 @@
 #include <string>
 #include <utility>
 
+#include "http_api/problem_reply.h"
+#include "http_api/url.h"
 #include "protocol/catalogue_item.h"
 #include "server/admin_routes.h"
 #include "server/api_key.h"
 #include "server/control_plane_driver.h"
-#include "http_api/problem_reply.h"
 #include "server/table_client.h"
-#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/control_plane_driver.cpp
+++ b/src/libs/server/control_plane_driver.cpp
@@ -8,10 +8,10 @@
 #include "server/catalogue_view.h"
 #include "server/instance_list_client.h"
 #include "server/lookup.h"
-#include "utils/metrics.h"
 #include "server/table_client.h"
 #include "transport/notification.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 #include "utils/overloaded.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/credit_sources.cpp
+++ b/src/libs/server/credit_sources.cpp
@@ -7,9 +7,9 @@
 #include "server/catalogue_view.h"
 #include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
-#include "utils/metrics.h"
 #include "server/peer_service.h"
 #include "state/admission_table.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "coordination/credit_holder.h"
+#include "http_api/problem_reply.h"
 #include "server/admin_routes.h"
 #include "server/admission_gate.h"
 #include "server/call_peers.h"
@@ -19,11 +20,9 @@
 #include "server/http_front.h"
 #include "server/instance_list_client.h"
 #include "server/lookup.h"
-#include "utils/metrics.h"
 #include "server/notice_exchange.h"
 #include "server/object_client.h"
 #include "server/peer_service.h"
-#include "http_api/problem_reply.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
 #include "server/rollout_driver.h"
@@ -39,6 +38,7 @@
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -10,12 +10,12 @@
 #include "coordination/resume_budget.h"
 #include "coordination/retry_budget.h"
 #include "server/endpoint_registry.h"
-#include "utils/metrics.h"
 #include "server/request_log.h"
 #include "state/credit_table.h"
 #include "state/rollout_table.h"
 #include "state/suspect_table.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/endpoint_registry.cpp
+++ b/src/libs/server/endpoint_registry.cpp
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "protocol/identifiers.h"
-#include "utils/metrics.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 #include "utils/overloaded.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/generation_driver.cpp
+++ b/src/libs/server/generation_driver.cpp
@@ -5,13 +5,13 @@
 #include <utility>
 #include <variant>
 
-#include "server/endpoint_registry.h"
-#include "utils/metrics.h"
 #include "http_api/problem_reply.h"
+#include "server/endpoint_registry.h"
 #include "server/request_checks.h"
 #include "server/request_drivers.h"
 #include "server/request_log.h"
 #include "transport/http_client.h"
+#include "utils/metrics.h"
 #include "utils/overloaded.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/http_front.cpp
+++ b/src/libs/server/http_front.cpp
@@ -5,19 +5,19 @@
 #include <utility>
 #include <variant>
 
+#include "http_api/problem_reply.h"
+#include "http_api/url.h"
 #include "server/api_key.h"
 #include "server/call_session.h"
 #include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
 #include "server/generation_session.h"
 #include "server/lookup.h"
-#include "utils/metrics.h"
-#include "http_api/problem_reply.h"
 #include "server/request_checks.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
-#include "http_api/url.h"
 #include "state/burn_table.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/lease_driver.cpp
+++ b/src/libs/server/lease_driver.cpp
@@ -5,9 +5,9 @@
 #include <random>
 #include <utility>
 
-#include "utils/metrics.h"
 #include "server/table_client.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 #include "utils/overloaded.h"
 
 namespace fulmarpoint {
--- a/src/libs/server/lookup.cpp
+++ b/src/libs/server/lookup.cpp
@@ -3,10 +3,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "server/catalogue_view.h"
 #include "http_api/problem_reply.h"
-#include "server/services.h"
 #include "http_api/url.h"
+#include "server/catalogue_view.h"
+#include "server/services.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/notice_exchange.cpp
+++ b/src/libs/server/notice_exchange.cpp
@@ -5,9 +5,9 @@
 
 #include "server/control_plane_driver.h"
 #include "server/dispatcher.h"
-#include "utils/metrics.h"
 #include "state/rollout_table.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/peer_service.cpp
+++ b/src/libs/server/peer_service.cpp
@@ -6,11 +6,11 @@
 #include <optional>
 #include <utility>
 
-#include "utils/metrics.h"
 #include "transport/framed_connection.h"
 #include "transport/framed_server.h"
 #include "transport/udp_socket.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/request_checks.cpp
+++ b/src/libs/server/request_checks.cpp
@@ -6,10 +6,10 @@
 #include <random>
 #include <utility>
 
+#include "http_api/url.h"
 #include "protocol/field_reader.h"
 #include "server/api_key.h"
 #include "server/catalogue_view.h"
-#include "http_api/url.h"
 
 namespace fulmarpoint {
 
--- a/src/libs/server/rollout_driver.cpp
+++ b/src/libs/server/rollout_driver.cpp
@@ -10,18 +10,18 @@
 #include <utility>
 #include <vector>
 
+#include "http_api/problem_reply.h"
 #include "protocol/body_codec.h"
 #include "server/catalogue_view.h"
 #include "server/control_plane_driver.h"
 #include "server/endpoint_registry.h"
-#include "utils/metrics.h"
 #include "server/peer_service.h"
-#include "http_api/problem_reply.h"
 #include "server/rollout_host.h"
 #include "server/table_client.h"
 #include "state/burn_table.h"
 #include "state/rollout_table.h"
 #include "utils/logging.h"
+#include "utils/metrics.h"
 #include "utils/overloaded.h"
 
 namespace fulmarpoint {
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -89,7 +89,8 @@
   peer_ip = peer.address().to_string();
   peer_address = internal::AddressText(peer);
   socket.set_option(tcp::no_delay(true), error);
-  socket.set_option(asio::socket_base::send_buffer_size(shared->Limits()->send_buffer_bytes), error);
+  socket.set_option(asio::socket_base::send_buffer_size(shared->Limits()->send_buffer_bytes),
+                    error);
   return true;
 }
 
@@ -106,7 +107,8 @@
 
 Task<bool> HttpExchange::Connection::WaitForRequest() {
   if (buffer.size() > 0) co_return true;
-  const internal::Deadline deadline(strand, shared->Limits()->idle_time, [this]() { CloseSocket(); });
+  const internal::Deadline deadline(strand, shared->Limits()->idle_time,
+                                    [this]() { CloseSocket(); });
   auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
   co_return !error && socket.is_open();
 }
@@ -245,7 +247,8 @@
 
 Task<std::error_code> HttpExchange::Connection::Write(const std::string& data) {
   if (client_gone) co_return make_error_code(std::errc::connection_reset);
-  const internal::Deadline deadline(strand, shared->Limits()->write_time, [this]() { CloseSocket(); });
+  const internal::Deadline deadline(strand, shared->Limits()->write_time,
+                                    [this]() { CloseSocket(); });
   const internal::IoResult written =
       co_await asio::async_write(socket, asio::buffer(data), kCompletion);
   const boost::system::error_code error = std::get<0>(written);
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -92,8 +92,7 @@
  private:
   Task<bool> WaitForRequest();
   Task<bool> ServeOne(bool first);
-  Task<boost::system::error_code> ReadHead(Parser& parser,
-                                           std::optional<HttpRejection>& rejection);
+  Task<boost::system::error_code> ReadHead(Parser& parser, std::optional<HttpRejection>& rejection);
   Task<boost::system::error_code> ReadBody(Parser& parser, internal::BodyReservation& reservation,
                                            std::optional<HttpRejection>& rejection);
   Task<void> Handle(HttpExchange& exchange);
--- /dev/null
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -0,0 +1,132 @@
+#include "endpoint_standin.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kPollInterval = std::chrono::milliseconds(2);
+constexpr char kSeal[] = "Fulmarpoint-Server-Seal";
+constexpr char kRequestId[] = "Fulmarpoint-Request-Id";
+
+std::string HeaderOf(const HttpRequest& request, const char* name) {
+  return std::string(FindHeader(request.headers, name).value_or(""));
+}
+
+HttpReply Refusal(const std::string& request_id) {
+  return {503, {{"Fulmarpoint-Not-Run", "1"}, {kRequestId, request_id}}, ""};
+}
+
+HttpReply Misdirection() { return {421, {{"Fulmarpoint-Instance-Id", "another"}}, ""}; }
+
+HttpReply Success(const std::string& request_id, const std::string& id) {
+  return {
+      200, {{kRequestId, request_id}, {kSeal, "seal-" + id}, {"X-Kept", "yes"}}, "body of " + id};
+}
+
+HttpHeaders StreamHeaders(const std::string& request_id, const std::string& id) {
+  return {{"Content-Type", "text/event-stream"}, {kRequestId, request_id}, {kSeal, "seal-" + id}};
+}
+
+std::string EventText(int number) {
+  return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+}
+
+}  // namespace
+
+EndpointStandin::EndpointStandin(const Executor& executor, std::string id)
+    : m_id(std::move(id)),
+      m_server(
+          executor, HttpServerLimits(), [this](HttpExchange& exchange) { return Handle(exchange); },
+          [](HttpRejection) {
+            return HttpReply{400, {}, ""};
+          }) {
+  m_server.Listen("127.0.0.1:0");
+}
+
+std::string EndpointStandin::Row(const std::string& service, const std::string& domain,
+                                 const std::string& state) const {
+  return nlohmann::json{
+      {"service", service}, {"address", Address()}, {"zone", domain},  {"version", "v1"},
+      {"slots", 8},         {"state", state},       {"coldLeftMs", 0}, {"seq", 1},
+      {"born", 1000}}
+      .dump();
+}
+
+std::string EndpointStandin::Header(std::size_t request, const char* name) const {
+  return HeaderOf(seen.at(request).request, name);
+}
+
+Task<void> EndpointStandin::Handle(HttpExchange& exchange) {
+  seen.push_back({exchange.Request()});
+  const std::size_t index = seen.size() - 1;
+  const std::string request_id = HeaderOf(exchange.Request(), kRequestId);
+  if (behaviour == EndpointBehaviour::kRefuse) {
+    co_await exchange.Respond(Refusal(request_id));
+  } else if (behaviour == EndpointBehaviour::kMisdirect) {
+    co_await exchange.Respond(Misdirection());
+  } else if (exchange.Request().target.substr(0, 8) == "/stream/") {
+    co_await AnswerStream(exchange, request_id);
+  } else {
+    co_await AnswerCall(exchange, request_id);
+  }
+  seen[index].caller_left = exchange.ClientGone();
+}
+
+Task<void> EndpointStandin::AnswerCall(HttpExchange& exchange, std::string request_id) {
+  HttpReply reply = Success(request_id, m_id);
+  switch (behaviour) {
+    case EndpointBehaviour::kFail:
+      reply.status = 500;
+      break;
+    case EndpointBehaviour::kUnsealed:
+      reply.headers.erase(reply.headers.begin() + 1);
+      break;
+    case EndpointBehaviour::kStray:
+      reply.headers[0].value = "another";
+      break;
+    case EndpointBehaviour::kSilent:
+      co_await WaitUntilGone(exchange);
+      co_return;
+    case EndpointBehaviour::kBreak:
+      co_await exchange.StartStream(200, reply.headers);
+      co_await exchange.WriteChunk("half of the bo");
+      co_return;
+    default:
+      break;
+  }
+  co_await exchange.Respond(std::move(reply));
+}
+
+Task<void> EndpointStandin::AnswerStream(HttpExchange& exchange, std::string request_id) {
+  const std::string after = HeaderOf(exchange.Request(), "Last-Event-Id");
+  const int first = after.empty() ? 1 : std::stoi(after) + 1;
+  int sent = 0;
+  for (int number = first; number <= total && !exchange.ClientGone(); ++number) {
+    const bool reached = sent == events;
+    if (reached && behaviour == EndpointBehaviour::kSilent) {
+      co_await WaitUntilGone(exchange);
+      co_return;
+    }
+    if (reached && behaviour == EndpointBehaviour::kBreak) {
+      if (sent > 0) co_await exchange.WriteChunk("id: " + std::to_string(number) + "\nda");
+      exchange.CloseAfterwards();
+      co_return;
+    }
+    ++sent;
+    if (reached && behaviour == EndpointBehaviour::kSkip) continue;
+    if (!exchange.Started()) {
+      co_await exchange.StartStream(200, StreamHeaders(request_id, m_id));
+    }
+    co_await exchange.WriteChunk(EventText(number));
+    co_await Sleep(event_interval);
+  }
+  if (exchange.Started()) co_await exchange.FinishStream();
+}
+
+Task<void> EndpointStandin::WaitUntilGone(HttpExchange& exchange) {
+  while (!exchange.ClientGone()) co_await Sleep(kPollInterval);
+}
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/auto/platform/platform_world.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "endpoint_standin.h"
+#include "platform/settings_file.h"
+#include "relay/relay_daemon.h"
+#include "store_standin.h"
+#include "transport/event_loop.h"
+#include "transport/http_client.h"
+
+namespace fulmarpoint {
+
+/// Returns a list of one header. GCC 12 does not compile braced lists in `co_await` expressions.
+HttpHeaders OneHeader(const std::string& name, const std::string& value);
+
+/// One daemon between a client, endpoints and a store that speak the platform's protocol, all on
+/// one thread and on loopback ports that the kernel chooses.
+class PlatformWorld {
+ public:
+  PlatformWorld();
+  ~PlatformWorld();
+
+  /// Adds an endpoint of service "orders" (calls) or "drafts" (streams) and lists it.
+  EndpointStandin& AddEndpoint(const std::string& service, const std::string& domain);
+  void List(const EndpointStandin& endpoint, const std::string& service, const std::string& domain,
+            const std::string& state = "ready");
+  /// The operator's configuration with some routes; see `platform_world.cpp`.
+  static std::string Configuration(int version, const std::string& keys = R"(["key-1","key-2"])");
+  /// Writes the configuration, starts the daemon and waits until it is ready.
+  Task<void> Start();
+  void StartDaemon();
+  /// Completes when `condition` holds; fails the test if that takes more than some seconds.
+  static Task<void> WaitFor(std::function<bool()> condition);
+
+  /// Sends a request with a key, a request id and a deadline; `headers` replace or add to them.
+  Task<HttpResult> Send(std::string method, std::string target, HttpHeaders headers = {},
+                        std::string body = {});
+  /// Sends raw bytes on a new connection and returns all bytes until the daemon closes.
+  Task<std::string> SendRaw(std::string bytes);
+  Task<HttpResult> Lookup();
+
+  /// Runs the loop until the task completes.
+  void Run(const std::function<Task<void>()>& task);
+
+  EventLoop loop;
+  RelaySettings settings;
+  std::unique_ptr<StoreStandin> store;
+  std::vector<std::unique_ptr<EndpointStandin>> endpoints;
+  std::unique_ptr<RelayDaemon> daemon;
+  std::unique_ptr<HttpClient> client;
+  int requests = 0;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/auto/platform/store_standin.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "transport/http_server.h"
+#include "transport/task.h"
+
+namespace fulmarpoint {
+
+/// The platform's store as its page describes it, in memory. Used on one strand.
+class StoreStandin {
+ public:
+  explicit StoreStandin(const Executor& executor);
+
+  std::string Address() const { return m_server.Address(); }
+  /// Writes a row as the operator or an endpoint does.
+  void Put(const std::string& table, const std::string& key, const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  /// Drops the history: watches from an earlier version are answered with 410.
+  void DropHistory() { m_history_start = m_version; }
+  /// Answers every call with this status; 0 for normal service.
+  void FailWith(int status) { m_failure = status; }
+  /// Leaves every call without an answer.
+  void Hang(bool hang) { m_hang = hang; }
+  bool Has(const std::string& table, const std::string& key) const;
+  int Calls() const { return m_calls; }
+
+ private:
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+  };
+  using Table = std::map<std::string, Row>;
+
+  Task<void> Handle(HttpExchange& exchange);
+  HttpReply Read(const std::string& target);
+  Task<HttpReply> Watch(std::string target);
+  /// Returns the reply of a watch if there is a change, or if it must not wait any longer.
+  std::optional<HttpReply> Changes(const std::string& table, std::uint64_t after,
+                                   bool even_if_none);
+  HttpReply Commit(const std::string& body);
+
+  std::map<std::string, Table> m_tables;
+  std::uint64_t m_version = 1;
+  std::uint64_t m_history_start = 0;
+  int m_failure = 0;
+  bool m_hang = false;
+  int m_calls = 0;
+  HttpServer m_server;
+};
+
+}  // namespace fulmarpoint
--- /dev/null
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -0,0 +1,117 @@
+#include <criterion/criterion.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/configuration_codec.h"
+#include "platform/relay_codec.h"
+#include "platform/settings_file.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+const char kSettings[] =
+    "nodeName=front-a-1\nzone=a\nbindIp=10.1.0.19\nlisten.front=10.1.0.19:8740\n"
+    "listen.ready=10.1.0.19:8749\nlisten.directory=10.1.0.19:8746\nportRange=7200,7215\n"
+    "limits.memoryMb=260\nlimits.maxFds=4100\nbounds.revokeMs=5000\nbounds.graceS=8\n"
+    "bounds.ttl_max_s=5\nbounds.retryRatio=0.8\nbounds.retrySlack=150\n"
+    "platform.address=10.200.1.7:8742\nsomething.new=1,2\n";
+
+std::string Without(const std::string& key) {
+  std::string text = kSettings;
+  const std::size_t at = text.find(key + "=");
+  return text.erase(at, text.find('\n', at) + 1 - at);
+}
+
+std::string Row(const std::string& changed = "", const std::string& value = "") {
+  nlohmann::json row = {
+      {"service", "s"}, {"address", "10.0.0.1:80"}, {"zone", "a"}, {"version", "v1"},
+      {"slots", 8},     {"state", "ready"},         {"seq", 4},    {"born", 1234}};
+  if (!changed.empty() && value.empty()) row.erase(changed);
+  if (!changed.empty() && !value.empty()) row[changed] = nlohmann::json::parse(value);
+  return row.dump();
+}
+
+}  // namespace
+
+// Guards against a daemon that starts with half of its settings, or refuses keys that are new.
+Test(settings_file, missing_and_malformed_keys_are_named) {
+  const Parsed<platform::PlatformSettings> parsed =
+      platform::ParsePlatformSettings(kSettings, 9464);
+  cr_assert(parsed.Ok());
+  cr_assert(parsed.Value().relay.peer_address == "10.1.0.19:7200");
+  cr_assert(parsed.Value().relay.metrics_address == "10.1.0.19:9464");
+  cr_assert_eq(parsed.Value().relay.max_connections, 3900u);
+  for (const char* key : {"nodeName", "zone", "listen.front", "platform.address", "limits.maxFds",
+                          "bounds.revokeMs", "portRange"}) {
+    const Parsed<platform::PlatformSettings> failed =
+        platform::ParsePlatformSettings(Without(key), 0);
+    cr_assert_not(failed.Ok());
+    cr_assert(failed.Error().key == key);
+  }
+  const Parsed<platform::PlatformSettings> malformed =
+      platform::ParsePlatformSettings(Without("bounds.graceS") + "bounds.graceS=soon\n", 0);
+  cr_assert(malformed.Error().key == "bounds.graceS");
+  cr_assert_eq(malformed.Error().line, 16);
+}
+
+// Guards against rows of other writers that name an endpoint.
+Test(configuration_codec, odd_endpoint_rows_name_no_endpoint) {
+  const std::optional<EndpointRecord> record = platform::ParseEndpoint("i-1", Row());
+  cr_assert(record.has_value());
+  cr_assert_eq(record->incarnation, 1234);
+  cr_assert_not(record->draining);
+  cr_assert(platform::ParseEndpoint("i-1", Row("state", "\"draining\""))->draining);
+  cr_assert(platform::ParseEndpoint("i-1", Row("born")).has_value());
+  for (const char* key : {"service", "address", "zone", "version", "slots", "state", "seq"}) {
+    cr_assert_not(platform::ParseEndpoint("i-1", Row(key)).has_value(), "%s", key);
+    cr_assert_not(platform::ParseEndpoint("i-1", Row(key, "[]")).has_value(), "%s", key);
+  }
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("state", "\"asleep\"")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("address", "\"nowhere\"")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("slots", "0")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", "[1]").has_value());
+}
+
+// Guards against a route that is repeated although its kind is not known, and against a
+// configuration of which only a part can be read.
+Test(configuration_codec, configurations_are_read_whole_or_not_at_all) {
+  const std::string head = R"({"version":7,"services":[],"routes":[{"name":"r","host":"h",)"
+                           R"("prefix":"/p/","kind":"strange",)";
+  const std::optional<RelayConfiguration> configuration = platform::ParseConfiguration(
+      head + R"("split":[{"service":"a","weight":90},{"service":"b","weight":10}]}]})");
+  cr_assert(configuration.has_value());
+  cr_assert_eq(configuration->routes[0].repeatability, Repeatability::kNonIdempotent);
+  cr_assert_eq(configuration->routes[0].targets.size(), 2u);
+  cr_assert(configuration->routes[0].needs_key);
+  cr_assert_not(configuration->has_organisations);
+  cr_assert_not(platform::ParseConfiguration(head + R"("x":1}]})").has_value());
+  cr_assert_not(platform::ParseConfiguration("{}").has_value());
+  cr_assert_not(platform::ParseConfiguration("").has_value());
+}
+
+// Guards against malformed fields that are taken for others.
+Test(relay_codec, caller_fields_are_checked) {
+  const RelayWire wire = platform::MakeRelayWire();
+  const HttpHeaders good = {{"Fulmarpoint-Request-Id", "r"},
+                            {"fulmarpoint-deadline-ms", "250"},
+                            {"Fulmarpoint-Token-Count", "1460,80"},
+                            {"Fulmarpoint-Prompt-Prefix", "5c1e07a2:800,ff:660"},
+                            {"Authorization", "Bearer k"}};
+  const std::optional<CallerFields> fields = wire.decode_caller(good);
+  cr_assert(fields.has_value());
+  cr_assert_eq(fields->deadline->count(), 250000);
+  cr_assert_eq(fields->prompt_tokens, 1460);
+  cr_assert_eq(fields->max_output_tokens, 80);
+  cr_assert_eq(fields->prompt.back().id, 0xffu);
+  cr_assert(fields->api_key == "k");
+  for (const HttpHeader& bad : HttpHeaders{{"Fulmarpoint-Deadline-Ms", "-1"},
+                                           {"Fulmarpoint-Deadline-Ms", "soon"},
+                                           {"Fulmarpoint-Token-Count", "5"},
+                                           {"Last-Event-Id", "x"}}) {
+    cr_assert_not(wire.decode_caller({{"Fulmarpoint-Request-Id", "r"}, bad}).has_value());
+  }
+  cr_assert_not(wire.decode_caller({}).has_value());
+  cr_assert(wire.is_reserved("KV-FROM"));
+  cr_assert_not(wire.is_reserved("Fulmarpoint-Length-Hint"));
+}
--- /dev/null
+++ b/tests/auto/platform/tst_framing.cpp
@@ -0,0 +1,101 @@
+#include <criterion/criterion.h>
+
+#include "platform_world.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+void RunTest(Task<void> (*test)(PlatformWorld&)) {
+  PlatformWorld world;
+  world.Run([&world, test]() { return test(world); });
+}
+
+std::string Head(const std::string& lines) {
+  return "POST /place/x HTTP/1.1\r\nHost: h.example\r\nFulmarpoint-Request-Id: r1\r\n"
+         "Authorization: Bearer key-1\r\n" +
+         lines + "\r\n";
+}
+
+int StatusOf(const std::string& received) {
+  return received.size() < 12 ? 0 : std::stoi(received.substr(9, 3));
+}
+
+std::vector<std::string> AmbiguousRequests() {
+  const std::string hidden = "GET /look/hidden HTTP/1.1\r\nHost: h.example\r\n\r\n";
+  return {
+      Head("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n" + hidden,
+      Head("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n") + "0\r\n\r\n" + hidden,
+      Head("Content-Length: 5\r\nContent-Length: 6\r\n") + "12345" + hidden,
+      Head("Content-Length: +5\r\n") + "12345" + hidden,
+      Head("Content-Length : 5\r\n") + "12345" + hidden,
+      Head("Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n" + hidden,
+      Head("Transfer-Encoding: chunked\r\n") + "zz\r\n" + hidden,
+      Head("Host: other.example\r\nContent-Length: 0\r\n"),
+  };
+}
+
+Task<void> Smuggled(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  for (const std::string& attempt : AmbiguousRequests()) {
+    const std::string received = co_await world.SendRaw(attempt);
+    cr_assert_eq(StatusOf(received), 400, "%s -> %s", attempt.c_str(), received.c_str());
+  }
+  cr_assert_eq(endpoint.seen.size(), 0u);
+}
+
+Task<void> Pipelined(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  const std::string received =
+      co_await world.SendRaw(Head("Content-Length: 3\r\n") + "one" +
+                             Head("Connection: close\r\nContent-Length: 3\r\n") + "two");
+  cr_assert_eq(endpoint.seen.size(), 2u);
+  cr_assert(endpoint.seen[0].request.body == "one");
+  cr_assert(endpoint.seen[1].request.body == "two");
+  cr_assert_neq(received.find("HTTP/1.1 200", 10), std::string::npos, "both are answered");
+}
+
+Task<void> Trailers(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  const std::string received = co_await world.SendRaw(
+      Head("Connection: close\r\nTransfer-Encoding: chunked\r\nTrailer: X-Late\r\n") +
+      "3\r\nabc\r\n4\r\ndefg\r\n0\r\nX-Late: 1\r\nFulmarpoint-Tenant: forged\r\n\r\n");
+  cr_assert_eq(StatusOf(received), 200);
+  cr_assert(endpoint.seen[0].request.body == "abcdefg");
+  cr_assert(endpoint.Header(0, "X-Late") == "");
+  cr_assert(endpoint.Header(0, "Fulmarpoint-Tenant") == "roastery");
+}
+
+Task<void> Limits(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  std::string received = co_await world.SendRaw(Head("X-Long: " + std::string(9000, 'x') + "\r\n"));
+  cr_assert_eq(StatusOf(received), 431);
+  received = co_await world.SendRaw(Head("Content-Length: 70000\r\n"));
+  cr_assert_eq(StatusOf(received), 413);
+  received = co_await world.SendRaw("POST /place/x HTTP/1.1\r\nHost: h.exa");
+  cr_assert_eq(StatusOf(received), 408, "%s", received.c_str());
+  received = co_await world.SendRaw("NONSENSE\r\n\r\n");
+  cr_assert_eq(StatusOf(received), 400);
+  received = co_await world.SendRaw(
+      "GET /look/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n");
+  cr_assert_eq(StatusOf(received), 400, "the request id is missing");
+  cr_assert_eq(endpoint.seen.size(), 0u);
+}
+
+}  // namespace
+
+// Guards against requests that are smuggled inside others.
+Test(framing, ambiguous_requests_are_refused) { RunTest(&Smuggled); }
+
+// Guards against pipelined requests that are lost or mixed.
+Test(framing, pipelined_requests_are_answered_in_order) { RunTest(&Pipelined); }
+
+// Guards against trailers that become headers.
+Test(framing, trailers_are_dropped) { RunTest(&Trailers); }
+
+// Guards against callers that fill the memory or hold connections.
+Test(framing, limits_are_kept) { RunTest(&Limits); }
--- /dev/null
+++ b/tests/auto/platform/tst_streams.cpp
@@ -0,0 +1,195 @@
+#include <criterion/criterion.h>
+
+#include "platform_world.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+const HttpHeaders kStreamHeaders = {{"Fulmarpoint-Model", "m"},
+                                    {"Fulmarpoint-Token-Count", "5000,800"},
+                                    {"Fulmarpoint-Prompt-Prefix", "5c1e07a2:200,91bd3f06:4800"}};
+
+std::string AllEvents(int first, int last) {
+  std::string text;
+  for (int number = first; number <= last; ++number) {
+    text += "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+  }
+  return text;
+}
+
+void RunTest(Task<void> (*test)(PlatformWorld&)) {
+  PlatformWorld world;
+  world.Run([&world, test]() { return test(world); });
+}
+
+/// Returns the endpoint that has seen `count` requests; the test fails if there is none.
+EndpointStandin& SeenBy(PlatformWorld& world, std::size_t count) {
+  EndpointStandin* found = nullptr;
+  for (const std::unique_ptr<EndpointStandin>& endpoint : world.endpoints) {
+    if (endpoint->seen.size() == count) found = endpoint.get();
+  }
+  cr_assert_not_null(found);
+  return *found;
+}
+
+void SetAll(PlatformWorld& world, EndpointBehaviour behaviour, int events) {
+  for (const std::unique_ptr<EndpointStandin>& endpoint : world.endpoints) {
+    endpoint->behaviour = behaviour;
+    endpoint->events = events;
+  }
+}
+
+Task<void> WholeStream(PlatformWorld& world) {
+  EndpointStandin& engine = world.AddEndpoint("drafts", "a");
+  co_await world.Start();
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders, "prompt");
+  cr_assert_not(result.error);
+  cr_assert(result.reply.body == AllEvents(1, 10));
+  cr_assert(std::string(*FindHeader(result.reply.headers, "Fulmarpoint-Server-Seal")) ==
+            "seal-i-1");
+  cr_assert(engine.Header(0, "Fulmarpoint-Prompt-Prefix") == "5c1e07a2:200,91bd3f06:4800");
+  cr_assert(engine.Header(0, "Last-Event-Id") == "");
+  cr_assert(engine.Header(0, "Kv-From") == "");
+}
+
+Task<void> Resumed(PlatformWorld& world, EndpointBehaviour behaviour) {
+  EndpointStandin& first = world.AddEndpoint("drafts", "a");
+  co_await world.Start();
+  first.behaviour = behaviour;
+  first.events = 4;
+  first.event_interval = std::chrono::milliseconds(30);
+  Spawn(world.loop.GetExecutor(), [&world]() -> Task<void> {
+    co_await PlatformWorld::WaitFor([&world]() { return !world.endpoints[0]->seen.empty(); });
+    world.AddEndpoint("drafts", "b");
+  });
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders, "prompt");
+  cr_assert_not(result.error);
+  cr_assert(result.reply.body == AllEvents(1, 10));
+  EndpointStandin& second = *world.endpoints[1];
+  cr_assert_eq(second.seen.size(), 1u);
+  cr_assert(second.Header(0, "Last-Event-Id") == "4");
+  cr_assert(second.Header(0, "Fulmarpoint-Request-Id") ==
+            first.Header(0, "Fulmarpoint-Request-Id"));
+  co_await PlatformWorld::WaitFor([&first]() {
+    return first.behaviour == EndpointBehaviour::kBreak || first.seen[0].caller_left;
+  });
+}
+
+Task<void> ResumedAfterBreak(PlatformWorld& world) {
+  return Resumed(world, EndpointBehaviour::kBreak);
+}
+
+Task<void> ResumedAfterSilence(PlatformWorld& world) {
+  return Resumed(world, EndpointBehaviour::kSilent);
+}
+
+Task<void> ResumedAfterGap(PlatformWorld& world) {
+  return Resumed(world, EndpointBehaviour::kSkip);
+}
+
+Task<void> ResumedFromCopy(PlatformWorld& world) {
+  world.AddEndpoint("drafts", "a");
+  world.AddEndpoint("drafts", "b");
+  co_await world.Start();
+  SetAll(world, EndpointBehaviour::kBreak, 5);
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders, "prompt");
+  cr_assert(result.reply.body == AllEvents(1, 10));
+  const std::size_t last = world.endpoints[0]->seen.size() - 1;
+  EndpointStandin& first = world.endpoints[0]->Header(0, "Last-Event-Id").empty()
+                               ? *world.endpoints[0]
+                               : *world.endpoints[1];
+  EndpointStandin& second =
+      &first == world.endpoints[0].get() ? *world.endpoints[1] : *world.endpoints[0];
+  cr_assert_eq(last, 0u);
+  cr_assert(first.Header(0, "Fulmarpoint-Kv-Backup") == second.Address());
+  const std::string copy = second.Address() + "/" + first.Header(0, "Fulmarpoint-Request-Id");
+  cr_assert(second.Header(0, "Kv-From") == copy);
+}
+
+Task<void> CutIsVisible(PlatformWorld& world) {
+  world.AddEndpoint("drafts", "a");
+  co_await world.Start();
+  SetAll(world, EndpointBehaviour::kBreak, 1);
+  const HttpResult result =
+      co_await world.Send("POST", "/stream/x", OneHeader("Fulmarpoint-Deadline-Ms", "1500"));
+  cr_assert(result.error, "a stream that ends early must not look complete");
+  cr_assert_eq(result.reply.body.find("da\n"), std::string::npos);
+}
+
+Task<void> CallerResumes(PlatformWorld& world) {
+  EndpointStandin& engine = world.AddEndpoint("drafts", "a");
+  co_await world.Start();
+  HttpHeaders headers = kStreamHeaders;
+  headers.push_back({"Last-Event-Id", "7"});
+  const HttpResult result = co_await world.Send("POST", "/stream/x", headers);
+  cr_assert(result.reply.body == AllEvents(8, 10));
+  cr_assert(engine.Header(0, "Last-Event-Id") == "7");
+}
+
+Task<void> CallerThatLeavesEndsTheRun(PlatformWorld& world) {
+  EndpointStandin& engine = world.AddEndpoint("drafts", "a");
+  engine.total = 100000;
+  co_await world.Start();
+  HttpClientRequest request;
+  request.address = world.daemon->CallerAddress();
+  request.method = "POST";
+  request.target = "/stream/x";
+  request.host = "h.example";
+  request.headers = OneHeader("Fulmarpoint-Request-Id", "r");
+  request.headers.push_back({"Authorization", "Bearer key-1"});
+  request.timeout = std::chrono::milliseconds(150);
+  co_await world.client->Send(std::move(request));
+  co_await PlatformWorld::WaitFor([&engine]() { return engine.seen[0].caller_left; });
+}
+
+Task<void> RefusedStreamsGoElsewhere(PlatformWorld& world) {
+  world.AddEndpoint("drafts", "a").behaviour = EndpointBehaviour::kRefuse;
+  world.AddEndpoint("drafts", "a").behaviour = EndpointBehaviour::kMisdirect;
+  world.AddEndpoint("drafts", "b");
+  co_await world.Start();
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders);
+  cr_assert(result.reply.body == AllEvents(1, 10));
+  SeenBy(world, 1);
+}
+
+Task<void> RefusedWhenNothingHasRun(PlatformWorld& world) {
+  EndpointStandin& engine = world.AddEndpoint("drafts", "a");
+  engine.behaviour = EndpointBehaviour::kRefuse;
+  co_await world.Start();
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders);
+  cr_assert_eq(result.reply.status, 503);
+  cr_assert(FindHeader(result.reply.headers, "Retry-After").has_value());
+}
+
+}  // namespace
+
+// Guards against events that are changed, lost or repeated on their way.
+Test(streams, a_stream_is_passed_on_unchanged) { RunTest(&WholeStream); }
+
+// Guards against a draft that ends because its engine died, and against half an event.
+Test(streams, a_broken_run_is_continued_elsewhere) { RunTest(&ResumedAfterBreak); }
+
+// Guards against a stream that hangs with its dark engine, and against two runs at once.
+Test(streams, a_silent_run_is_continued_elsewhere) { RunTest(&ResumedAfterSilence); }
+
+// Guards against an answer with an event missing.
+Test(streams, a_run_with_a_gap_is_continued_elsewhere) { RunTest(&ResumedAfterGap); }
+
+// Guards against a resumed run that reads its whole prompt again.
+Test(streams, a_run_is_continued_from_its_copy) { RunTest(&ResumedFromCopy); }
+
+// Guards against a cut stream that looks complete.
+Test(streams, a_stream_that_cannot_go_on_is_cut) { RunTest(&CutIsVisible); }
+
+// Guards against a caller that resumes and gets what it holds again.
+Test(streams, a_caller_resumes_after_its_last_event) { RunTest(&CallerResumes); }
+
+// Guards against engines that work for callers who have left.
+Test(streams, a_caller_that_leaves_ends_the_run) { RunTest(&CallerThatLeavesEndsTheRun); }
+
+// Guards against a failure although another engine could have run the stream.
+Test(streams, a_refused_stream_goes_to_another_engine) { RunTest(&RefusedStreamsGoElsewhere); }
+
+// Guards against a refusal that does not say when to come back.
+Test(streams, a_stream_without_any_run_is_refused) { RunTest(&RefusedWhenNothingHasRun); }
--- a/tests/auto/server/concurrent_server_state.cpp
+++ b/tests/auto/server/concurrent_server_state.cpp
@@ -8,11 +8,11 @@
 
 #include "server/catalogue_view.h"
 #include "server/lookup.h"
-#include "utils/metrics.h"
 #include "server/request_checks.h"
 #include "server/request_log.h"
 #include "server/running_requests.h"
 #include "transport/worker_pool.h"
+#include "utils/metrics.h"
 
 using namespace fulmarpoint;
 
--- a/tests/auto/server/fake_endpoints.h
+++ b/tests/auto/server/fake_endpoints.h
@@ -7,10 +7,10 @@
 #include <optional>
 #include <string>
 
+#include "http_api/url.h"
 #include "protocol/catalogue_item.h"
 #include "server/api_key.h"
 #include "server/settings.h"
-#include "http_api/url.h"
 #include "transport/http_server.h"
 #include "transport/worker_pool.h"
 
--- a/tests/auto/server/tst_dispatcher.cpp
+++ b/tests/auto/server/tst_dispatcher.cpp
@@ -5,12 +5,12 @@
 #include "fake_platform.h"
 #include "server/dispatcher.h"
 #include "server/endpoint_registry.h"
-#include "utils/metrics.h"
 #include "server/request_log.h"
 #include "state/credit_table.h"
 #include "state/rollout_table.h"
 #include "state/suspect_table.h"
 #include "transport/http_client.h"
+#include "utils/metrics.h"
 
 using namespace fulmarpoint;
 
--- a/tests/auto/server/tst_settings.cpp
+++ b/tests/auto/server/tst_settings.cpp
@@ -1,7 +1,7 @@
 #include <criterion/criterion.h>
 
-#include "server/settings.h"
 #include "http_api/url.h"
+#include "server/settings.h"
 
 using namespace fulmarpoint;
 
