--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -11,6 +11,11 @@
 // A full endpoint has room again when the next request there ends.
 constexpr Duration kRefusedBlock = std::chrono::milliseconds(100);
 
+// One slow prompt may have had bad luck; two in a row show.
+constexpr double kSlownessSampleWeight = 0.5;
+constexpr double kMostSlowness = 8.0;
+constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
+
 bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
   if (endpoint.record.draining || now < endpoint.blocked_until) return false;
   return !endpoint.gone_at || now < *endpoint.gone_at;
@@ -18,6 +23,10 @@
 
 }  // namespace
 
+double DirectoryEndpoint::RecentSlowness(TimePoint now) const {
+  return now - slowness_seen < kSlownessLifetime ? slowness : 1.0;
+}
+
 void EndpointUsage::Add(const EndpointUse& use) {
   unread_tokens += use.unread_tokens;
   memory_tokens += use.memory_tokens;
@@ -40,6 +49,7 @@
   endpoint.failures = 0;
   endpoint.blocked_until = TimePoint{};
   endpoint.suspected_until = TimePoint{};
+  endpoint.slowness = 1.0;
   endpoint.own_failure.reset();
   endpoint.latest_failure.reset();
   endpoint.load = EndpointLoad{};
@@ -121,6 +131,16 @@
   found->second.suspected_until = TimePoint{};
 }
 
+void EndpointDirectory::OnFirstEvent(const EndpointId& id, double ratio, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found == m_endpoints.end()) return;
+  DirectoryEndpoint& endpoint = found->second;
+  const double sample = std::clamp(ratio, 1.0 / kMostSlowness, kMostSlowness);
+  endpoint.slowness =
+      endpoint.RecentSlowness(now) * (1 - kSlownessSampleWeight) + sample * kSlownessSampleWeight;
+  endpoint.slowness_seen = now;
+}
+
 void EndpointDirectory::OnLoad(const EndpointId& id, const EndpointLoad& load) {
   const auto found = m_endpoints.find(id);
   if (found != m_endpoints.end()) found->second.load = load;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -43,6 +43,10 @@
   EndpointUsage peers;
   /// Load that came with the latest answer.
   EndpointLoad load;
+  /// How much longer than its peers the endpoint lately took to read a prompt, as seen here at
+  /// `slowness_seen`.
+  double slowness = 1.0;
+  TimePoint slowness_seen{};
   /// Failures in a row; the endpoint gets no request until `blocked_until`.
   int failures = 0;
   /// The latest failure that this daemon saw itself, and the latest that it knows of.
@@ -57,6 +61,8 @@
   std::int64_t UnreadTokens() const { return own.unread_tokens + peers.unread_tokens; }
   std::int64_t MemoryTokens() const { return own.memory_tokens + peers.memory_tokens; }
   int Requests() const { return own.requests + peers.requests; }
+  /// Returns `slowness`, or 1 if nothing was seen lately.
+  double RecentSlowness(TimePoint now) const;
 };
 
 /// Endpoints that the store lists, what is known of their health, and what they are used for. An
@@ -98,6 +104,8 @@
   /// The endpoint refused a request without running it: it is full or leaving.
   void OnRefused(const EndpointId& id, TimePoint now);
   void OnSuccess(const EndpointId& id);
+  /// A first event took `ratio` times as long as expected of the service's endpoints.
+  void OnFirstEvent(const EndpointId& id, double ratio, TimePoint now);
   void OnLoad(const EndpointId& id, const EndpointLoad& load);
 
   void AddUse(const EndpointUse& use);
--- a/src/libs/coordination/freshness_proof.h
+++ b/src/libs/coordination/freshness_proof.h
@@ -19,8 +19,9 @@
     if (!m_confirmed || started > *m_confirmed) m_confirmed = started;
   }
 
-  /// Returns whether a request that arrived no later than `now` may run with a key.
-  bool Holds(TimePoint now) const { return m_confirmed && now - *m_confirmed < m_validity; }
+  /// Returns whether a request that arrived at `arrival` may run with a key, now or later: its
+  /// caller sent it before the arrival, so within the validity of the proof.
+  bool Holds(TimePoint arrival) const { return m_confirmed && arrival - *m_confirmed < m_validity; }
 
   /// Returns the age of the proof, or nothing if there is none.
   std::optional<Duration> Age(TimePoint now) const {
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -38,7 +38,7 @@
   struct Options {
     std::size_t max_neighbours = 10;
     /// A neighbour that has not been heard for this long is left out of lookups.
-    Duration silence_limit = std::chrono::milliseconds(1200);
+    Duration silence_limit = std::chrono::milliseconds(750);
     /// A neighbour that has not been heard for this long is removed from the store.
     Duration removal_time = std::chrono::seconds(30);
   };
--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -2,19 +2,20 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
+
+#include "protocol/identifiers.h"
 
 namespace fulmarpoint {
 
 namespace {
 
 // Each running generation delays the others a little; expressed in prompt tokens.
-constexpr double kTokensPerRun = 150.0;
-// Cost of traffic between failure domains, expressed in prompt tokens.
-constexpr double kTokensPerDomainChange = 100.0;
+constexpr double kTokensPerRun = 30.0;
+// Advantage of the engine that is ranked one place higher for the prompt.
+constexpr double kTokensPerRank = 100.0;
 // A preferred endpoint is used while its backlog is this much of a prompt longer.
 constexpr double kPreferredBacklog = 1.0;
-// Random part that separates equal endpoints.
-constexpr double kTieTokens = 20.0;
 // Suspected endpoints are used only if no other has room.
 constexpr double kSuspectedPenalty = 1e9;
 
@@ -27,19 +28,31 @@
   return request.excluded.count(endpoint.record.id) > 0;
 }
 
+/// Returns the tokens that the endpoint has to read until the request's prompt is read, scaled to
+/// an endpoint of ordinary speed.
 double BacklogTokens(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
-  double tokens = static_cast<double>(endpoint.UnreadTokens());
-  tokens += kTokensPerRun * endpoint.Requests();
-  if (endpoint.record.failure_domain != request.failure_domain) tokens += kTokensPerDomainChange;
-  return tokens;
+  const double tokens = static_cast<double>(endpoint.UnreadTokens() + request.prompt_tokens);
+  const double slowness = std::max(1.0, endpoint.RecentSlowness(request.now));
+  return tokens * slowness + kTokensPerRun * endpoint.Requests();
 }
 
-double SuspicionPenalty(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
-  return request.now < endpoint.suspected_until ? kSuspectedPenalty : 0.0;
+/// Returns the endpoints that may be chosen, in their order for the prompt.
+std::vector<const DirectoryEndpoint*> Ranked(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                             const PlacementRequest& request) {
+  std::vector<std::pair<std::uint64_t, const DirectoryEndpoint*>> ranked;
+  for (const DirectoryEndpoint* endpoint : endpoints) {
+    if (IsExcluded(*endpoint, request)) continue;
+    ranked.emplace_back(StableHash(endpoint->record.id, request.prompt), endpoint);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<const DirectoryEndpoint*> order;
+  order.reserve(ranked.size());
+  for (const auto& [hash, endpoint] : ranked) order.push_back(endpoint);
+  return order;
 }
 
-double Tie(Random& random) {
-  return std::uniform_real_distribution<double>(0.0, kTieTokens)(random);
+double SuspicionPenalty(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
+  return request.now < endpoint.suspected_until ? kSuspectedPenalty : 0.0;
 }
 
 const DirectoryEndpoint* FindPreferred(const std::vector<const DirectoryEndpoint*>& endpoints,
@@ -75,13 +88,15 @@
 }
 
 const DirectoryEndpoint* PlaceStream(const std::vector<const DirectoryEndpoint*>& endpoints,
-                                     const PlacementRequest& request, Random& random) {
+                                     const PlacementRequest& request) {
   const DirectoryEndpoint* best = nullptr;
   double best_tokens = 0.0;
-  for (const DirectoryEndpoint* endpoint : endpoints) {
-    if (IsExcluded(*endpoint, request) || !HasRoom(*endpoint, request)) continue;
+  double rank_tokens = 0.0;
+  for (const DirectoryEndpoint* endpoint : Ranked(endpoints, request)) {
+    rank_tokens += kTokensPerRank;
+    if (!HasRoom(*endpoint, request)) continue;
     const double tokens =
-        BacklogTokens(*endpoint, request) + Tie(random) + SuspicionPenalty(*endpoint, request);
+        BacklogTokens(*endpoint, request) + rank_tokens + SuspicionPenalty(*endpoint, request);
     if (best != nullptr && tokens >= best_tokens) continue;
     best = endpoint;
     best_tokens = tokens;
@@ -95,16 +110,15 @@
 
 const DirectoryEndpoint* PlaceBackup(const std::vector<const DirectoryEndpoint*>& endpoints,
                                      const PlacementRequest& request,
-                                     const DirectoryEndpoint& primary, Random& random) {
+                                     const DirectoryEndpoint& primary) {
   const DirectoryEndpoint* best = nullptr;
   bool best_elsewhere = false;
   double best_tokens = 0.0;
-  for (const DirectoryEndpoint* endpoint : endpoints) {
-    if (endpoint == &primary || IsExcluded(*endpoint, request)) continue;
-    if (!HasRoom(*endpoint, request)) continue;
+  for (const DirectoryEndpoint* endpoint : Ranked(endpoints, request)) {
+    if (endpoint == &primary || !HasRoom(*endpoint, request)) continue;
     const bool elsewhere = endpoint->record.failure_domain != primary.record.failure_domain;
     const double tokens = static_cast<double>(endpoint->MemoryTokens() + endpoint->UnreadTokens()) +
-                          Tie(random) + SuspicionPenalty(*endpoint, request);
+                          SuspicionPenalty(*endpoint, request);
     const bool is_better = elsewhere != best_elsewhere ? elsewhere : tokens < best_tokens;
     if (best != nullptr && !is_better) continue;
     best = endpoint;
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -21,6 +21,9 @@
   std::set<EndpointId> excluded;
   /// An endpoint that probably still holds the prompt in memory; empty if none.
   EndpointId preferred;
+  /// Identifies the prompt. All daemons rank the engines for a prompt alike, so that one that knows
+  /// nothing of an earlier run probably finds the engine that holds the prompt.
+  std::uint64_t prompt = 0;
   /// Tokens to read and to keep; zero for requests to application engines.
   std::int64_t prompt_tokens = 0;
   std::int64_t memory_tokens = 0;
@@ -36,12 +39,12 @@
 /// Chooses the engine for a generation: the one that will begin with its prompt first and has room
 /// for the whole run. Returns null if none has room.
 const DirectoryEndpoint* PlaceStream(const std::vector<const DirectoryEndpoint*>& endpoints,
-                                     const PlacementRequest& request, Random& random);
+                                     const PlacementRequest& request);
 
 /// Chooses the engine that keeps a copy of a run's memory: in another failure domain than
 /// `primary` if one has room, and with the most room. Returns null if none has room.
 const DirectoryEndpoint* PlaceBackup(const std::vector<const DirectoryEndpoint*>& endpoints,
                                      const PlacementRequest& request,
-                                     const DirectoryEndpoint& primary, Random& random);
+                                     const DirectoryEndpoint& primary);
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -8,6 +8,8 @@
 
 // A run that is given up at this part of the longest good pause can go on elsewhere within it.
 constexpr int kPauseDivisor = 2;
+// Without a copy the prompt is read again elsewhere, which takes longer than this.
+constexpr int kNoCopyFactor = 2;
 // Part of the objective after which a run without its first event is tried elsewhere if nothing is
 // known about when to expect it, and the least part otherwise.
 constexpr double kUnknownFirstShare = 0.6;
@@ -30,11 +32,10 @@
                                        std::optional<std::uint64_t> last_event)
     : m_limits(limits), m_last_event(last_event) {}
 
-void StreamContinuation::OnRunStarted(bool from_copy, std::optional<Duration> expected_first,
-                                      TimePoint now) {
+void StreamContinuation::OnRunStarted(const RunStart& start, TimePoint now) {
   ++m_runs;
-  m_from_copy = from_copy;
-  m_expected_first = expected_first;
+  m_from_copy = start.from_copy;
+  m_expected_first = start.expected_first;
   m_run_has_event = false;
   m_last_progress = now;
   m_last_probe = now;
@@ -56,23 +57,30 @@
 
 void StreamContinuation::OnProbeAnswered(TimePoint now) { m_last_probe = now; }
 
-SilenceVerdict StreamContinuation::Judge(bool suspected, TimePoint now) const {
-  const bool elsewhere_possible = MayStartRun() && MayContinue();
-  if (elsewhere_possible && now - m_last_progress >= Patience()) return SilenceVerdict::kAbandon;
-  const Duration interval = suspected ? kSuspectedProbeInterval : kProbeInterval;
-  if (!m_run_has_event && now - m_last_probe >= interval) return SilenceVerdict::kProbe;
+SilenceVerdict StreamContinuation::Judge(const Circumstances& circumstances, TimePoint now) const {
+  if (!MayStartRun() || !MayContinue()) return SilenceVerdict::kWait;
+  const Duration silence = now - m_last_progress;
+  if (silence >= Patience(circumstances.has_copy)) return SilenceVerdict::kAbandon;
+  const Duration interval = circumstances.suspected ? kSuspectedProbeInterval : kProbeInterval;
+  const bool is_odd = !m_run_has_event || silence >= m_limits.gap_goal / kPauseDivisor;
+  if (is_odd && now - std::max(m_last_probe, m_last_progress) >= interval) {
+    return SilenceVerdict::kProbe;
+  }
   return SilenceVerdict::kWait;
 }
 
 TimePoint StreamContinuation::NextJudgement(TimePoint now) const {
-  const TimePoint end = m_last_progress + Patience();
   const TimePoint soon = now + kSuspectedProbeInterval;
-  if (!m_run_has_event) return end > now ? std::min(end, soon) : soon;
-  return end > now ? end : now + kProbeInterval;
+  if (!m_run_has_event) return soon;
+  const TimePoint odd = m_last_progress + m_limits.gap_goal / kPauseDivisor;
+  return odd > now ? odd : soon;
 }
 
-Duration StreamContinuation::Patience() const {
-  if (m_run_has_event || m_from_copy) return m_limits.gap_goal / kPauseDivisor;
+Duration StreamContinuation::Patience(bool has_copy) const {
+  if (m_from_copy && !m_run_has_event) return m_limits.gap_goal / kPauseDivisor;
+  if (m_run_has_event) {
+    return has_copy ? m_limits.gap_goal / kPauseDivisor : m_limits.gap_goal * kNoCopyFactor;
+  }
   if (!m_expected_first) return Scaled(m_limits.goal, kUnknownFirstShare);
   return std::max(Scaled(m_limits.goal, kLeastFirstShare),
                   Scaled(*m_expected_first, kLatenessFactor) + kLatenessSlack);
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -35,18 +35,31 @@
   /// `last_event` is the event after which the caller resumes.
   StreamContinuation(const Limits& limits, std::optional<std::uint64_t> last_event);
 
-  /// A run begins. `from_copy`: the endpoint holds a copy of the run's memory and needs to read
-  /// little. `expected_first`: when its first event is expected, if anything is known about it.
-  void OnRunStarted(bool from_copy, std::optional<Duration> expected_first, TimePoint now);
+  /// How a run begins.
+  struct RunStart {
+    /// The endpoint holds a copy of the run's memory and needs to read little.
+    bool from_copy = false;
+    /// When the first event is expected, if anything is known about it.
+    std::optional<Duration> expected_first;
+  };
+
+  void OnRunStarted(const RunStart& start, TimePoint now);
   /// The endpoint refused the run before it began.
   void OnRunRefused();
   EventVerdict OnEvent(std::uint64_t id, TimePoint now);
   /// The endpoint accepted a new connection while the run was silent.
   void OnProbeAnswered(TimePoint now);
 
-  /// Judges the silence since the last event or the start of the run. `suspected`: other requests
-  /// have lately failed at the endpoint or near it.
-  SilenceVerdict Judge(bool suspected, TimePoint now) const;
+  /// What is known besides the silence.
+  struct Circumstances {
+    /// Other requests have lately failed at the endpoint or near it.
+    bool suspected = false;
+    /// Another endpoint holds a copy of the run's memory, so that the run can go on there at once.
+    bool has_copy = false;
+  };
+
+  /// Judges the silence since the last event or the start of the run.
+  SilenceVerdict Judge(const Circumstances& circumstances, TimePoint now) const;
   /// Returns when to call `Judge` again if nothing happens.
   TimePoint NextJudgement(TimePoint now) const;
 
@@ -62,7 +75,7 @@
   Duration LongestPause() const { return m_longest_pause; }
 
  private:
-  Duration Patience() const;
+  Duration Patience(bool has_copy) const;
 
   Limits m_limits;
   std::optional<std::uint64_t> m_last_event;
--- a/src/libs/relay/caller_front.cpp
+++ b/src/libs/relay/caller_front.cpp
@@ -85,6 +85,7 @@
   Admission admission;
   RelayedRequest& request = admission.request;
   request.arrived = SteadyNow();
+  request.arrived_boot = BootNow();
   const HttpRequest& received = exchange.Request();
   const std::optional<std::string_view> host = FindHeader(received.headers, "Host");
   const std::optional<CallerFields> fields = m_context.wire.decode_caller(received.headers);
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -13,11 +13,11 @@
 
 namespace {
 
-constexpr Duration kInterval = std::chrono::milliseconds(300);
+constexpr Duration kInterval = std::chrono::milliseconds(200);
 // Changes within this time share a heartbeat.
 constexpr Duration kAnnouncePause = std::chrono::milliseconds(15);
 // A heartbeat that is this late shows that the process was paused.
-constexpr Duration kPauseLimit = std::chrono::milliseconds(700);
+constexpr Duration kPauseLimit = std::chrono::milliseconds(500);
 
 // Failures are reported to the peers for this long.
 constexpr Duration kFailureNews = std::chrono::milliseconds(500);
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -32,11 +32,14 @@
   OrganisationId organisation;
   int priority = 5;
   TimePoint arrived{};
+  /// The same instant on the clock `BootNow()`.
+  TimePoint arrived_boot{};
   /// When the caller or the route's time-out ends the wait.
   TimePoint deadline{};
 };
 
-/// Returns whether the request may be handed to an endpoint now: its key, if any, is proven valid.
+/// Returns whether the request may be handed to an endpoint: its key, if any, was proven valid when
+/// it arrived. What was proven once stays so for retries and resumed runs of the same request.
 bool MayRun(const RelayContext& context, const RelayedRequest& request);
 
 /// Returns the request as it is sent to an endpoint at `address`.
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -42,6 +42,7 @@
  private:
   Task<Step> StartRun();
   std::optional<EndpointRecord> ChooseEngine(PlacementRequest& placement);
+  bool HasCopy() const;
   PlacementRequest MakePlacement() const;
   EndpointFields MakeFields(const EndpointRecord& engine, bool from_copy,
                             const PlacementRequest& placement);
@@ -54,6 +55,7 @@
   void SetUses(const EndpointRecord& engine, bool from_copy);
   void ClearUses();
   void OnPromptRead();
+  void ObservePace();
   Task<void> Answer(HttpReply reply, std::string_view outcome);
   Task<void> Fail();
   void LogEnd(std::string_view outcome, int status);
@@ -190,8 +192,8 @@
   m_run = std::make_shared<StreamRun>(*engine, connection, m_wake);
   ++m_arrivals;
   m_run_started = SteadyNow();
-  m_continuation.OnRunStarted(m_from_copy, m_context.Pace(m_request.service).Expect(m_backlog),
-                              m_run_started);
+  const std::optional<Duration> expected = m_context.Pace(m_request.service).Expect(m_backlog);
+  m_continuation.OnRunStarted({m_from_copy, expected}, m_run_started);
   Log(LogLevel::kInfo, "run_started",
       "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
           " after=" + std::to_string(fields.last_event.value_or(0)) +
@@ -215,8 +217,8 @@
     placement.engine_memory_tokens = service->engine->memory_tokens;
   }
   if (!m_request.fields.prompt.empty()) {
-    placement.preferred =
-        m_context.streams.FindPrompt(m_request.fields.prompt.back().id, SteadyNow());
+    placement.prompt = m_request.fields.prompt.back().id;
+    placement.preferred = m_context.streams.FindPrompt(placement.prompt, SteadyNow());
   }
   return placement;
 }
@@ -230,11 +232,18 @@
   }
   const std::vector<const DirectoryEndpoint*> usable =
       m_context.endpoints.Usable(m_request.service, now);
-  const DirectoryEndpoint* engine = PlaceStream(usable, placement, m_context.random);
+  const DirectoryEndpoint* engine = PlaceStream(usable, placement);
   if (engine == nullptr) return std::nullopt;
   return engine->record;
 }
 
+/// Returns whether an engine that can be used probably holds a copy of the run's memory.
+bool StreamSession::HasCopy() const {
+  return !m_backup.id.empty() && m_continuation.HasDelivered() &&
+         m_excluded.count(m_backup.id) == 0 &&
+         m_context.endpoints.IsUsable(m_backup.id, SteadyNow());
+}
+
 /// Fills what the engine is told, and chooses the engine that receives the copy.
 EndpointFields StreamSession::MakeFields(const EndpointRecord& engine, bool from_copy,
                                          const PlacementRequest& placement) {
@@ -251,7 +260,7 @@
   if (!sends_backups || primary == nullptr) return fields;
   const std::vector<const DirectoryEndpoint*> usable =
       m_context.endpoints.Usable(m_request.service, SteadyNow());
-  const DirectoryEndpoint* backup = PlaceBackup(usable, placement, *primary, m_context.random);
+  const DirectoryEndpoint* backup = PlaceBackup(usable, placement, *primary);
   if (backup == nullptr) return fields;
   m_backup = backup->record;
   fields.backup_address = m_backup.address;
@@ -322,7 +331,9 @@
     }
     if (!copy_missing) m_excluded.insert(engine);
     m_backup = EndpointRecord();
-    AbandonRun(copy_missing ? "no copy" : "refused", false);
+    AbandonRun(
+        copy_missing ? "no copy" : "refused with status " + std::to_string(m_run->Reply().status),
+        false);
     co_return Step::kGoOn;
   }
   const int status = m_run->Reply().status;
@@ -343,8 +354,10 @@
 /// Waits for events, and judges the run if none come.
 Task<Step> StreamSession::OnSilence() {
   const TimePoint now = SteadyNow();
-  const bool suspected = m_context.endpoints.IsSuspected(m_run->Endpoint().id, now);
-  switch (m_continuation.Judge(suspected, now)) {
+  StreamContinuation::Circumstances circumstances;
+  circumstances.suspected = m_context.endpoints.IsSuspected(m_run->Endpoint().id, now);
+  circumstances.has_copy = HasCopy();
+  switch (m_continuation.Judge(circumstances, now)) {
     case SilenceVerdict::kAbandon:
       AbandonRun("silent", true);
       co_return Step::kGoOn;
@@ -405,10 +418,23 @@
   m_uses.clear();
 }
 
+/// Compares the time to the first event with that at other engines.
+void StreamSession::ObservePace() {
+  PromptPace& pace = m_context.Pace(m_request.service);
+  const Duration elapsed = SteadyNow() - m_run_started;
+  const std::optional<Duration> expected = pace.Expect(m_backlog);
+  if (expected && expected->count() > 0) {
+    const double ratio =
+        static_cast<double>(elapsed.count()) / static_cast<double>(expected->count());
+    m_context.endpoints.OnFirstEvent(m_run->Endpoint().id, ratio, SteadyNow());
+  }
+  pace.Observe(m_backlog, elapsed);
+}
+
 /// The first event of a run shows that its engine has read the prompt.
 void StreamSession::OnPromptRead() {
   if (m_uses.empty() || m_uses.front().unread_tokens == 0) return;
-  m_context.Pace(m_request.service).Observe(m_backlog, SteadyNow() - m_run_started);
+  ObservePace();
   m_context.endpoints.RemoveUse(m_uses.front());
   m_uses.front().unread_tokens = 0;
   m_context.endpoints.AddUse(m_uses.front());
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -36,8 +36,8 @@
   peers.Put(Record("p"), kStart);
   cr_assert_eq(peers.CallerAddresses(kStart).size(), 0u, "it has not said that it is ready");
   cr_assert(peers.OnHeartbeat(Heartbeat("p", 1), kStart));
-  cr_assert_eq(peers.CallerAddresses(At(1199)).size(), 1u);
-  cr_assert_eq(peers.CallerAddresses(At(1200)).size(), 0u);
+  cr_assert_eq(peers.CallerAddresses(At(749)).size(), 1u);
+  cr_assert_eq(peers.CallerAddresses(At(750)).size(), 0u);
   RelayHeartbeat leaving = Heartbeat("p", 2);
   leaving.leaving = true;
   peers.OnHeartbeat(leaving, At(1300));
--- a/tests/auto/coordination/tst_relay_placement.cpp
+++ b/tests/auto/coordination/tst_relay_placement.cpp
@@ -53,10 +53,9 @@
   for (DirectoryEndpoint& endpoint : fleet.endpoints) endpoint.own.unread_tokens = 5000;
   fleet.endpoints[3].own.unread_tokens = 0;
   Random random(kSeed);
-  cr_assert(IdOf(PlaceStream(fleet.Pointers(), Request(), random)) == "e3");
+  cr_assert(IdOf(PlaceStream(fleet.Pointers(), Request())) == "e3");
   fleet.endpoints[3].peers.unread_tokens = 9000;
-  cr_assert(IdOf(PlaceStream(fleet.Pointers(), Request(), random)) != "e3",
-            "placements of peers count");
+  cr_assert(IdOf(PlaceStream(fleet.Pointers(), Request())) != "e3", "placements of peers count");
 }
 
 // Guards against engines that preempt running generations because their memory is overcommitted.
@@ -64,11 +63,11 @@
   Fleet fleet(3);
   for (DirectoryEndpoint& endpoint : fleet.endpoints) endpoint.own.memory_tokens = 50000;
   Random random(kSeed);
-  cr_assert_null(PlaceStream(fleet.Pointers(), Request(), random));
+  cr_assert_null(PlaceStream(fleet.Pointers(), Request()));
   fleet.endpoints[1].own.memory_tokens = 49000;
-  const DirectoryEndpoint* engine = PlaceStream(fleet.Pointers(), Request(), random);
+  const DirectoryEndpoint* engine = PlaceStream(fleet.Pointers(), Request());
   cr_assert(IdOf(engine) == "e1");
-  cr_assert_null(PlaceBackup(fleet.Pointers(), Request(), *engine, random));
+  cr_assert_null(PlaceBackup(fleet.Pointers(), Request(), *engine));
 }
 
 // Guards against the loss of a run and its copy with one failure domain.
@@ -79,14 +78,12 @@
   fleet.endpoints[5].own.memory_tokens = 30000;
   Random random(kSeed);
   for (int draw = 0; draw < 50; ++draw) {
-    const DirectoryEndpoint* backup =
-        PlaceBackup(fleet.Pointers(), Request(), fleet.endpoints[0], random);
+    const DirectoryEndpoint* backup = PlaceBackup(fleet.Pointers(), Request(), fleet.endpoints[0]);
     cr_assert(IdOf(backup) == "e1" || IdOf(backup) == "e3", "%s", IdOf(backup).c_str());
   }
   PlacementRequest request = Request();
   request.excluded = {"e1", "e3", "e5"};
-  const DirectoryEndpoint* backup =
-      PlaceBackup(fleet.Pointers(), request, fleet.endpoints[0], random);
+  const DirectoryEndpoint* backup = PlaceBackup(fleet.Pointers(), request, fleet.endpoints[0]);
   cr_assert_not_null(backup, "a copy in the same domain still helps against the loss of an engine");
 }
 
@@ -101,7 +98,7 @@
   request.preferred = "e0";
   for (int draw = 0; draw < 50; ++draw) {
     cr_assert(PlaceCall(fleet.Pointers(), request, random)->record.failure_domain == "b");
-    cr_assert(PlaceStream(fleet.Pointers(), request, random)->record.failure_domain == "b");
+    cr_assert(PlaceStream(fleet.Pointers(), request)->record.failure_domain == "b");
   }
   request.excluded = {"e1", "e3"};
   cr_assert_not_null(PlaceCall(fleet.Pointers(), request, random));
--- a/tests/auto/coordination/tst_stream_continuation.cpp
+++ b/tests/auto/coordination/tst_stream_continuation.cpp
@@ -18,7 +18,7 @@
 
 StreamContinuation Started() {
   StreamContinuation stream(Limits(), std::nullopt);
-  stream.OnRunStarted(false, std::nullopt, kStart);
+  stream.OnRunStarted({}, kStart);
   return stream;
 }
 
@@ -31,7 +31,7 @@
   cr_assert_eq(stream.OnEvent(2, At(20)), EventVerdict::kDeliver);
   cr_assert_eq(stream.OnEvent(2, At(30)), EventVerdict::kDuplicate);
   cr_assert_eq(stream.OnEvent(4, At(40)), EventVerdict::kGap);
-  stream.OnRunStarted(false, std::nullopt, At(50));
+  stream.OnRunStarted({}, At(50));
   cr_assert_eq(stream.LastEvent().value_or(0), 2u);
   cr_assert_eq(stream.OnEvent(1, At(60)), EventVerdict::kDuplicate);
   cr_assert_eq(stream.OnEvent(3, At(70)), EventVerdict::kDeliver);
@@ -41,7 +41,7 @@
 // Guards against a resumed stream that repeats what its caller holds.
 Test(stream_continuation, continues_after_the_callers_event) {
   StreamContinuation stream(Limits(), 12);
-  stream.OnRunStarted(false, std::nullopt, kStart);
+  stream.OnRunStarted({}, kStart);
   cr_assert_eq(stream.OnEvent(12, At(10)), EventVerdict::kDuplicate);
   cr_assert_eq(stream.OnEvent(13, At(10)), EventVerdict::kDeliver);
 }
@@ -50,44 +50,57 @@
 Test(stream_continuation, a_silent_run_is_given_up_within_half_the_longest_pause) {
   StreamContinuation stream = Started();
   stream.OnEvent(1, At(1000));
-  cr_assert_eq(stream.Judge(false, At(1349)), SilenceVerdict::kWait);
-  cr_assert_eq(stream.Judge(false, At(1350)), SilenceVerdict::kAbandon);
+  cr_assert_eq(stream.Judge({false, true}, At(1349)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({false, true}, At(1350)), SilenceVerdict::kAbandon);
   cr_assert(stream.NextJudgement(At(1000)) == At(1350));
 }
 
+// Guards against a run without a copy that is moved because its engine pauses: reading the prompt
+// elsewhere takes longer than the pause.
+Test(stream_continuation, a_silent_run_without_a_copy_is_probed_first) {
+  StreamContinuation stream = Started();
+  stream.OnEvent(1, At(1000));
+  cr_assert_eq(stream.Judge({}, At(1400)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({true, false}, At(1400)), SilenceVerdict::kProbe);
+  cr_assert_eq(stream.Judge({}, At(1500)), SilenceVerdict::kProbe);
+  stream.OnProbeAnswered(At(1510));
+  cr_assert_eq(stream.Judge({}, At(1600)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({}, At(2400)), SilenceVerdict::kAbandon);
+}
+
 // Guards against a run that is moved, and its prompt read twice, because its engine is busy.
 Test(stream_continuation, patience_before_the_first_event_follows_what_is_expected) {
   StreamContinuation stream(Limits(), std::nullopt);
-  stream.OnRunStarted(false, Duration(std::chrono::milliseconds(2500)), kStart);
+  stream.OnRunStarted({false, Duration(std::chrono::milliseconds(2500))}, kStart);
   stream.OnProbeAnswered(At(4200));
-  cr_assert_eq(stream.Judge(false, At(4250)), SilenceVerdict::kWait);
-  cr_assert_eq(stream.Judge(false, At(4300)), SilenceVerdict::kAbandon);
+  cr_assert_eq(stream.Judge({}, At(4250)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({}, At(4300)), SilenceVerdict::kAbandon);
   StreamContinuation quick(Limits(), std::nullopt);
-  quick.OnRunStarted(false, Duration(std::chrono::milliseconds(100)), kStart);
+  quick.OnRunStarted({false, Duration(std::chrono::milliseconds(100))}, kStart);
   quick.OnProbeAnswered(At(1750));
-  cr_assert_eq(quick.Judge(false, At(1790)), SilenceVerdict::kWait);
-  cr_assert_eq(quick.Judge(false, At(1800)), SilenceVerdict::kAbandon);
+  cr_assert_eq(quick.Judge({}, At(1790)), SilenceVerdict::kWait);
+  cr_assert_eq(quick.Judge({}, At(1800)), SilenceVerdict::kAbandon);
 }
 
 // Guards against a dark engine that is taken for one that reads a long prompt.
 Test(stream_continuation, silence_before_the_first_event_is_probed) {
   StreamContinuation stream = Started();
-  cr_assert_eq(stream.Judge(false, At(499)), SilenceVerdict::kWait);
-  cr_assert_eq(stream.Judge(true, At(100)), SilenceVerdict::kProbe);
-  cr_assert_eq(stream.Judge(false, At(500)), SilenceVerdict::kProbe);
+  cr_assert_eq(stream.Judge({}, At(499)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({true, false}, At(100)), SilenceVerdict::kProbe);
+  cr_assert_eq(stream.Judge({}, At(500)), SilenceVerdict::kProbe);
   stream.OnProbeAnswered(At(510));
-  cr_assert_eq(stream.Judge(false, At(1000)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({}, At(1000)), SilenceVerdict::kWait);
 }
 
 // Guards against more runs than the route allows, and against giving up the last one.
 Test(stream_continuation, the_last_run_is_kept) {
   StreamContinuation stream = Started();
-  stream.OnRunStarted(false, std::nullopt, At(0));
+  stream.OnRunStarted({}, At(0));
   cr_assert(stream.MayStartRun());
-  stream.OnRunStarted(false, std::nullopt, At(0));
+  stream.OnRunStarted({}, At(0));
   cr_assert_not(stream.MayStartRun());
   stream.OnEvent(1, At(0));
-  cr_assert_eq(stream.Judge(false, At(20000)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({}, At(20000)), SilenceVerdict::kWait);
   stream.OnRunRefused();
   cr_assert(stream.MayStartRun(), "a refused run did not happen");
 }
@@ -97,11 +110,11 @@
   StreamContinuation::Limits limits = Limits();
   limits.can_resume = false;
   StreamContinuation stream(limits, std::nullopt);
-  stream.OnRunStarted(false, std::nullopt, kStart);
+  stream.OnRunStarted({}, kStart);
   cr_assert(stream.MayContinue(), "nothing was delivered");
   stream.OnEvent(1, At(10));
   cr_assert_not(stream.MayContinue());
-  cr_assert_eq(stream.Judge(false, At(9000)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({}, At(9000)), SilenceVerdict::kWait);
 }
 
 // Guards against expectations without grounds, and against tiny prompts that distort them.
