--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -191,6 +191,13 @@
   return endpoint != nullptr && MayReceive(*endpoint, now);
 }
 
+bool EndpointDirectory::IsIntact(const EndpointRecord& record, TimePoint since) const {
+  const DirectoryEndpoint* endpoint = Find(record.id);
+  if (endpoint == nullptr || endpoint->gone_at) return false;
+  if (endpoint->record.incarnation != record.incarnation) return false;
+  return !endpoint->latest_failure || *endpoint->latest_failure < since;
+}
+
 bool EndpointDirectory::IsSuspected(const EndpointId& id, TimePoint now) const {
   const DirectoryEndpoint* endpoint = Find(id);
   return endpoint == nullptr || now < endpoint->suspected_until;
--- a/src/libs/protocol/relay_configuration.h
+++ b/src/libs/protocol/relay_configuration.h
@@ -56,6 +56,9 @@
   std::int64_t memory_tokens = 0;
   /// An engine sends a copy of a run's memory to another engine while it grows.
   bool sends_backups = false;
+  /// An engine copies a run's memory to another engine on request, and keeps it this long.
+  bool copies_runs = false;
+  Duration copy_lifetime = std::chrono::seconds(4);
 };
 
 struct RelayService {
--- a/src/libs/protocol/relay_messages.h
+++ b/src/libs/protocol/relay_messages.h
@@ -31,6 +31,13 @@
   std::vector<PromptPart> prompt;
 };
 
+/// Where an engine finds a copy of a run's memory.
+struct RunCopySource {
+  /// "ip:port".
+  std::string address;
+  std::string name;
+};
+
 /// What the relay tells an endpoint about a request.
 struct EndpointFields {
   std::string request_id;
@@ -43,8 +50,8 @@
   std::optional<int> priority;
   /// "ip:port" of the engine that receives a copy of the run's memory.
   std::string backup_address;
-  /// "ip:port" of this engine if it holds a copy of the run's memory to continue from.
-  std::string copy_address;
+  /// The copy of the run's memory to continue from.
+  std::optional<RunCopySource> copy;
 };
 
 /// Load as an endpoint reports it with an answer.
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/run_copy.h"
 #include "coordination/stream_continuation.h"
 #include "relay/stream_run.h"
 #include "transport/notification.h"
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr Duration kConnectTime = std::chrono::milliseconds(120);
+constexpr Duration kEngineCallTime = std::chrono::milliseconds(1500);
+constexpr std::size_t kMaxEngineReplyBytes = std::size_t{64} * 1024;
 constexpr Duration kRetryAfterNoEngine = std::chrono::milliseconds(300);
 // Pause before engines are looked for again when none has room.
 constexpr Duration kNoEnginePause = std::chrono::milliseconds(50);
@@ -29,6 +32,34 @@
 
 enum class Step { kGoOn, kEnd };
 
+/// Sends a call to an engine on a connection of its own. The status is 0 without an answer.
+Task<HttpReply> CallEngine(Executor executor, std::string address, EngineCall call) {
+  HttpClientExchange connection(executor, HttpClientExchange::Options());
+  HttpReply reply;
+  reply.status = 0;
+  if (co_await connection.Connect(std::move(address), kConnectTime)) co_return reply;
+  HttpClientRequest request;
+  request.method = std::move(call.method);
+  request.target = std::move(call.target);
+  request.body = std::move(call.body);
+  if (!request.body.empty()) request.headers.push_back({"Content-Type", "application/json"});
+  connection.Start(std::move(request));
+  HttpReply received;
+  if (co_await connection.ReadHead(received, kEngineCallTime)) co_return reply;
+  const std::error_code error =
+      co_await connection.ReadBody(received.body, kMaxEngineReplyBytes, kEngineCallTime);
+  co_return error ? reply : received;
+}
+
+Task<void> RequestCopy(RelayContext& context, std::shared_ptr<RunCopy> copy, std::string address,
+                       EngineCall call) {
+  const HttpReply reply = co_await CallEngine(context.executor, std::move(address), call);
+  const std::optional<std::string> name = context.wire.decode_copy(reply);
+  copy->OnRequestEnded(name);
+  context.metrics.Count("run_copies_requested", name ? "made" : "failed");
+  if (!name) Log(LogLevel::kWarning, "copy_failed", "status=" + std::to_string(reply.status));
+}
+
 class StreamSession {
  public:
   StreamSession(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
@@ -44,14 +75,20 @@
   std::optional<EndpointRecord> ChooseEngine(PlacementRequest& placement);
   bool HasCopy() const;
   PlacementRequest MakePlacement() const;
-  EndpointFields MakeFields(const EndpointRecord& engine, bool from_copy,
-                            const PlacementRequest& placement);
+  EndpointFields MakeFields(const EndpointRecord& engine, const PlacementRequest& placement);
+  std::optional<EndpointRecord> ChooseBackup(const EndpointRecord& engine,
+                                             const PlacementRequest& placement) const;
+  void MaintainCopy();
+  const EngineCapacity* Capacity() const;
+  std::shared_ptr<RunCopy> NewCopy() const;
+  std::string HolderId() const { return m_copy->Holder() ? m_copy->Holder()->id : ""; }
   Task<Step> Deliver();
   Task<Step> OnRunEnd();
   Task<Step> OnOtherAnswer();
   Task<Step> OnSilence();
   Task<void> Probe(std::shared_ptr<StreamRun> run);
   void AbandonRun(std::string reason, bool is_failure);
+  void FreeCopy();
   void SetUses(const EndpointRecord& engine, bool from_copy);
   void ClearUses();
   void OnPromptRead();
@@ -72,8 +109,8 @@
   std::shared_ptr<Notification> m_wake;
   std::shared_ptr<StreamRun> m_run;
   std::set<EndpointId> m_excluded;
-  /// Engine that keeps a copy of the last run's memory; empty if none.
-  EndpointRecord m_backup;
+  /// The copy of the current or last run's memory. Shared with the task that requests one.
+  std::shared_ptr<RunCopy> m_copy;
   std::vector<EndpointUse> m_uses;
   std::uint64_t m_stream_id = 0;
   RelayedStream m_stream;
@@ -104,10 +141,12 @@
       m_request(std::move(request)),
       m_continuation(LimitsOf(*m_request.route), m_request.fields.last_event),
       m_wake(std::make_shared<Notification>(context.executor)),
+      m_copy(NewCopy()),
       m_stream_id(context.streams.NextId()) {}
 
 StreamSession::~StreamSession() {
   if (m_run) m_run->Cancel();
+  FreeCopy();
   ClearUses();
   m_context.streams.Remove(m_stream_id);
   if (m_context.on_news_for_peers) m_context.on_news_for_peers();
@@ -184,8 +223,8 @@
   if (m_exchange.ClientGone()) co_return Step::kGoOn;
   m_stale = !MayRun(m_context, m_request);
   if (m_stale) co_return Step::kGoOn;
-  m_from_copy = m_backup.id == engine->id && m_continuation.HasDelivered();
-  EndpointFields fields = MakeFields(*engine, m_from_copy, placement);
+  EndpointFields fields = MakeFields(*engine, placement);
+  m_from_copy = fields.copy.has_value();
   SetUses(*engine, m_from_copy);
   const DirectoryEndpoint* known = m_context.endpoints.Find(engine->id);
   m_backlog = known == nullptr ? m_request.fields.prompt_tokens : known->UnreadTokens();
@@ -197,7 +236,7 @@
   Log(LogLevel::kInfo, "run_started",
       "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
           " after=" + std::to_string(fields.last_event.value_or(0)) +
-          " copy=" + (m_from_copy ? "1" : "0") + " backup=" + m_backup.id);
+          " copy=" + (m_from_copy ? "1" : "0") + " backup=" + HolderId());
   m_run->Start(
       m_context.executor, m_context.wire,
       BuildEndpointRequest(m_context, m_request, engine->address, std::move(fields), SteadyNow()),
@@ -205,6 +244,17 @@
   co_return Step::kGoOn;
 }
 
+const EngineCapacity* StreamSession::Capacity() const {
+  const RelayService* service = m_request.table->FindService(m_request.service);
+  return service == nullptr || !service->engine ? nullptr : &*service->engine;
+}
+
+std::shared_ptr<RunCopy> StreamSession::NewCopy() const {
+  const EngineCapacity* capacity = Capacity();
+  return std::make_shared<RunCopy>(capacity == nullptr ? Duration::zero()
+                                                       : capacity->copy_lifetime);
+}
+
 PlacementRequest StreamSession::MakePlacement() const {
   PlacementRequest placement;
   placement.failure_domain = m_context.settings.failure_domain;
@@ -212,10 +262,8 @@
   placement.excluded = m_excluded;
   placement.prompt_tokens = m_request.fields.prompt_tokens;
   placement.memory_tokens = MemoryTokens();
-  const RelayService* service = m_request.table->FindService(m_request.service);
-  if (service != nullptr && service->engine) {
-    placement.engine_memory_tokens = service->engine->memory_tokens;
-  }
+  const EngineCapacity* capacity = Capacity();
+  if (capacity != nullptr) placement.engine_memory_tokens = capacity->memory_tokens;
   if (!m_request.fields.prompt.empty()) {
     placement.prompt = m_request.fields.prompt.back().id;
     placement.preferred = m_context.streams.FindPrompt(placement.prompt, SteadyNow());
@@ -224,14 +272,9 @@
 }
 
 std::optional<EndpointRecord> StreamSession::ChooseEngine(PlacementRequest& placement) {
-  const TimePoint now = SteadyNow();
-  const bool has_copy =
-      !m_backup.id.empty() && m_continuation.HasDelivered() && m_excluded.count(m_backup.id) == 0;
-  if (has_copy && m_context.endpoints.IsUsable(m_backup.id, now)) {
-    return m_context.endpoints.Find(m_backup.id)->record;
-  }
+  if (HasCopy()) return m_context.endpoints.Find(m_copy->Holder()->id)->record;
   const std::vector<const DirectoryEndpoint*> usable =
-      m_context.endpoints.Usable(m_request.service, now);
+      m_context.endpoints.Usable(m_request.service, SteadyNow());
   const DirectoryEndpoint* engine = PlaceStream(usable, placement);
   if (engine == nullptr) return std::nullopt;
   return engine->record;
@@ -239,32 +282,66 @@
 
 /// Returns whether an engine that can be used probably holds a copy of the run's memory.
 bool StreamSession::HasCopy() const {
-  return !m_backup.id.empty() && m_continuation.HasDelivered() &&
-         m_excluded.count(m_backup.id) == 0 &&
-         m_context.endpoints.IsUsable(m_backup.id, SteadyNow());
+  const TimePoint now = SteadyNow();
+  if (!m_continuation.HasDelivered() || !m_copy->IsComplete(now)) return false;
+  const EndpointId& holder = m_copy->Holder()->id;
+  return m_excluded.count(holder) == 0 && m_context.endpoints.IsUsable(holder, now);
 }
 
 /// Fills what the engine is told, and chooses the engine that receives the copy.
-EndpointFields StreamSession::MakeFields(const EndpointRecord& engine, bool from_copy,
+EndpointFields StreamSession::MakeFields(const EndpointRecord& engine,
                                          const PlacementRequest& placement) {
   EndpointFields fields;
   fields.endpoint = engine.id;
   fields.last_event = m_continuation.LastEvent();
   fields.priority = m_request.priority;
-  if (from_copy) fields.copy_address = engine.address;
-  m_backup = EndpointRecord();
-  const RelayService* service = m_request.table->FindService(m_request.service);
-  const bool sends_backups = service != nullptr && service->engine &&
-                             service->engine->sends_backups && m_request.route->can_resume;
+  if (HasCopy() && m_copy->Holder()->id == engine.id) fields.copy = m_copy->Source();
+  const EngineCapacity* capacity = Capacity();
+  std::optional<EndpointRecord> backup;
+  if (capacity != nullptr && capacity->sends_backups && m_request.route->can_resume) {
+    backup = ChooseBackup(engine, placement);
+  }
+  if (backup) fields.backup_address = backup->address;
+  // A request for the copy of the last run may still be in progress, so this run gets its own.
+  m_copy = NewCopy();
+  m_copy->OnRunStarted(backup, m_request.fields.request_id);
+  return fields;
+}
+
+std::optional<EndpointRecord> StreamSession::ChooseBackup(const EndpointRecord& engine,
+                                                          const PlacementRequest& placement) const {
   const DirectoryEndpoint* primary = m_context.endpoints.Find(engine.id);
-  if (!sends_backups || primary == nullptr) return fields;
+  if (primary == nullptr) return std::nullopt;
   const std::vector<const DirectoryEndpoint*> usable =
       m_context.endpoints.Usable(m_request.service, SteadyNow());
   const DirectoryEndpoint* backup = PlaceBackup(usable, placement, *primary);
-  if (backup == nullptr) return fields;
-  m_backup = backup->record;
-  fields.backup_address = m_backup.address;
-  return fields;
+  if (backup == nullptr) return std::nullopt;
+  return backup->record;
+}
+
+/// Requests a copy at another engine if the one that has it was lost, and renews requested copies.
+void StreamSession::MaintainCopy() {
+  const EngineCapacity* capacity = Capacity();
+  const bool can_copy = capacity != nullptr && capacity->copies_runs &&
+                        m_request.route->can_resume && m_continuation.HasDelivered();
+  if (!can_copy) return;
+  const TimePoint now = SteadyNow();
+  const std::optional<EndpointRecord>& holder = m_copy->Holder();
+  const bool is_intact = holder && m_context.endpoints.IsIntact(*holder, m_run_started);
+  if (!m_copy->IsRequestDue(is_intact, now)) return;
+  const EndpointRecord& engine = m_run->Endpoint();
+  const std::optional<EndpointRecord> target =
+      is_intact ? holder : ChooseBackup(engine, MakePlacement());
+  if (!target) return;
+  m_copy->OnRequested(*target, engine.address, now);
+  SetUses(engine, true);
+  Log(LogLevel::kInfo, "copy_requested",
+      "request=" + m_request.fields.request_id + " endpoint=" + engine.id +
+          " backup=" + target->id + " renewal=" + (is_intact ? "1" : "0"));
+  const EngineCall call = m_context.wire.copy_run(m_request.fields.request_id, target->address);
+  Spawn(m_context.executor, [&context = m_context, copy = m_copy, engine, call]() {
+    return RequestCopy(context, copy, engine.address, call);
+  });
 }
 
 /// Passes on the events that have arrived.
@@ -330,7 +407,7 @@
       m_context.endpoints.OnRefused(engine, SteadyNow());
     }
     if (!copy_missing) m_excluded.insert(engine);
-    m_backup = EndpointRecord();
+    m_copy = NewCopy();
     AbandonRun(
         copy_missing ? "no copy" : "refused with status " + std::to_string(m_run->Reply().status),
         false);
@@ -353,6 +430,7 @@
 
 /// Waits for events, and judges the run if none come.
 Task<Step> StreamSession::OnSilence() {
+  MaintainCopy();
   const TimePoint now = SteadyNow();
   StreamContinuation::Circumstances circumstances;
   circumstances.suspected = m_context.endpoints.IsSuspected(m_run->Endpoint().id, now);
@@ -398,14 +476,25 @@
           std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" + reason + "\"");
 }
 
+/// A requested copy takes a slot until it is freed or has expired.
+void StreamSession::FreeCopy() {
+  if (!m_copy->IsRequested()) return;
+  const RunCopySource& source = m_copy->Source();
+  const EngineCall call = m_context.wire.free_copy(source.name);
+  Spawn(m_context.executor,
+        [executor = m_context.executor, address = source.address, call]() -> Task<void> {
+          co_await CallEngine(executor, address, call);
+        });
+}
+
 void StreamSession::SetUses(const EndpointRecord& engine, bool from_copy) {
   ClearUses();
   const std::int64_t unread = from_copy ? 0 : m_request.fields.prompt_tokens;
   m_uses.push_back({engine.id, unread, MemoryTokens(), true});
-  if (!m_backup.id.empty()) m_uses.push_back({m_backup.id, 0, MemoryTokens(), false});
+  if (m_copy->Holder()) m_uses.push_back({HolderId(), 0, MemoryTokens(), false});
   for (const EndpointUse& use : m_uses) m_context.endpoints.AddUse(use);
   m_stream.endpoint = engine.id;
-  m_stream.backup = m_backup.id;
+  m_stream.backup = HolderId();
   m_stream.prompt = m_request.fields.prompt.empty() ? 0 : m_request.fields.prompt.back().id;
   m_stream.unread_tokens = static_cast<std::uint32_t>(unread);
   m_stream.memory_tokens = static_cast<std::uint32_t>(MemoryTokens());
--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -18,6 +18,10 @@
   return {503, {{"Fulmarpoint-Not-Run", "1"}, {kRequestId, request_id}}, ""};
 }
 
+HttpReply CopyReply(const std::string& name) {
+  return {200, {}, nlohmann::json{{"handle", name}, {"createRev", 1}}.dump()};
+}
+
 HttpReply Misdirection() { return {421, {{"Fulmarpoint-Instance-Id", "another"}}, ""}; }
 
 HttpReply Success(const std::string& request_id, const std::string& id) {
@@ -59,6 +63,18 @@
 }
 
 Task<void> EndpointStandin::Handle(HttpExchange& exchange) {
+  const std::string& target = exchange.Request().target;
+  if (target == "/fulmarpoint/kv-move") {
+    const nlohmann::json call = nlohmann::json::parse(exchange.Request().body);
+    copied_to.push_back(call.at("to").get<std::string>());
+    co_await exchange.Respond(CopyReply("copy-" + std::to_string(copied_to.size())));
+    co_return;
+  }
+  if (target.rfind("/fulmarpoint/kv-handle/", 0) == 0) {
+    freed.push_back(target.substr(target.rfind('/') + 1));
+    co_await exchange.Respond(HttpReply());
+    co_return;
+  }
   seen.push_back({exchange.Request()});
   const std::size_t index = seen.size() - 1;
   const std::string request_id = HeaderOf(exchange.Request(), kRequestId);
@@ -102,7 +118,7 @@
 Task<void> EndpointStandin::AnswerStream(HttpExchange& exchange, std::string request_id) {
   const std::string after = HeaderOf(exchange.Request(), "Last-Event-Id");
   const int first = after.empty() ? 1 : std::stoi(after) + 1;
-  int sent = 0;
+  sent = 0;
   for (int number = first; number <= total && !exchange.ClientGone(); ++number) {
     const bool reached = sent == events;
     if (reached && behaviour == EndpointBehaviour::kSilent) {
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -55,8 +55,13 @@
   EndpointBehaviour behaviour = EndpointBehaviour::kAnswer;
   int events = 0;
   int total = 10;
+  /// Events of the latest stream so far.
+  int sent = 0;
   Duration event_interval = std::chrono::milliseconds(2);
   std::vector<SeenRequest> seen;
+  /// Addresses to which a run's memory was to be copied, and names of copies that were freed.
+  std::vector<std::string> copied_to;
+  std::vector<std::string> freed;
 
  private:
   Task<void> Handle(HttpExchange& exchange);
--- a/tests/auto/platform/platform_world.cpp
+++ b/tests/auto/platform/platform_world.cpp
@@ -65,7 +65,7 @@
      "sticky":true,"canResume":true}],
     "services":[{"name":"orders","healthPath":"/health","maxConns":50,"protocol":"h1","tls":false},
     {"name":"drafts","healthPath":"/health","maxConns":50,"protocol":"h1","tls":false,
-     "engine":{"slots":8,"kvCapacity":55000,"backups":true,"moves":true}}],
+     "engine":{"slots":8,"kvCapacity":55000,"backups":true,"moves":true,"handleS":4.0}}],
     "limits":{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeoutMs":2000,
               "idleTimeoutMs":2000},
     "tenants":[{"name":"roastery","apiKeys":)" +
--- a/tests/auto/platform/tst_streams.cpp
+++ b/tests/auto/platform/tst_streams.cpp
@@ -107,6 +107,44 @@
   cr_assert(second.Header(0, "Kv-From") == copy);
 }
 
+Task<void> LostCopyIsReplaced(PlatformWorld& world) {
+  EndpointStandin& engine = world.AddEndpoint("drafts", "a");
+  co_await world.Start();
+  engine.total = 100000;
+  engine.event_interval = std::chrono::milliseconds(10);
+  EndpointStandin* second = nullptr;
+  Spawn(world.loop.GetExecutor(), [&world, &engine, &second]() -> Task<void> {
+    co_await PlatformWorld::WaitFor([&engine]() { return !engine.seen.empty(); });
+    second = &world.AddEndpoint("drafts", "b");
+    co_await PlatformWorld::WaitFor([&engine]() { return !engine.copied_to.empty(); });
+    // The stream goes on for some events, so that the copy is complete when the engine breaks.
+    co_await Sleep(std::chrono::milliseconds(100));
+    second->total = 60;
+    engine.behaviour = EndpointBehaviour::kBreak;
+    engine.events = engine.sent;
+  });
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders, "prompt");
+  cr_assert_not(result.error);
+  cr_assert(result.reply.body == AllEvents(1, 60));
+  cr_assert(engine.copied_to[0] == second->Address());
+  cr_assert(second->Header(0, "Kv-From") == engine.Address() + "/copy-1");
+}
+
+Task<void> UnusedCopyIsFreed(PlatformWorld& world) {
+  EndpointStandin& engine = world.AddEndpoint("drafts", "a");
+  co_await world.Start();
+  engine.total = 40;
+  engine.event_interval = std::chrono::milliseconds(10);
+  Spawn(world.loop.GetExecutor(), [&world, &engine]() -> Task<void> {
+    co_await PlatformWorld::WaitFor([&engine]() { return !engine.seen.empty(); });
+    world.AddEndpoint("drafts", "b");
+  });
+  const HttpResult result = co_await world.Send("POST", "/stream/x", kStreamHeaders, "prompt");
+  cr_assert(result.reply.body == AllEvents(1, 40));
+  co_await PlatformWorld::WaitFor([&engine]() { return !engine.freed.empty(); });
+  cr_assert(engine.freed[0] == "copy-1");
+}
+
 Task<void> CutIsVisible(PlatformWorld& world) {
   world.AddEndpoint("drafts", "a");
   co_await world.Start();
@@ -179,6 +217,12 @@
 // Guards against a resumed run that reads its whole prompt again.
 Test(streams, a_run_is_continued_from_its_copy) { RunTest(&ResumedFromCopy); }
 
+// Guards against a run that loses its copy with one engine and its memory with the next.
+Test(streams, a_lost_copy_is_replaced) { RunTest(&LostCopyIsReplaced); }
+
+// Guards against copies that take memory and a slot after their run has ended.
+Test(streams, an_unused_copy_is_freed) { RunTest(&UnusedCopyIsFreed); }
+
 // Guards against a cut stream that looks complete.
 Test(streams, a_stream_that_cannot_go_on_is_cut) { RunTest(&CutIsVisible); }
 
