--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -75,8 +75,8 @@
   std::error_code OpenServer(std::unique_ptr<HttpServer>& server, const std::string& address,
                              HttpServerLimits limits, HttpHandler handler);
   void StartFeeds();
-  void OnConfigurationRows(std::vector<TableFollower::Change> changes);
-  void OnEndpointRows(std::vector<TableFollower::Change> changes);
+  void OnConfigurationRows(const std::vector<TableFollower::Change>& changes);
+  void OnEndpointRows(const std::vector<TableFollower::Change>& changes);
   void OnPeerRows(const std::vector<TableFollower::Change>& changes);
   void Apply(RelayConfiguration configuration);
   Task<void> Housekeeping();
@@ -162,8 +162,8 @@
   configuration.watch_wait = kConfigurationWatch;
   feeds.push_back(std::make_unique<TableFeed>(
       context.executor, context.store, configuration,
-      TableFeed::Handlers{[this](std::vector<TableFollower::Change> changes) {
-                            OnConfigurationRows(std::move(changes));
+      TableFeed::Handlers{[this](const std::vector<TableFollower::Change>& changes) {
+                            OnConfigurationRows(changes);
                           },
                           [this](TimePoint started) { context.freshness.Confirm(started); }},
       seed + 1));
@@ -172,10 +172,9 @@
   endpoints.watch_wait = kEndpointWatch;
   feeds.push_back(std::make_unique<TableFeed>(
       context.executor, context.store, endpoints,
-      TableFeed::Handlers{[this](std::vector<TableFollower::Change> changes) {
-                            OnEndpointRows(std::move(changes));
-                          },
-                          {}},
+      TableFeed::Handlers{
+          [this](const std::vector<TableFollower::Change>& changes) { OnEndpointRows(changes); },
+          {}},
       seed + 2));
   TableFollower::Options peers;
   peers.table = kPeerTable;
@@ -188,8 +187,8 @@
   for (const std::unique_ptr<TableFeed>& feed : feeds) feed->Start();
 }
 
-void RelayDaemon::State::OnConfigurationRows(std::vector<TableFollower::Change> changes) {
-  for (TableFollower::Change& change : changes) {
+void RelayDaemon::State::OnConfigurationRows(const std::vector<TableFollower::Change>& changes) {
+  for (const TableFollower::Change& change : changes) {
     if (change.row.key != sources.configuration_key || change.row.removed) continue;
     std::optional<RelayConfiguration> parsed = sources.parse_configuration(change.row.value);
     if (!parsed) {
@@ -217,7 +216,7 @@
           " organisations=" + std::to_string(applied.organisations.size()));
 }
 
-void RelayDaemon::State::OnEndpointRows(std::vector<TableFollower::Change> changes) {
+void RelayDaemon::State::OnEndpointRows(const std::vector<TableFollower::Change>& changes) {
   const TimePoint now = SteadyNow();
   for (const TableFollower::Change& change : changes) {
     const EndpointId& id = change.row.key;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -87,7 +87,7 @@
   Task<Step> OnOtherAnswer();
   Task<Step> OnSilence();
   Task<void> Probe(std::shared_ptr<StreamRun> run);
-  void AbandonRun(std::string reason, bool is_failure);
+  void AbandonRun(std::string_view reason, bool is_failure);
   void FreeCopy();
   void SetUses(const EndpointRecord& engine, bool from_copy);
   void ClearUses();
@@ -460,20 +460,21 @@
   if (is_lost) AbandonRun("probe: " + error.message(), true);
 }
 
-void StreamSession::AbandonRun(std::string reason, bool is_failure) {
+void StreamSession::AbandonRun(std::string_view reason, bool is_failure) {
   const EndpointId engine = m_run->Endpoint().id;
+  // Written first, because the run may own the reason.
+  Log(LogLevel::kWarning, "run_abandoned",
+      "request=" + m_request.fields.request_id + " endpoint=" + engine +
+          " after=" + std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" +
+          std::string(reason) + "\"");
   m_run->Cancel();
   m_run.reset();
   ClearUses();
-  if (is_failure) {
-    m_context.OnEndpointFailure(engine);
-    m_excluded.insert(engine);
-    if (m_continuation.HasDelivered()) ++m_resumes;
-  }
   m_context.metrics.Count("relay_runs_abandoned", is_failure ? "failed" : "refused");
-  Log(LogLevel::kWarning, "run_abandoned",
-      "request=" + m_request.fields.request_id + " endpoint=" + engine + " after=" +
-          std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" + reason + "\"");
+  if (!is_failure) return;
+  m_context.OnEndpointFailure(engine);
+  m_excluded.insert(engine);
+  if (m_continuation.HasDelivered()) ++m_resumes;
 }
 
 /// A requested copy takes a slot until it is freed or has expired.
--- a/src/libs/relay/table_feed.cpp
+++ b/src/libs/relay/table_feed.cpp
@@ -54,10 +54,11 @@
 
 void TableFeed::State::OnReply(StoreReply reply) {
   const StoreStatus status = reply.status;
-  std::vector<TableFollower::Change> changes = follower.OnReply(std::move(reply), SteadyNow());
+  const std::vector<TableFollower::Change> changes =
+      follower.OnReply(std::move(reply), SteadyNow());
   LogConnection(status);
   if (!follower.IsComplete()) return;
-  if (!changes.empty()) handlers.on_changes(std::move(changes));
+  if (!changes.empty()) handlers.on_changes(changes);
   const bool is_current = status == StoreStatus::kOk && follower.IsUpToDate();
   if (is_current && handlers.on_current) handlers.on_current(started);
 }
--- a/src/libs/relay/table_feed.h
+++ b/src/libs/relay/table_feed.h
@@ -15,7 +15,7 @@
  public:
   struct Handlers {
     /// What has changed; called also without changes once the table is complete.
-    std::function<void(std::vector<TableFollower::Change>)> on_changes;
+    std::function<void(const std::vector<TableFollower::Change>&)> on_changes;
     /// A call that began at `started`, on the clock `BootNow()`, found the copy current. Called
     /// after `on_changes`. May be empty.
     std::function<void(TimePoint started)> on_current;
