Let one daemon of each failure domain read the store for the others

Ruled out: longer waits, because the proof for keys must stay younger than five seconds. Change: from 12 daemons on, the strongest daemon of a failure domain watches the store and offers its copies, with their age, to the others over TCP; a follower whose reader fails or lags reads the store itself for five seconds. A copy of an older source removes nothing.

--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -20,7 +20,8 @@
               {"incarnation", record.incarnation},
               {"peer_address", record.peer_address},
               {"caller_address", record.caller_address},
-              {"failure_domain", record.failure_domain}}
+              {"failure_domain", record.failure_domain},
+              {"cores", record.cores}}
       .dump();
 }
 
@@ -34,6 +35,7 @@
     record.peer_address = json.at("peer_address").get<std::string>();
     record.caller_address = json.at("caller_address").get<std::string>();
     record.failure_domain = json.at("failure_domain").get<std::string>();
+    record.cores = json.value("cores", 0.0);
     return record;
   } catch (const Json::exception&) {
     return std::nullopt;
@@ -79,6 +81,19 @@
   for (auto& [name, peer] : m_peers) peer.last_heard = now;
 }
 
+std::vector<PeerRecord> PeerDirectory::Listed(TimePoint now) const {
+  std::set<std::string> silent;
+  for (const Peer* peer : Ring()) {
+    const bool answers = now - peer->last_heard < m_options.silence_limit;
+    if (!answers || peer->leaving) silent.insert(peer->record.name);
+  }
+  std::vector<PeerRecord> listed;
+  for (const auto& [name, peer] : m_peers) {
+    if (silent.count(name) == 0) listed.push_back(peer.record);
+  }
+  return listed;
+}
+
 std::vector<PeerRecord> PeerDirectory::Neighbours() const {
   std::vector<PeerRecord> neighbours;
   for (const Peer* peer : Ring()) neighbours.push_back(peer->record);
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -21,6 +21,8 @@
   /// "ip:port" of its service for callers.
   std::string caller_address;
   std::string failure_domain;
+  /// Processor cores that the daemon may use.
+  double cores = 0.0;
 
   bool operator==(const PeerRecord&) const = default;
 };
@@ -52,6 +54,8 @@
   /// The process was paused: silence until now says nothing about the others.
   void ForgiveSilence(TimePoint now);
 
+  /// All peers that the store lists, except neighbours that are silent or leaving.
+  std::vector<PeerRecord> Listed(TimePoint now) const;
   /// Peers that this daemon exchanges heartbeats with.
   std::vector<PeerRecord> Neighbours() const;
   /// Addresses for callers of the daemons that may be named in a lookup, without this one.
--- /dev/null
+++ b/src/libs/coordination/reader_selection.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/peer_directory.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// Chooses from whom a daemon takes its copies of the store's tables. In a large fleet one daemon
+/// of each failure domain reads the store and the others follow it, so that the calls to the store
+/// do not grow with the fleet. Whoever has trouble with its reader reads the store itself for a
+/// while. Not thread-safe.
+class ReaderSelection {
+ public:
+  struct Options {
+    /// In smaller fleets each daemon reads the store.
+    std::size_t min_fleet = 12;
+    /// After trouble with a reader the store is read directly for this long.
+    Duration direct_time = std::chrono::seconds(5);
+    /// A reader that failed is not chosen again for this long.
+    Duration avoid_time = std::chrono::seconds(30);
+  };
+
+  ReaderSelection() = default;
+  explicit ReaderSelection(Options options) : m_options(options) {}
+
+  /// Returns the address of the reader to follow; empty for the store.
+  std::string Choose(const PeerRecord& self, const std::vector<PeerRecord>& peers, TimePoint now);
+  /// The reader at `address` did not answer, or its copy is too old.
+  void OnFailure(const std::string& address, TimePoint now);
+
+ private:
+  Options m_options;
+  TimePoint m_direct_until{};
+  std::map<std::string, TimePoint> m_avoided_until;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/coordination/table_follower.cpp
+++ b/src/libs/coordination/table_follower.cpp
@@ -35,13 +35,17 @@
   return next;
 }
 
+void TableFollower::Restart() {
+  m_reading = true;
+  m_first_page = true;
+  m_from.clear();
+  m_pages.clear();
+}
+
 std::vector<TableFollower::Change> TableFollower::OnReply(StoreReply reply, TimePoint now) {
   std::vector<Change> changes;
   if (reply.status == StoreStatus::kHistoryGone) {
-    m_reading = true;
-    m_first_page = true;
-    m_from.clear();
-    m_pages.clear();
+    Restart();
     return changes;
   }
   if (reply.status != StoreStatus::kOk) {
@@ -69,7 +73,10 @@
 
 void TableFollower::OnPage(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
   // The first page's version: changes during the later pages are then seen again by the watch.
-  if (std::exchange(m_first_page, false)) m_read_version = reply.version;
+  if (std::exchange(m_first_page, false)) {
+    m_read_cursor = reply.cursor;
+    m_read_version = reply.version;
+  }
   std::string last = m_from;
   for (StoreRow& row : reply.rows) {
     last = std::max(last, row.key);
@@ -102,7 +109,8 @@
   m_first_page = true;
   m_reading = false;
   m_complete = true;
-  m_after = std::max(m_after, m_read_version);
+  m_after = m_read_cursor;
+  m_version = std::max(m_version, m_read_version);
 }
 
 void TableFollower::OnChanges(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
@@ -117,7 +125,8 @@
     known = row.version;
     changes.push_back({std::move(row)});
   }
-  m_after = std::max(m_after, reply.version);
+  m_after = std::max(m_after, reply.cursor);
+  m_version = std::max(m_version, reply.version);
 }
 
 void TableFollower::Remove(const std::string& key, std::uint64_t version, TimePoint now,
--- a/src/libs/coordination/table_follower.h
+++ b/src/libs/coordination/table_follower.h
@@ -46,6 +46,8 @@
 
   /// Returns the call to make next and the pause before it.
   NextCall Next();
+  /// The next calls go to another source: all rows are read again.
+  void Restart();
   /// Takes the reply to the last call and returns what has changed.
   std::vector<Change> OnReply(StoreReply reply, TimePoint now);
 
@@ -53,6 +55,8 @@
   bool IsComplete() const { return m_complete; }
   /// Returns whether no read is in progress, so that the copy was current at the last reply.
   bool IsUpToDate() const { return m_complete && !m_reading; }
+  /// Returns the store's version up to which the copy is complete.
+  std::uint64_t Version() const { return m_version; }
   /// Returns whether the last call succeeded.
   bool IsConnected() const { return m_failures == 0; }
 
@@ -75,8 +79,11 @@
   bool m_reading = true;
   bool m_first_page = true;
   bool m_complete = false;
-  /// Version from which the watch continues.
+  /// Where the watch continues.
   std::uint64_t m_after = 0;
+  std::uint64_t m_version = 0;
+  /// Cursor and version of the first page of the read in progress.
+  std::uint64_t m_read_cursor = 0;
   std::uint64_t m_read_version = 0;
   int m_failures = 0;
   /// The store was away until this time.
--- /dev/null
+++ b/src/libs/protocol/mirror_messages.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/bounded_serialization.h"
+#include "protocol/store_messages.h"
+
+namespace fulmarpoint {
+
+/// Asks a peer for its copy of a table of the store: all rows, or the changes after a cursor that
+/// an earlier reply gave.
+struct MirrorRequest {
+  std::string table;
+  /// 0 for all rows.
+  std::uint64_t after = 0;
+  /// How long the peer may wait for a change.
+  std::uint32_t wait_ms = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    internal::SerializeText(archive, table);
+    archive(after, wait_ms);
+  }
+};
+
+struct MirrorRow {
+  std::string key;
+  std::string value;
+  std::uint64_t version = 0;
+  bool removed = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    internal::SerializeText(archive, key);
+    internal::SerializeText<std::uint32_t>(archive, value);
+    archive(version);
+    internal::SerializeFlag(archive, removed);
+  }
+};
+
+struct MirrorReply {
+  /// `kOk`, `kHistoryGone`, or `kRefused` if the peer has no copy.
+  StoreStatus status = StoreStatus::kRefused;
+  /// Position in the peer's history, for the next request.
+  std::uint64_t cursor = 0;
+  /// The store's version up to which the copy is complete.
+  std::uint64_t version = 0;
+  /// Time since the copy was last known to be current.
+  std::uint32_t age_ms = 0;
+  std::vector<MirrorRow> rows;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(status, cursor, version, age_ms);
+    internal::SerializeList(archive, rows);
+  }
+};
+
+/// Thread-safe.
+std::string Encode(const MirrorRequest& request);
+std::string Encode(const MirrorReply& reply);
+/// Return nothing if `bytes` are no such message. Thread-safe.
+std::optional<MirrorRequest> DecodeMirrorRequest(std::string_view bytes);
+std::optional<MirrorReply> DecodeMirrorReply(std::string_view bytes);
+
+}  // namespace fulmarpoint
--- a/src/libs/protocol/store_messages.h
+++ b/src/libs/protocol/store_messages.h
@@ -21,7 +21,7 @@
 };
 
 /// Result of a call to the store.
-enum class StoreStatus {
+enum class StoreStatus : std::uint8_t {
   kOk,
   /// A precondition did not hold; nothing was written.
   kConflict,
@@ -39,7 +39,11 @@
   std::vector<StoreRow> rows;
   /// The store's version up to which `rows` is complete.
   std::uint64_t version = 0;
+  /// Where a watch continues: `version`, or a position in the history of a peer's copy.
+  std::uint64_t cursor = 0;
   bool has_more = false;
+  /// Time since the answer was known to be current; zero for the store itself.
+  Duration age{};
 };
 
 /// Reads rows of one table and partition with keys from `from` on.
--- /dev/null
+++ b/src/libs/relay/mirror_service.cpp
@@ -0,0 +1,68 @@
+#include "relay/mirror_service.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "protocol/mirror_messages.h"
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr Duration kLongestWait = std::chrono::seconds(10);
+
+}  // namespace
+
+MirrorService::MirrorService(const Executor& executor, std::uint64_t incarnation)
+    : m_executor(executor),
+      m_incarnation(incarnation),
+      m_server(executor, FrameLimits(),
+               [this](std::string bytes, const std::string&) { return Answer(std::move(bytes)); }) {
+}
+
+std::error_code MirrorService::Listen(const std::string& address) {
+  return m_server.Listen(address);
+}
+
+void MirrorService::Apply(const std::string& table,
+                          const std::vector<TableFollower::Change>& changes) {
+  TableMirror& mirror = MirrorOf(table);
+  for (const TableFollower::Change& change : changes) mirror.Apply(change);
+  const std::vector<std::weak_ptr<Notification>> waiting = std::exchange(m_waiting, {});
+  for (const std::weak_ptr<Notification>& weak : waiting) {
+    if (const std::shared_ptr<Notification> notification = weak.lock()) notification->Notify();
+  }
+}
+
+void MirrorService::Confirm(const std::string& table, std::uint64_t version, TimePoint at) {
+  MirrorOf(table).Confirm(version, at);
+}
+
+Task<std::string> MirrorService::Answer(std::string bytes) {
+  const std::optional<MirrorRequest> request = DecodeMirrorRequest(bytes);
+  if (!request) co_return std::string();
+  const Duration wait =
+      std::min<Duration>(kLongestWait, std::chrono::milliseconds(request->wait_ms));
+  const TimePoint end = SteadyNow() + wait;
+  while (true) {
+    const auto mirror = m_mirrors.find(request->table);
+    if (mirror == m_mirrors.end()) co_return Encode(MirrorReply());
+    const TimePoint now = SteadyNow();
+    const std::optional<MirrorReply> reply = mirror->second.Answer(*request, now < end, BootNow());
+    if (reply) co_return Encode(*reply);
+    const std::shared_ptr<Notification> notification = std::make_shared<Notification>(m_executor);
+    m_waiting.erase(
+        std::remove_if(m_waiting.begin(), m_waiting.end(),
+                       [](const std::weak_ptr<Notification>& weak) { return weak.expired(); }),
+        m_waiting.end());
+    m_waiting.push_back(notification);
+    co_await notification->WaitFor(end - now);
+  }
+}
+
+TableMirror& MirrorService::MirrorOf(const std::string& table) {
+  return m_mirrors.try_emplace(table, m_incarnation).first->second;
+}
+
+}  // namespace fulmarpoint
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -5,8 +5,11 @@
 #include <vector>
 
 #include "coordination/drain.h"
+#include "coordination/reader_selection.h"
 #include "relay/caller_front.h"
 #include "relay/endpoint_pool.h"
+#include "relay/mirror_client.h"
+#include "relay/mirror_service.h"
 #include "relay/peer_exchange.h"
 #include "relay/peer_registration.h"
 #include "relay/relay_context.h"
@@ -23,6 +26,12 @@
 constexpr Duration kConfigurationWatch = std::chrono::milliseconds(1500);
 constexpr Duration kEndpointWatch = std::chrono::milliseconds(2000);
 constexpr Duration kPeerWatch = std::chrono::seconds(5);
+// Watches of a peer's copies are free; the age of its proof adds to theirs.
+constexpr Duration kConfigurationPeerWait = std::chrono::milliseconds(300);
+// A peer's copy is too old after this many of its own watches, and some time for slow answers.
+constexpr int kWatchesUntilOld = 2;
+constexpr Duration kPeerAgeSlack = std::chrono::milliseconds(500);
+constexpr Duration kEndpointPeerWait = std::chrono::milliseconds(1500);
 constexpr Duration kBodyTime = std::chrono::seconds(30);
 constexpr std::size_t kMaxUrlBytes = std::size_t{16} * 1024;
 // Connections that are kept free for endpoints, the store and lookups.
@@ -55,6 +64,12 @@
   return options;
 }
 
+ReaderSelection::Options SelectionOptions(const RelaySettings& settings) {
+  ReaderSelection::Options options;
+  options.min_fleet = settings.shared_reading_from;
+  return options;
+}
+
 PeerRecord RecordOf(const RelayContext& context, const std::string& peer_address) {
   PeerRecord record;
   record.name = context.settings.name;
@@ -62,6 +77,7 @@
   record.peer_address = peer_address;
   record.caller_address = context.settings.caller_address;
   record.failure_domain = context.settings.failure_domain;
+  record.cores = context.settings.cores;
   return record;
 }
 
@@ -75,6 +91,8 @@
   std::error_code OpenServer(std::unique_ptr<HttpServer>& server, const std::string& address,
                              HttpServerLimits limits, HttpHandler handler);
   void StartFeeds();
+  void AddFeed(const std::string& table, Duration watch_wait, Duration peer_wait,
+               std::function<void(const std::vector<TableFollower::Change>&)> on_changes);
   void OnConfigurationRows(const std::vector<TableFollower::Change>& changes);
   void OnEndpointRows(const std::vector<TableFollower::Change>& changes);
   void OnPeerRows(const std::vector<TableFollower::Change>& changes);
@@ -93,6 +111,10 @@
   EndpointPool pool;
   CallerFront front;
   PeerExchange exchange;
+  PeerRecord own_record;
+  MirrorService mirrors;
+  MirrorClient peer_copies;
+  ReaderSelection readers;
   std::unique_ptr<PeerRegistration> registration;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> lookups;
@@ -112,7 +134,10 @@
       context(std::move(settings), std::move(wire), std::move(store), executor, own_seed),
       pool(executor),
       front(context, pool),
-      exchange(context) {
+      exchange(context),
+      mirrors(executor, context.incarnation),
+      peer_copies(executor),
+      readers(SelectionOptions(context.settings)) {
   context.on_news_for_peers = [this]() { exchange.Announce(); };
   context.on_requests_changed = [this]() {
     if (drain) HandleDrain(Drain::RequestsLeft{context.requests});
@@ -123,6 +148,8 @@
   const RelaySettings& settings = context.settings;
   const HttpServerLimits limits = LimitsOf(settings, CallerLimits());
   std::error_code error = exchange.Start();
+  // Peers know one address, so TCP uses the number of the UDP port.
+  if (!error) error = mirrors.Listen(exchange.Address());
   if (!error) {
     error = OpenServer(callers, settings.caller_address, limits,
                        [this](HttpExchange& request) { return front.Handle(request); });
@@ -157,36 +184,47 @@
 }
 
 void RelayDaemon::State::StartFeeds() {
-  TableFollower::Options configuration;
-  configuration.table = sources.configuration_table;
-  configuration.watch_wait = kConfigurationWatch;
-  feeds.push_back(std::make_unique<TableFeed>(
-      context.executor, context.store, configuration,
-      TableFeed::Handlers{[this](const std::vector<TableFollower::Change>& changes) {
-                            OnConfigurationRows(changes);
-                          },
-                          [this](TimePoint started) { context.freshness.Confirm(started); }},
-      seed + 1));
-  TableFollower::Options endpoints;
-  endpoints.table = sources.endpoint_table;
-  endpoints.watch_wait = kEndpointWatch;
-  feeds.push_back(std::make_unique<TableFeed>(
-      context.executor, context.store, endpoints,
-      TableFeed::Handlers{
-          [this](const std::vector<TableFollower::Change>& changes) { OnEndpointRows(changes); },
-          {}},
-      seed + 2));
-  TableFollower::Options peers;
-  peers.table = kPeerTable;
-  peers.watch_wait = kPeerWatch;
-  feeds.push_back(std::make_unique<TableFeed>(
-      context.executor, context.store, peers,
-      TableFeed::Handlers{
-          [this](const std::vector<TableFollower::Change>& changes) { OnPeerRows(changes); }, {}},
-      seed + 3));
+  AddFeed(
+      sources.configuration_table, kConfigurationWatch, kConfigurationPeerWait,
+      [this](const std::vector<TableFollower::Change>& changes) { OnConfigurationRows(changes); });
+  AddFeed(sources.endpoint_table, kEndpointWatch, kEndpointPeerWait,
+          [this](const std::vector<TableFollower::Change>& changes) { OnEndpointRows(changes); });
+  AddFeed(kPeerTable, kPeerWatch, kPeerWatch,
+          [this](const std::vector<TableFollower::Change>& changes) { OnPeerRows(changes); });
   for (const std::unique_ptr<TableFeed>& feed : feeds) feed->Start();
 }
 
+void RelayDaemon::State::AddFeed(
+    const std::string& table, Duration watch_wait, Duration peer_wait,
+    std::function<void(const std::vector<TableFollower::Change>&)> on_changes) {
+  TableFeed::Options options;
+  options.follower.table = table;
+  options.follower.watch_wait = watch_wait;
+  options.peer_wait = peer_wait;
+  options.max_peer_age = watch_wait * kWatchesUntilOld + kPeerAgeSlack;
+  TableFeed::Handlers handlers;
+  handlers.on_changes = [this, table, on_changes = std::move(on_changes)](
+                            const std::vector<TableFollower::Change>& changes) {
+    mirrors.Apply(table, changes);
+    on_changes(changes);
+  };
+  handlers.on_current = [this, table](std::uint64_t version, TimePoint at) {
+    mirrors.Confirm(table, version, at);
+    if (table == sources.configuration_table) context.freshness.Confirm(at);
+  };
+  handlers.choose_source = [this]() {
+    const TimePoint now = SteadyNow();
+    return readers.Choose(own_record, context.peers.Listed(now), now);
+  };
+  handlers.on_source_failed = [this](const std::string& address) {
+    readers.OnFailure(address, SteadyNow());
+    peer_copies.Drop(address);
+  };
+  feeds.push_back(std::make_unique<TableFeed>(context.executor, context.store, peer_copies,
+                                              std::move(options), std::move(handlers),
+                                              seed + feeds.size() + 1));
+}
+
 void RelayDaemon::State::OnConfigurationRows(const std::vector<TableFollower::Change>& changes) {
   for (const TableFollower::Change& change : changes) {
     if (change.row.key != sources.configuration_key || change.row.removed) continue;
@@ -358,8 +396,8 @@
   const std::error_code error = state.Open();
   if (error) return error;
   if (state.callers) state.context.settings.caller_address = state.callers->Address();
-  state.registration = std::make_unique<PeerRegistration>(
-      state.context, RecordOf(state.context, state.exchange.Address()));
+  state.own_record = RecordOf(state.context, state.exchange.Address());
+  state.registration = std::make_unique<PeerRegistration>(state.context, state.own_record);
   state.registration->Start();
   state.StartFeeds();
   Spawn(state.context.executor, [shared = m_state]() { return shared->Housekeeping(); });
@@ -400,6 +438,12 @@
 
 std::string RelayDaemon::LookupAddress() const { return m_state->lookups->Address(); }
 
+bool RelayDaemon::FollowsPeer() const {
+  return std::any_of(
+      m_state->feeds.begin(), m_state->feeds.end(),
+      [](const std::unique_ptr<TableFeed>& feed) { return !feed->Source().empty(); });
+}
+
 bool RelayDaemon::IsReady() const { return m_state->context.IsServing(); }
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/relay_daemon.h
+++ b/src/libs/relay/relay_daemon.h
@@ -46,6 +46,8 @@
   /// "ip:port" of the service for callers and of the lookup.
   std::string CallerAddress() const;
   std::string LookupAddress() const;
+  /// Returns whether a table is followed at a peer instead of the store.
+  bool FollowsPeer() const;
   /// Returns whether requests are accepted.
   bool IsReady() const;
 
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -18,6 +18,8 @@
   std::string ready_address;
   std::string peer_address;
   std::string metrics_address;
+  /// Processor cores that the process may use.
+  double cores = 1.0;
   /// Connections of callers and to endpoints together.
   std::size_t max_connections = 1024;
   /// Memory for request bodies that are being received or relayed.
@@ -32,6 +34,8 @@
   /// requests, and a number on top in each window.
   double retry_share = 0.5;
   double retry_slack = 100.0;
+  /// Number of daemons from which one of each failure domain reads the store for the others.
+  std::size_t shared_reading_from = 12;
 
   bool operator==(const RelaySettings&) const = default;
 };
--- a/src/libs/relay/table_feed.cpp
+++ b/src/libs/relay/table_feed.cpp
@@ -1,6 +1,6 @@
 #include "relay/table_feed.h"
 
-#include <string>
+#include <algorithm>
 #include <utility>
 
 #include "utils/logging.h"
@@ -8,24 +8,31 @@
 namespace fulmarpoint {
 
 struct TableFeed::State : std::enable_shared_from_this<TableFeed::State> {
-  State(const Executor& own_executor, const Store& own_store, TableFollower::Options options,
-        Handlers own_handlers, std::uint64_t seed)
+  State(const Executor& own_executor, const Store& own_store, MirrorClient& own_peers,
+        Options own_options, Handlers own_handlers, std::uint64_t seed)
       : executor(own_executor),
         store(own_store),
-        table(options.table),
-        follower(std::move(options), seed),
+        peers(own_peers),
+        options(std::move(own_options)),
+        table(options.follower.table),
+        follower(options.follower, seed),
         handlers(std::move(own_handlers)) {}
 
   Task<void> Run();
+  void ChooseSource();
   Task<StoreReply> Perform(TableFollower::Call call);
   void OnReply(StoreReply reply);
   void LogConnection(StoreStatus status);
 
   const Executor executor;
   const Store store;
+  MirrorClient& peers;
+  const Options options;
   const std::string table;
   TableFollower follower;
   Handlers handlers;
+  /// Address of the peer whose copy is followed; empty for the store.
+  std::string source;
   bool stopped = false;
   bool connected = true;
   /// Start of the call, or of the read in progress, on the clock `BootNow()`.
@@ -35,8 +42,9 @@
 Task<void> TableFeed::State::Run() {
   const std::shared_ptr<State> self = shared_from_this();
   while (!stopped) {
+    ChooseSource();
     TableFollower::NextCall next = follower.Next();
-    if (next.delay > Duration::zero()) co_await Sleep(next.delay);
+    if (next.delay > Duration::zero() && source.empty()) co_await Sleep(next.delay);
     if (stopped) break;
     const TimePoint now = BootNow();
     const StoreRead* read = std::get_if<StoreRead>(&next.call);
@@ -47,20 +55,45 @@
   }
 }
 
+/// Follows a peer only with a copy that is complete, so that a restart does not depend on peers.
+void TableFeed::State::ChooseSource() {
+  if (!follower.IsComplete() || !follower.IsConnected()) return;
+  std::string chosen = handlers.choose_source();
+  if (chosen == source) return;
+  Log(LogLevel::kInfo, "feed_source", "table=" + table + " source=" + chosen);
+  source = std::move(chosen);
+  follower.Restart();
+}
+
 Task<StoreReply> TableFeed::State::Perform(TableFollower::Call call) {
-  if (const StoreRead* read = std::get_if<StoreRead>(&call)) co_return co_await store.read(*read);
-  co_return co_await store.watch(std::get<StoreWatch>(call));
+  const StoreWatch* watch = std::get_if<StoreWatch>(&call);
+  if (!source.empty()) {
+    const std::uint64_t cursor = watch == nullptr ? 0 : watch->after;
+    const Duration wait = watch == nullptr ? Duration::zero() : options.peer_wait;
+    co_return co_await peers.Ask(source, table, cursor, wait);
+  }
+  if (watch != nullptr) co_return co_await store.watch(*watch);
+  co_return co_await store.read(std::get<StoreRead>(call));
 }
 
 void TableFeed::State::OnReply(StoreReply reply) {
   const StoreStatus status = reply.status;
+  const Duration age = reply.age;
+  const bool is_usable = (status == StoreStatus::kOk && age <= options.max_peer_age) ||
+                         status == StoreStatus::kHistoryGone;
+  if (!source.empty() && !is_usable) {
+    Log(LogLevel::kWarning, "feed_source_failed",
+        "table=" + table + " source=" + source + " age_ms=" + std::to_string(age.count() / 1000));
+    handlers.on_source_failed(source);
+    return;
+  }
   const std::vector<TableFollower::Change> changes =
       follower.OnReply(std::move(reply), SteadyNow());
   LogConnection(status);
   if (!follower.IsComplete()) return;
   if (!changes.empty()) handlers.on_changes(changes);
   const bool is_current = status == StoreStatus::kOk && follower.IsUpToDate();
-  if (is_current && handlers.on_current) handlers.on_current(started);
+  if (is_current) handlers.on_current(follower.Version(), started - age);
 }
 
 void TableFeed::State::LogConnection(StoreStatus status) {
@@ -73,13 +106,15 @@
       "table=" + table);
 }
 
-TableFeed::TableFeed(const Executor& executor, const Store& store, TableFollower::Options options,
-                     Handlers handlers, std::uint64_t seed)
-    : m_state(std::make_shared<State>(executor, store, std::move(options), std::move(handlers),
-                                      seed)) {}
+TableFeed::TableFeed(const Executor& executor, const Store& store, MirrorClient& peers,
+                     Options options, Handlers handlers, std::uint64_t seed)
+    : m_state(std::make_shared<State>(executor, store, peers, std::move(options),
+                                      std::move(handlers), seed)) {}
 
 TableFeed::~TableFeed() { m_state->stopped = true; }
 
+const std::string& TableFeed::Source() const { return m_state->source; }
+
 void TableFeed::Start() {
   Spawn(m_state->executor, [state = m_state]() { return state->Run(); });
 }
--- a/src/libs/relay/table_feed.h
+++ b/src/libs/relay/table_feed.h
@@ -2,9 +2,11 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "coordination/table_follower.h"
+#include "relay/mirror_client.h"
 #include "relay/relay_wire.h"
 #include "transport/task.h"
 
@@ -16,12 +18,24 @@
   struct Handlers {
     /// What has changed; called also without changes once the table is complete.
     std::function<void(const std::vector<TableFollower::Change>&)> on_changes;
-    /// A call that began at `started`, on the clock `BootNow()`, found the copy current. Called
-    /// after `on_changes`. May be empty.
-    std::function<void(TimePoint started)> on_current;
+    /// The copy, complete up to the store's version `version`, was current at `at` on the clock
+    /// `BootNow()`. Called after `on_changes`.
+    std::function<void(std::uint64_t version, TimePoint at)> on_current;
+    /// Returns the address of the peer whose copy is followed; empty for the store.
+    std::function<std::string()> choose_source;
+    /// The peer did not answer, or its copy is too old.
+    std::function<void(const std::string& address)> on_source_failed;
   };
 
-  TableFeed(const Executor& executor, const Store& store, TableFollower::Options options,
+  struct Options {
+    TableFollower::Options follower;
+    /// How long a watch of a peer's copy waits for a change.
+    Duration peer_wait = std::chrono::milliseconds(300);
+    /// A peer's copy that was last known to be current longer ago is not followed.
+    Duration max_peer_age = std::chrono::milliseconds(3500);
+  };
+
+  TableFeed(const Executor& executor, const Store& store, MirrorClient& peers, Options options,
             Handlers handlers, std::uint64_t seed);
   /// Stops.
   ~TableFeed();
@@ -29,6 +43,8 @@
   TableFeed& operator=(const TableFeed&) = delete;
 
   void Start();
+  /// Returns the address of the peer whose copy is followed; empty for the store.
+  const std::string& Source() const;
 
  private:
   struct State;
--- a/tests/auto/coordination/tst_table_follower.cpp
+++ b/tests/auto/coordination/tst_table_follower.cpp
@@ -25,7 +25,7 @@
 }
 
 StoreReply Reply(std::vector<StoreRow> rows, std::uint64_t version, bool has_more = false) {
-  return {StoreStatus::kOk, std::move(rows), version, has_more};
+  return {StoreStatus::kOk, std::move(rows), version, version, has_more};
 }
 
 StoreReply Failure(StoreStatus status) {
@@ -124,6 +124,22 @@
   cr_assert_eq(NextWatch(follower).wait.count(), Options().watch_wait.count());
 }
 
+// Guards against a peer's older copy that takes back what is known from the store.
+Test(table_follower, an_older_source_removes_nothing) {
+  TableFollower follower(Options(), kSeed);
+  follower.OnReply(Reply({Row("a", 1), Row("b", 9)}, 9), kStart);
+  follower.Restart();
+  StoreReply older = Reply({Row("a", 1)}, 5);
+  older.cursor = 77;
+  cr_assert_eq(follower.OnReply(std::move(older), kStart).size(), 0u);
+  cr_assert_eq(NextWatch(follower).after, 77u);
+  cr_assert_eq(follower.Version(), 9u);
+  follower.Restart();
+  const std::vector<TableFollower::Change> changes =
+      follower.OnReply(Reply({Row("a", 1)}, 12), kStart);
+  cr_assert_eq(changes.size(), 1u, "a newer source knows of the removal");
+}
+
 // Guards against pages of different ages in one copy.
 Test(table_follower, an_interrupted_read_starts_anew) {
   TableFollower follower(Options(), kSeed);
--- a/tests/auto/platform/platform_world.cpp
+++ b/tests/auto/platform/platform_world.cpp
@@ -72,12 +72,17 @@
          keys + R"(,"priority":1}]})";
 }
 
-void PlatformWorld::StartDaemon() {
+void PlatformWorld::StartDaemon() { daemon = StartPeer(settings.name); }
+
+std::unique_ptr<RelayDaemon> PlatformWorld::StartPeer(const std::string& name) {
   const Executor executor = loop.GetExecutor();
-  daemon = std::make_unique<RelayDaemon>(executor, settings, platform::MakeRelayWire(),
-                                         platform::MakeStore(executor, store->Address()),
-                                         platform::MakeRelaySources(), kSeed);
-  cr_assert_not(daemon->Start());
+  RelaySettings own = settings;
+  own.name = name;
+  std::unique_ptr<RelayDaemon> started = std::make_unique<RelayDaemon>(
+      executor, own, platform::MakeRelayWire(), platform::MakeStore(executor, store->Address()),
+      platform::MakeRelaySources(), kSeed);
+  cr_assert_not(started->Start());
+  return started;
 }
 
 Task<void> PlatformWorld::Start() {
--- a/tests/auto/platform/platform_world.h
+++ b/tests/auto/platform/platform_world.h
@@ -33,6 +33,8 @@
   /// Writes the configuration, starts the daemon and waits until it is ready.
   Task<void> Start();
   void StartDaemon();
+  /// Returns another daemon, started, with the given name and the settings of the first.
+  std::unique_ptr<RelayDaemon> StartPeer(const std::string& name);
   /// Completes when `condition` holds; fails the test if that takes more than some seconds.
   static Task<void> WaitFor(std::function<bool()> condition);
 
@@ -51,6 +53,7 @@
   std::unique_ptr<StoreStandin> store;
   std::vector<std::unique_ptr<EndpointStandin>> endpoints;
   std::unique_ptr<RelayDaemon> daemon;
+  std::unique_ptr<RelayDaemon> peer;
   std::unique_ptr<HttpClient> client;
   int requests = 0;
 };
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -13,7 +13,8 @@
 const char kSettings[] =
     "nodeName=front-a-1\nzone=a\nbindIp=10.1.0.19\nlisten.front=10.1.0.19:8740\n"
     "listen.ready=10.1.0.19:8749\nlisten.directory=10.1.0.19:8746\nportRange=7200,7215\n"
-    "limits.memoryMb=260\nlimits.maxFds=4100\nbounds.revokeMs=5000\nbounds.graceS=8\n"
+    "limits.cpuShare=0.25\nlimits.memoryMb=260\nlimits.maxFds=4100\nbounds.revokeMs=5000\nbounds."
+    "graceS=8\n"
     "bounds.ttl_max_s=5\nbounds.retryRatio=0.8\nbounds.retrySlack=150\n"
     "platform.address=10.200.1.7:8742\nsomething.new=1,2\n";
 
@@ -52,7 +53,7 @@
   const Parsed<platform::PlatformSettings> malformed =
       platform::ParsePlatformSettings(Without("bounds.graceS") + "bounds.graceS=soon\n", 0);
   cr_assert(malformed.Error().key == "bounds.graceS");
-  cr_assert_eq(malformed.Error().line, 16);
+  cr_assert_eq(malformed.Error().line, 17);
 }
 
 // Guards against rows of other writers that name an endpoint.
--- a/tests/auto/platform/tst_configuration.cpp
+++ b/tests/auto/platform/tst_configuration.cpp
@@ -129,6 +129,27 @@
   cr_assert_not(world.store->Has("fulmarpoint-daemons", "daemon-1"));
 }
 
+Task<void> PeersShareTheirReading(PlatformWorld& world) {
+  world.AddEndpoint("orders", "a");
+  world.settings.shared_reading_from = 2;
+  co_await world.Start();
+  world.peer = world.StartPeer("daemon-2");
+  co_await PlatformWorld::WaitFor(
+      [&world]() { return world.daemon->FollowsPeer() != world.peer->FollowsPeer(); });
+  // The requests go to the daemon that follows the other.
+  if (!world.daemon->FollowsPeer()) std::swap(world.daemon, world.peer);
+  const HttpHeaders second = OneHeader("Authorization", "Bearer key-2");
+  cr_assert_eq(co_await StatusOf(world, "/look/x", second), 200);
+  world.store->Put("op", "config", PlatformWorld::Configuration(5, R"(["key-1"])"));
+  co_await AwaitStatus(world, "/look/x", second, 401);
+  cr_assert(world.daemon->FollowsPeer());
+  bool stopped = false;
+  world.peer->RequestStop([&stopped]() { stopped = true; });
+  co_await PlatformWorld::WaitFor([&]() { return stopped && !world.daemon->FollowsPeer(); });
+  world.store->Put("op", "config", PlatformWorld::Configuration(6));
+  co_await AwaitStatus(world, "/look/x", second, 200);
+}
+
 Task<void> LookupNamesTheDaemon(PlatformWorld& world) {
   world.AddEndpoint("orders", "a");
   co_await world.Start();
@@ -162,5 +183,9 @@
 // Guards against a planned stop that cuts a stream or leaves its row behind.
 Test(configuration, a_planned_stop_serves_out) { RunTest(&StopServesOut); }
 
+// Guards against a follower that misses a change, keeps a removed key, or goes down with its
+// reader.
+Test(configuration, a_daemon_may_follow_a_peers_copy) { RunTest(&PeersShareTheirReading); }
+
 // Guards against lookups that callers cannot use.
 Test(configuration, a_lookup_names_the_daemon) { RunTest(&LookupNamesTheDaemon); }
