--- a/src/libs/coordination/reader_selection.h
+++ b/src/libs/coordination/reader_selection.h
@@ -11,8 +11,9 @@
 
 /// Chooses from whom a daemon takes its copies of the store's tables. In a large fleet one daemon
 /// of each failure domain reads the store and the others follow it, so that the calls to the store
-/// do not grow with the fleet. Whoever has trouble with its reader reads the store itself for a
-/// while. Not thread-safe.
+/// do not grow with the fleet. Whoever loses its
+/// reader reads the store itself for a while. Where the reader answers but has lost the store, the
+/// store is tried now and then, because it may serve this daemon and not that one. Not thread-safe.
 class ReaderSelection {
  public:
   struct Options {
@@ -22,6 +23,9 @@
     Duration direct_time = std::chrono::seconds(5);
     /// A reader that failed is not chosen again for this long.
     Duration avoid_time = std::chrono::seconds(30);
+    /// A trial of the store beside an old copy, and the interval between two.
+    Duration trial_time = std::chrono::milliseconds(300);
+    Duration trial_interval = std::chrono::milliseconds(2500);
   };
 
   ReaderSelection() = default;
@@ -29,11 +33,20 @@
 
   /// Returns the address of the reader to follow; empty for the store.
   std::string Choose(const PeerRecord& self, const std::vector<PeerRecord>& peers, TimePoint now);
-  /// The reader at `address` did not answer, or its copy is too old.
+  /// The reader at `address` did not answer.
   void OnFailure(const std::string& address, TimePoint now);
+  /// The reader at `address` answered with an old copy.
+  void OnOldCopy(const std::string& address, TimePoint now);
+  /// The store answered this daemon.
+  void OnStoreAnswered(TimePoint now);
 
  private:
+  void Avoid(const std::string& address, TimePoint now);
+
   Options m_options;
+  /// Reader of the trial in progress.
+  std::string m_old_reader;
+  TimePoint m_next_trial{};
   TimePoint m_direct_until{};
   std::map<std::string, TimePoint> m_avoided_until;
 };
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -220,6 +220,10 @@
     readers.OnFailure(address, SteadyNow());
     peer_copies.Drop(address);
   };
+  handlers.on_source_old = [this](const std::string& address) {
+    readers.OnOldCopy(address, SteadyNow());
+  };
+  handlers.on_store_answered = [this]() { readers.OnStoreAnswered(SteadyNow()); };
   feeds.push_back(std::make_unique<TableFeed>(context.executor, context.store, peer_copies,
                                               std::move(options), std::move(handlers),
                                               seed + feeds.size() + 1));
--- a/src/libs/relay/table_feed.cpp
+++ b/src/libs/relay/table_feed.cpp
@@ -57,7 +57,7 @@
 
 /// Follows a peer only with a copy that is complete, so that a restart does not depend on peers.
 void TableFeed::State::ChooseSource() {
-  if (!follower.IsComplete() || !follower.IsConnected()) return;
+  if (!follower.IsComplete()) return;
   std::string chosen = handlers.choose_source();
   if (chosen == source) return;
   Log(LogLevel::kInfo, "feed_source", "table=" + table + " source=" + chosen);
@@ -79,14 +79,14 @@
 void TableFeed::State::OnReply(StoreReply reply) {
   const StoreStatus status = reply.status;
   const Duration age = reply.age;
-  const bool is_usable = (status == StoreStatus::kOk && age <= options.max_peer_age) ||
-                         status == StoreStatus::kHistoryGone;
-  if (!source.empty() && !is_usable) {
-    Log(LogLevel::kWarning, "feed_source_failed",
-        "table=" + table + " source=" + source + " age_ms=" + std::to_string(age.count() / 1000));
+  const bool is_answer = status == StoreStatus::kOk || status == StoreStatus::kHistoryGone;
+  if (!source.empty() && !is_answer) {
+    Log(LogLevel::kWarning, "feed_source_failed", "table=" + table + " source=" + source);
     handlers.on_source_failed(source);
     return;
   }
+  if (!source.empty() && age > options.max_peer_age) handlers.on_source_old(source);
+  if (source.empty() && is_answer) handlers.on_store_answered();
   const std::vector<TableFollower::Change> changes =
       follower.OnReply(std::move(reply), SteadyNow());
   LogConnection(status);
--- a/src/libs/relay/table_feed.h
+++ b/src/libs/relay/table_feed.h
@@ -23,15 +23,18 @@
     std::function<void(std::uint64_t version, TimePoint at)> on_current;
     /// Returns the address of the peer whose copy is followed; empty for the store.
     std::function<std::string()> choose_source;
-    /// The peer did not answer, or its copy is too old.
+    /// The peer did not answer.
     std::function<void(const std::string& address)> on_source_failed;
+    /// The peer's copy is older than `max_peer_age`.
+    std::function<void(const std::string& address)> on_source_old;
+    std::function<void()> on_store_answered;
   };
 
   struct Options {
     TableFollower::Options follower;
     /// How long a watch of a peer's copy waits for a change.
     Duration peer_wait = std::chrono::milliseconds(300);
-    /// A peer's copy that was last known to be current longer ago is not followed.
+    /// A peer's copy that was last known to be current longer ago is called old.
     Duration max_peer_age = std::chrono::milliseconds(3500);
   };
 
--- a/tests/auto/coordination/tst_table_mirror.cpp
+++ b/tests/auto/coordination/tst_table_mirror.cpp
@@ -127,6 +127,24 @@
   cr_assert(*sources["b"].begin() == "d4:7200", "the strongest reads");
 }
 
+// Guards against a fleet that calls a store that is away, and against a daemon that stays with a
+// reader that alone has lost the store.
+Test(reader_selection, beside_an_old_copy_the_store_is_tried_now_and_then) {
+  ReaderSelection selection({2, std::chrono::seconds(5), std::chrono::seconds(30)});
+  const PeerRecord self = Peer("self", "a", 0.1);
+  const std::vector<PeerRecord> peers = {Peer("p", "a", 0.5), Peer("q", "a", 0.25)};
+  int direct = 0;
+  for (int millis = 0; millis < 10000; millis += 100) {
+    if (selection.Choose(self, peers, At(millis)).empty()) ++direct;
+    selection.OnOldCopy("p:7200", At(millis));
+  }
+  cr_assert(direct > 4 && direct <= 16, "%d of 100", direct);
+  selection.OnOldCopy("p:7200", At(20000));
+  selection.OnStoreAnswered(At(20100));
+  cr_assert(selection.Choose(self, peers, At(25000)).empty());
+  cr_assert(selection.Choose(self, peers, At(25100)) == "q:7200");
+}
+
 // Guards against a daemon that goes down with its reader, and against small fleets that depend on
 // one.
 Test(reader_selection, trouble_with_the_reader_leads_to_the_store) {
