--- a/src/libs/relay/caller_front.cpp
+++ b/src/libs/relay/caller_front.cpp
@@ -52,26 +52,16 @@
                     [](char a, char b) { return (a | 0x20) == b; });
 }
 
-void LogRefusal(const std::string& request_id, const HttpReply& reply, std::string_view reason,
-                const RelayContext& context) {
-  const std::optional<Duration> age = context.freshness.Age(BootNow());
-  const std::int64_t version = context.table ? context.table->Version() : 0;
-  Log(LogLevel::kInfo, "request_refused",
-      "request=" + request_id + " status=" + std::to_string(reply.status) + " reason=\"" +
-          std::string(reason) + "\" configuration=" + std::to_string(version) +
-          " proof_age_ms=" + (age ? std::to_string(age->count() / 1000) : "none"));
-}
-
 }  // namespace
 
 Task<void> CallerFront::Handle(HttpExchange& exchange) {
   const RequestCount count(m_context);
   Admission admission = Admit(exchange);
   if (admission.refusal) {
+    const Refusal& refusal = *admission.refusal;
     m_context.metrics.Count("relay_requests", "not_admitted");
-    LogRefusal(admission.request.fields.request_id, *admission.refusal, admission.refusal->body,
-               m_context);
-    co_await exchange.Respond(std::move(*admission.refusal));
+    LogRefusal(admission.request.fields.request_id, refusal);
+    co_await exchange.Respond(RelayProblem(refusal.code, refusal.detail, refusal.retry_after));
     co_return;
   }
   if (admission.request.route->repeatability == Repeatability::kStream) {
@@ -92,18 +82,18 @@
   const bool is_plain = received.target.substr(0, 1) == "/" && HasPlainFraming(received.headers) &&
                         CountHeaders(received.headers, "Host") == 1;
   if (!host || !fields || !is_plain) {
-    admission.refusal = RelayProblem(ResultCode::kBadRequest,
-                                     "a path, one Host and the request's fields are required");
+    admission.refusal =
+        Refusal{ResultCode::kBadRequest, "a path, one Host and the request's fields are required"};
     return admission;
   }
   request.fields = *fields;
   if (m_context.refusing) {
-    admission.refusal = RelayProblem(ResultCode::kDraining, "use another daemon", kRetryAfterStale);
+    admission.refusal = Refusal{ResultCode::kDraining, "use another daemon", kRetryAfterStale};
     return admission;
   }
   if (!m_context.table) {
     admission.refusal =
-        RelayProblem(ResultCode::kStale, "no configuration is known yet", kRetryAfterStale);
+        Refusal{ResultCode::kStale, "no configuration is known yet", kRetryAfterStale};
     return admission;
   }
   request.table = m_context.table;
@@ -129,7 +119,7 @@
   return admission;
 }
 
-std::optional<HttpReply> CallerFront::Authorize(RelayedRequest& request) const {
+std::optional<CallerFront::Refusal> CallerFront::Authorize(RelayedRequest& request) const {
   request.priority = request.route->priority;
   if (!request.table->Configuration().has_organisations || !request.route->needs_key) {
     return std::nullopt;
@@ -141,13 +131,24 @@
   request.organisation = organisation->name;
   request.priority = organisation->priority.value_or(request.priority);
   if (MayRun(m_context, request)) return std::nullopt;
-  return RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterStale);
+  return Refusal{ResultCode::kStale, "use another daemon", kRetryAfterStale};
 }
 
 /// A daemon that may have missed a change does not say that something does not exist.
-HttpReply CallerFront::RefuseUnknown(ResultCode code, const std::string& detail) const {
-  if (m_context.freshness.Holds(BootNow())) return RelayProblem(code, detail);
-  return RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterStale);
+CallerFront::Refusal CallerFront::RefuseUnknown(ResultCode code, const std::string& detail) const {
+  if (m_context.freshness.Holds(BootNow())) return Refusal{code, detail};
+  return Refusal{ResultCode::kStale, "use another daemon", kRetryAfterStale};
+}
+
+void CallerFront::LogRefusal(const std::string& request_id, const Refusal& refusal) const {
+  const std::optional<Duration> age = m_context.freshness.Age(BootNow());
+  const std::int64_t version = m_context.table ? m_context.table->Version() : 0;
+  const ResultCodeInfo& info = InfoOf(refusal.code);
+  Log(LogLevel::kInfo, "request_refused",
+      "request=" + request_id + " status=" + std::to_string(info.http_status) +
+          " code=" + std::string(info.name) + " reason=\"" + refusal.detail +
+          "\" configuration=" + std::to_string(version) +
+          " proof_age_ms=" + (age ? std::to_string(age->count() / 1000) : "none"));
 }
 
 HttpReply CallerFront::RejectionReply(HttpRejection rejection) {
--- a/src/libs/relay/caller_front.h
+++ b/src/libs/relay/caller_front.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "relay/endpoint_pool.h"
@@ -21,15 +22,22 @@
   static HttpReply RejectionReply(HttpRejection rejection);
 
  private:
-  /// A request that may be relayed, or the reply that refuses it.
+  /// Why a request is not relayed.
+  struct Refusal {
+    ResultCode code = ResultCode::kInternal;
+    std::string detail;
+    Duration retry_after{};
+  };
+  /// A request that may be relayed, or why it is refused.
   struct Admission {
     RelayedRequest request;
-    std::optional<HttpReply> refusal;
+    std::optional<Refusal> refusal;
   };
 
   Admission Admit(HttpExchange& exchange);
-  std::optional<HttpReply> Authorize(RelayedRequest& request) const;
-  HttpReply RefuseUnknown(ResultCode code, const std::string& detail) const;
+  std::optional<Refusal> Authorize(RelayedRequest& request) const;
+  Refusal RefuseUnknown(ResultCode code, const std::string& detail) const;
+  void LogRefusal(const std::string& request_id, const Refusal& refusal) const;
 
   RelayContext& m_context;
   EndpointPool& m_pool;
