Open the peers' TCP and UDP port together, and try another if one is taken

Cause: the kernel chose a UDP port whose number another program held for TCP. Ruled out: the test's own steps (six runs alone passed). Change: where the kernel chooses the port, TCP and UDP are opened together, up to eight times; a UDP socket that could not be bound is closed, so that it can be opened again. The new test failed before (in 400 starts beside 300 taken ports) and passes now. On the platform the port is fixed, so nothing changes there.

--- a/src/libs/relay/mirror_service.h
+++ b/src/libs/relay/mirror_service.h
@@ -19,6 +19,7 @@
   MirrorService(const Executor& executor, std::uint64_t incarnation);
 
   std::error_code Listen(const std::string& address);
+  std::string Address() const { return m_server.Address(); }
   /// Takes what a feed reported about `table`.
   void Apply(const std::string& table, const std::vector<TableFollower::Change>& changes);
   void Confirm(const std::string& table, std::uint64_t version, TimePoint at);
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -134,8 +134,8 @@
   m_state->wake.Notify();
 }
 
-std::error_code PeerExchange::Start() {
-  const std::error_code error = m_state->socket.Open(m_state->context.settings.peer_address);
+std::error_code PeerExchange::Start(const std::string& address) {
+  const std::error_code error = m_state->socket.Open(address);
   if (error) return error;
   Spawn(m_state->context.executor, [state = m_state]() { return state->SendLoop(); });
   Spawn(m_state->context.executor, [state = m_state]() { return state->ReceiveLoop(); });
--- a/src/libs/relay/peer_exchange.h
+++ b/src/libs/relay/peer_exchange.h
@@ -17,8 +17,8 @@
   PeerExchange(const PeerExchange&) = delete;
   PeerExchange& operator=(const PeerExchange&) = delete;
 
-  /// Opens the socket of the settings.
-  std::error_code Start();
+  /// Opens "ip:port" and starts.
+  std::error_code Start(const std::string& address);
   /// "ip:port" of the socket.
   std::string Address() const;
   /// Sends a heartbeat soon because something has changed.
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -14,6 +14,7 @@
 #include "relay/peer_registration.h"
 #include "relay/relay_context.h"
 #include "relay/table_feed.h"
+#include "transport/address.h"
 #include "transport/http_server.h"
 #include "utils/logging.h"
 #include "utils/overloaded.h"
@@ -28,6 +29,7 @@
 constexpr Duration kPeerWatch = std::chrono::seconds(5);
 // Watches of a peer's copies are free; the age of its proof adds to theirs.
 constexpr Duration kConfigurationPeerWait = std::chrono::milliseconds(300);
+constexpr int kPortAttempts = 8;
 // A peer's copy is too old after this many of its own watches, and some time for slow answers.
 constexpr int kWatchesUntilOld = 2;
 constexpr Duration kPeerAgeSlack = std::chrono::milliseconds(500);
@@ -88,6 +90,7 @@
         RelaySources own_sources, std::uint64_t own_seed);
 
   std::error_code Open();
+  std::error_code OpenPeerPorts();
   std::error_code OpenServer(std::unique_ptr<HttpServer>& server, const std::string& address,
                              HttpServerLimits limits, HttpHandler handler);
   void StartFeeds();
@@ -112,7 +115,7 @@
   CallerFront front;
   PeerExchange exchange;
   PeerRecord own_record;
-  MirrorService mirrors;
+  std::unique_ptr<MirrorService> mirrors;
   MirrorClient peer_copies;
   ReaderSelection readers;
   std::unique_ptr<PeerRegistration> registration;
@@ -135,7 +138,6 @@
       pool(executor),
       front(context, pool),
       exchange(context),
-      mirrors(executor, context.incarnation),
       peer_copies(executor),
       readers(SelectionOptions(context.settings)) {
   context.on_news_for_peers = [this]() { exchange.Announce(); };
@@ -147,9 +149,7 @@
 std::error_code RelayDaemon::State::Open() {
   const RelaySettings& settings = context.settings;
   const HttpServerLimits limits = LimitsOf(settings, CallerLimits());
-  std::error_code error = exchange.Start();
-  // Peers know one address, so TCP uses the number of the UDP port.
-  if (!error) error = mirrors.Listen(exchange.Address());
+  std::error_code error = OpenPeerPorts();
   if (!error) {
     error = OpenServer(callers, settings.caller_address, limits,
                        [this](HttpExchange& request) { return front.Handle(request); });
@@ -169,6 +169,22 @@
   return error;
 }
 
+/// Peers know one address, so TCP and UDP use the same port. A port that the kernel chose for one
+/// may be taken for the other.
+std::error_code RelayDaemon::State::OpenPeerPorts() {
+  const std::string& address = context.settings.peer_address;
+  const std::optional<SocketAddress> parsed = ParseSocketAddress(address);
+  const int attempts = parsed && parsed->port == 0 ? kPortAttempts : 1;
+  std::error_code error;
+  for (int attempt = 0; attempt < attempts; ++attempt) {
+    mirrors = std::make_unique<MirrorService>(context.executor, context.incarnation);
+    error = mirrors->Listen(address);
+    if (!error) error = exchange.Start(mirrors->Address());
+    if (!error) break;
+  }
+  return error;
+}
+
 std::error_code RelayDaemon::State::OpenServer(std::unique_ptr<HttpServer>& server,
                                                const std::string& address, HttpServerLimits limits,
                                                HttpHandler handler) {
@@ -205,11 +221,11 @@
   TableFeed::Handlers handlers;
   handlers.on_changes = [this, table, on_changes = std::move(on_changes)](
                             const std::vector<TableFollower::Change>& changes) {
-    mirrors.Apply(table, changes);
+    mirrors->Apply(table, changes);
     on_changes(changes);
   };
   handlers.on_current = [this, table](std::uint64_t version, TimePoint at) {
-    mirrors.Confirm(table, version, at);
+    mirrors->Confirm(table, version, at);
     if (table == sources.configuration_table) context.freshness.Confirm(at);
   };
   handlers.choose_source = [this]() {
--- a/src/libs/transport/udp_socket.cpp
+++ b/src/libs/transport/udp_socket.cpp
@@ -43,6 +43,11 @@
   if (!error) m_state->socket.bind(*endpoint, error);
   if (!error) m_state->socket.non_blocking(true, error);
   if (!error) m_state->address = internal::AddressText(m_state->socket.local_endpoint(error));
+  if (error) {
+    // So that another address can be tried.
+    boost::system::error_code ignored;
+    m_state->socket.close(ignored);
+  }
   return error;
 }
 
--- a/tests/auto/platform/platform_world.cpp
+++ b/tests/auto/platform/platform_world.cpp
@@ -81,7 +81,8 @@
   std::unique_ptr<RelayDaemon> started = std::make_unique<RelayDaemon>(
       executor, own, platform::MakeRelayWire(), platform::MakeStore(executor, store->Address()),
       platform::MakeRelaySources(), kSeed);
-  cr_assert_not(started->Start());
+  const std::error_code error = started->Start();
+  cr_assert_not(error, "%s", error.message().c_str());
   return started;
 }
 
--- a/tests/auto/platform/tst_configuration.cpp
+++ b/tests/auto/platform/tst_configuration.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include "platform_world.h"
+#include "transport/http_server.h"
+#include "transport/udp_socket.h"
 
 using namespace fulmarpoint;
 
@@ -150,6 +152,25 @@
   co_await AwaitStatus(world, "/look/x", second, 200);
 }
 
+Task<void> StartsBesideOthers(PlatformWorld& world) {
+  constexpr int kTaken = 150;
+  constexpr int kStarts = 400;
+  std::vector<std::unique_ptr<UdpSocket>> udp;
+  std::vector<std::unique_ptr<HttpServer>> tcp;
+  for (int index = 0; index < kTaken; ++index) {
+    udp.push_back(std::make_unique<UdpSocket>(world.loop.GetExecutor()));
+    cr_assert_not(udp.back()->Open("127.0.0.1:0"));
+    tcp.push_back(std::make_unique<HttpServer>(world.loop.GetExecutor(), HttpServerLimits(),
+                                               HttpHandler(), HttpRejectionReply()));
+    cr_assert_not(tcp.back()->Listen("127.0.0.1:0"));
+  }
+  for (int start = 0; start < kStarts; ++start) {
+    world.StartPeer("daemon-2").reset();
+    // Closed sockets are released by the loop.
+    co_await Sleep(std::chrono::milliseconds(1));
+  }
+}
+
 Task<void> LookupNamesTheDaemon(PlatformWorld& world) {
   world.AddEndpoint("orders", "a");
   co_await world.Start();
@@ -187,5 +208,9 @@
 // reader.
 Test(configuration, a_daemon_may_follow_a_peers_copy) { RunTest(&PeersShareTheirReading); }
 
+// Guards against a daemon that does not start because its UDP port is taken for TCP, or the other
+// way round: seen once when tests ran side by side.
+Test(configuration, a_daemon_starts_beside_others) { RunTest(&StartsBesideOthers); }
+
 // Guards against lookups that callers cannot use.
 Test(configuration, a_lookup_names_the_daemon) { RunTest(&LookupNamesTheDaemon); }
