--- /dev/null
+++ b/src/libs/coordination/connection_share.cpp
@@ -0,0 +1,23 @@
+#include "coordination/connection_share.h"
+
+#include <algorithm>
+
+namespace fulmarpoint {
+
+namespace {
+
+constexpr std::size_t kMostIdle = 2;
+
+}  // namespace
+
+ConnectionShare ShareConnections(int max_connections, std::size_t daemons) {
+  if (max_connections <= 0) return {kMostIdle, 0};
+  const std::size_t most = static_cast<std::size_t>(max_connections);
+  const std::size_t sharers = std::max<std::size_t>(1, daemons);
+  ConnectionShare share;
+  share.idle = std::min(kMostIdle, most / 2 / sharers);
+  share.requests = std::max(1, static_cast<int>(most - share.idle * sharers));
+  return share;
+}
+
+}  // namespace fulmarpoint
--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -19,6 +19,10 @@
 // Suspected endpoints are used only if no other has room.
 constexpr double kSuspectedPenalty = 1e9;
 
+bool AcceptsConnection(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
+  return request.most_requests <= 0 || endpoint.Requests() < request.most_requests;
+}
+
 bool HasRoom(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
   if (request.engine_memory_tokens <= 0) return true;
   return endpoint.MemoryTokens() + request.memory_tokens <= request.engine_memory_tokens;
@@ -41,7 +45,7 @@
                                              const PlacementRequest& request) {
   std::vector<std::pair<std::uint64_t, const DirectoryEndpoint*>> ranked;
   for (const DirectoryEndpoint* endpoint : endpoints) {
-    if (IsExcluded(*endpoint, request)) continue;
+    if (IsExcluded(*endpoint, request) || !AcceptsConnection(*endpoint, request)) continue;
     ranked.emplace_back(StableHash(endpoint->record.id, request.prompt), endpoint);
   }
   std::sort(ranked.begin(), ranked.end());
@@ -59,10 +63,9 @@
                                        const PlacementRequest& request) {
   for (const DirectoryEndpoint* endpoint : endpoints) {
     const bool is_suspected = request.now < endpoint->suspected_until;
-    if (endpoint->record.id == request.preferred && !is_suspected &&
-        !IsExcluded(*endpoint, request)) {
-      return endpoint;
-    }
+    if (endpoint->record.id != request.preferred || is_suspected) continue;
+    const bool may_take = !IsExcluded(*endpoint, request) && AcceptsConnection(*endpoint, request);
+    return may_take ? endpoint : nullptr;
   }
   return nullptr;
 }
@@ -74,7 +77,7 @@
   const DirectoryEndpoint* best = nullptr;
   double best_score = 0.0;
   for (const DirectoryEndpoint* endpoint : endpoints) {
-    if (IsExcluded(*endpoint, request)) continue;
+    if (IsExcluded(*endpoint, request) || !AcceptsConnection(*endpoint, request)) continue;
     const double slots = std::max(1, endpoint->record.slots);
     double score = endpoint->Requests() / slots;
     if (endpoint->record.failure_domain != request.failure_domain) score += 0.5 / slots;
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -29,6 +29,8 @@
   std::int64_t memory_tokens = 0;
   /// Memory of each engine; 0 if unlimited.
   std::int64_t engine_memory_tokens = 0;
+  /// Requests that one endpoint may hold at a time; 0 if unlimited.
+  int most_requests = 0;
 };
 
 /// Chooses the endpoint for a request to an application engine: the one with the fewest requests
--- a/src/libs/relay/endpoint_pool.cpp
+++ b/src/libs/relay/endpoint_pool.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kIdlePerEndpoint = 2;
 constexpr Duration kIdleTime = std::chrono::seconds(4);
 // An endpoint may close a connection a little before the time that it announced.
 constexpr Duration kAnnouncedMargin = std::chrono::milliseconds(800);
@@ -55,15 +54,15 @@
 
 void EndpointPool::PutIdle(const EndpointId& endpoint,
                            std::shared_ptr<HttpClientExchange> connection, const HttpReply& reply,
-                           TimePoint now) {
-  if (!connection->IsReusable()) return;
+                           std::size_t most_idle, TimePoint now) {
+  if (most_idle == 0 || !connection->IsReusable()) return;
   Duration keep = kIdleTime;
   if (const std::optional<Duration> announced = AnnouncedIdleTime(reply)) {
     keep = std::min(keep, *announced - kAnnouncedMargin);
   }
   if (keep <= Duration::zero()) return;
   std::deque<Idle>& idle = m_idle[endpoint];
-  if (idle.size() >= kIdlePerEndpoint) idle.pop_front();
+  while (idle.size() >= most_idle) idle.pop_front();
   idle.push_back({std::move(connection), now + keep});
 }
 
--- a/src/libs/relay/endpoint_pool.h
+++ b/src/libs/relay/endpoint_pool.h
@@ -20,9 +20,10 @@
   std::shared_ptr<HttpClientExchange> TakeIdle(const EndpointId& endpoint, TimePoint now);
   /// Returns a connection that is not connected yet.
   std::shared_ptr<HttpClientExchange> MakeNew() const;
-  /// Keeps a connection for later if it can be used again. `reply` is the last one on it.
+  /// Keeps a connection for later if it can be used again. `reply` is the last one on it; at most
+  /// `most_idle` connections to the endpoint are kept.
   void PutIdle(const EndpointId& endpoint, std::shared_ptr<HttpClientExchange> connection,
-               const HttpReply& reply, TimePoint now);
+               const HttpReply& reply, std::size_t most_idle, TimePoint now);
   /// Closes connections that have been idle for too long.
   void Forget(TimePoint now);
 
--- a/tests/auto/coordination/tst_relay_placement.cpp
+++ b/tests/auto/coordination/tst_relay_placement.cpp
@@ -118,3 +118,20 @@
   fleet.endpoints[2].own.requests = 6;
   cr_assert(PlaceCall(fleet.Pointers(), Request(), random)->record.failure_domain == "b");
 }
+
+// Guards against requests that an endpoint resets because it holds too many connections.
+Test(relay_placement, endpoints_that_accept_no_more_connections_are_left_out) {
+  Fleet fleet(2);
+  fleet.endpoints[0].own.requests = 3;
+  fleet.endpoints[0].peers.requests = 2;
+  fleet.endpoints[1].own.requests = 4;
+  fleet.endpoints[1].own.unread_tokens = 20000;
+  PlacementRequest request = Request();
+  request.most_requests = 5;
+  request.preferred = "e0";
+  Random random(kSeed);
+  cr_assert(IdOf(PlaceStream(fleet.Pointers(), request)) == "e1");
+  fleet.endpoints[1].own.requests = 5;
+  cr_assert(IdOf(PlaceStream(fleet.Pointers(), request)) == "none");
+  cr_assert(IdOf(PlaceCall(fleet.Pointers(), request, random)) == "none");
+}
