Leave a run that has not begun alone while another could still be on time

Of runs that were not given up 90% began within 2.4 s and all within 5 s, so that most of these would have been on time, and the second run cost the prompt, a repeat, and was late. Ruled out: engines that restart (first events come as fast just after a start), crashed engines. Change: unless others failed at the engine, the run is left until the objective less 1.25 times the time that another run is expected to take. What remains comes from prompts that meet at one engine, because daemons hear only their neighbours.

--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -14,8 +14,11 @@
 // known about when to expect it, and the least part otherwise.
 constexpr double kUnknownFirstShare = 0.6;
 constexpr double kLeastFirstShare = 0.4;
-// How much later than expected the first event may come; a second run costs the whole prompt again.
+// How much later than expected the first event may come at a suspected engine; a second run costs
+// the whole prompt again.
 constexpr double kLatenessFactor = 1.6;
+// How much longer than expected another run may take and still meet the objective.
+constexpr double kRestartFactor = 1.25;
 constexpr Duration kLatenessSlack = std::chrono::milliseconds(300);
 // Silence before the first event is checked with a new connection at this interval, and sooner
 // where other requests have failed.
@@ -36,6 +39,7 @@
   ++m_runs;
   m_from_copy = start.from_copy;
   m_expected_first = start.expected_first;
+  m_expected_elsewhere = start.expected_elsewhere;
   m_run_has_event = false;
   m_last_progress = now;
   m_last_probe = now;
@@ -60,7 +64,7 @@
 SilenceVerdict StreamContinuation::Judge(const Circumstances& circumstances, TimePoint now) const {
   if (!MayStartRun() || !MayContinue()) return SilenceVerdict::kWait;
   const Duration silence = now - m_last_progress;
-  if (silence >= Patience(circumstances.has_copy)) return SilenceVerdict::kAbandon;
+  if (silence >= Patience(circumstances)) return SilenceVerdict::kAbandon;
   const Duration interval = circumstances.suspected ? kSuspectedProbeInterval : kProbeInterval;
   const bool is_odd = !m_run_has_event || silence >= m_limits.gap_goal / kPauseDivisor;
   if (is_odd && now - std::max(m_last_probe, m_last_progress) >= interval) {
@@ -76,14 +80,21 @@
   return odd > now ? odd : soon;
 }
 
-Duration StreamContinuation::Patience(bool has_copy) const {
+Duration StreamContinuation::Patience(const Circumstances& circumstances) const {
   if (m_from_copy && !m_run_has_event) return m_limits.gap_goal / kPauseDivisor;
-  if (m_run_has_event) {
-    return has_copy ? m_limits.gap_goal / kPauseDivisor : m_limits.gap_goal * kNoCopyFactor;
-  }
+  if (!m_run_has_event) return FirstEventPatience(circumstances.suspected);
+  return circumstances.has_copy ? m_limits.gap_goal / kPauseDivisor
+                                : m_limits.gap_goal * kNoCopyFactor;
+}
+
+/// An engine that accepts connections has most likely read a part of the prompt already, so the run
+/// is left there as long as another one could still meet the objective.
+Duration StreamContinuation::FirstEventPatience(bool suspected) const {
   if (!m_expected_first) return Scaled(m_limits.goal, kUnknownFirstShare);
-  return std::max(Scaled(m_limits.goal, kLeastFirstShare),
-                  Scaled(*m_expected_first, kLatenessFactor) + kLatenessSlack);
+  const Duration soonest = std::max(Scaled(m_limits.goal, kLeastFirstShare),
+                                    Scaled(*m_expected_first, kLatenessFactor) + kLatenessSlack);
+  if (suspected || !m_expected_elsewhere) return soonest;
+  return std::max(soonest, m_limits.goal - Scaled(*m_expected_elsewhere, kRestartFactor));
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -41,6 +41,8 @@
     bool from_copy = false;
     /// When the first event is expected, if anything is known about it.
     std::optional<Duration> expected_first;
+    /// When the first event of another run would be expected after its start.
+    std::optional<Duration> expected_elsewhere;
   };
 
   void OnRunStarted(const RunStart& start, TimePoint now);
@@ -75,7 +77,8 @@
   Duration LongestPause() const { return m_longest_pause; }
 
  private:
-  Duration Patience(bool has_copy) const;
+  Duration Patience(const Circumstances& circumstances) const;
+  Duration FirstEventPatience(bool suspected) const;
 
   Limits m_limits;
   std::optional<std::uint64_t> m_last_event;
@@ -83,6 +86,7 @@
   bool m_run_has_event = false;
   bool m_from_copy = false;
   std::optional<Duration> m_expected_first;
+  std::optional<Duration> m_expected_elsewhere;
   int m_runs = 0;
   TimePoint m_last_progress{};
   TimePoint m_last_probe{};
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -231,8 +231,10 @@
   m_run = std::make_shared<StreamRun>(*engine, connection, m_wake);
   ++m_arrivals;
   m_run_started = SteadyNow();
-  const std::optional<Duration> expected = m_context.Pace(m_request.service).Expect(m_backlog);
-  m_continuation.OnRunStarted({m_from_copy, expected}, m_run_started);
+  const PromptPace& pace = m_context.Pace(m_request.service);
+  m_continuation.OnRunStarted(
+      {m_from_copy, pace.Expect(m_backlog), pace.Expect(m_request.fields.prompt_tokens)},
+      m_run_started);
   Log(LogLevel::kInfo, "run_started",
       "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
           " after=" + std::to_string(fields.last_event.value_or(0)) +
--- a/tests/auto/coordination/tst_stream_continuation.cpp
+++ b/tests/auto/coordination/tst_stream_continuation.cpp
@@ -68,6 +68,19 @@
   cr_assert_eq(stream.Judge({}, At(2400)), SilenceVerdict::kAbandon);
 }
 
+// Guards against prompts that are read twice because a healthy engine is slower than most: in a
+// large fleet each of these costs a repeat, and the second run is late as well.
+Test(stream_continuation, a_run_stays_while_another_could_still_be_on_time) {
+  StreamContinuation stream(Limits(), std::nullopt);
+  const Duration expected = std::chrono::milliseconds(1000);
+  stream.OnRunStarted({false, expected, expected}, kStart);
+  stream.OnProbeAnswered(At(3200));
+  cr_assert_eq(stream.Judge({}, At(3249)), SilenceVerdict::kWait);
+  cr_assert_eq(stream.Judge({}, At(3250)), SilenceVerdict::kAbandon);
+  cr_assert_eq(stream.Judge({true, false}, At(1900)), SilenceVerdict::kAbandon,
+               "others have failed there");
+}
+
 // Guards against a run that is moved, and its prompt read twice, because its engine is busy.
 Test(stream_continuation, patience_before_the_first_event_follows_what_is_expected) {
   StreamContinuation stream(Limits(), std::nullopt);
