Let daemons prefer the engines near them on the ring on which they hear each other

Ruled out: slow and restarted engines (first events as fast as elsewhere), the order by prompt hash (random, so it neither helps nor harms). Ways weighed: polling reports of engines (priced, old when they arrive), heartbeats to all daemons (grows with the square of the fleet), engines owned by single daemons (few engines each, nothing when the daemon is lost), engines of the own failure domain only (uneven domains, and a domain whose engines fail has none). Change: engines stand on the ring of daemons too, evenly apart, and daemons prefer those near them; for those out of hearing they assume the use that they see near by. Copies are placed the same way. Fleets in which all hear each other keep the order by prompt.

--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -127,6 +127,18 @@
   return found != m_peers.end() && now - found->second.last_heard < m_options.silence_limit;
 }
 
+std::optional<RingView> PeerDirectory::View() const {
+  if (m_peers.size() <= m_options.max_neighbours) return std::nullopt;
+  const std::uint64_t self = StableHash(m_self);
+  const auto before = std::count_if(m_peers.begin(), m_peers.end(), [self](const auto& entry) {
+    return StableHash(entry.first) < self;
+  });
+  const double daemons = static_cast<double>(m_peers.size() + 1);
+  // Two daemons that are up to this far from an endpoint, on either side, are neighbours.
+  const double reach = static_cast<double>(m_options.max_neighbours / 2) / 2.0;
+  return RingView{static_cast<double>(before) / daemons, reach / daemons};
+}
+
 std::vector<const PeerDirectory::Peer*> PeerDirectory::Ring() const {
   std::vector<std::pair<std::uint64_t, const Peer*>> ring;
   ring.reserve(m_peers.size());
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/ring_view.h"
 #include "protocol/relay_heartbeat.h"
 #include "utils/random.h"
 #include "utils/time.h"
@@ -65,6 +66,8 @@
   /// Returns whether the neighbour was heard lately.
   bool IsReachable(const std::string& name, TimePoint now) const;
   std::size_t Size() const { return m_peers.size(); }
+  /// Returns nothing if all daemons hear each other.
+  std::optional<RingView> View() const;
 
  private:
   struct Peer {
--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -1,6 +1,7 @@
 #include "coordination/relay_placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -14,6 +15,10 @@
 constexpr double kTokensPerRun = 30.0;
 // Advantage of the engine that is ranked one place higher for the prompt.
 constexpr double kTokensPerRank = 100.0;
+// Disadvantage of an endpoint on the opposite side of the ring is half of this.
+constexpr double kTokensPerRing = 2000.0;
+// Part of the requests at an endpoint whose prompt is still being read.
+constexpr double kUnreadShare = 0.2;
 // A preferred endpoint is used while its backlog is this much of a prompt longer.
 constexpr double kPreferredBacklog = 1.0;
 // Suspected endpoints are used only if no other has room.
@@ -40,21 +45,92 @@
   return tokens * slowness + kTokensPerRun * endpoint.Requests();
 }
 
-/// Returns the endpoints that may be chosen, in their order for the prompt.
-std::vector<const DirectoryEndpoint*> Ranked(const std::vector<const DirectoryEndpoint*>& endpoints,
-                                             const PlacementRequest& request) {
-  std::vector<std::pair<std::uint64_t, const DirectoryEndpoint*>> ranked;
+/// An endpoint that may be chosen.
+struct Candidate {
+  const DirectoryEndpoint* endpoint = nullptr;
+  /// Advantage of others that come before it in the order of preference.
+  double rank_tokens = 0.0;
+  /// Requests that daemons out of hearing probably have there.
+  double unheard_requests = 0.0;
+};
+
+/// Returns the endpoints that may be chosen by rising `hash` of their identity.
+template <typename Hash>
+std::vector<const DirectoryEndpoint*> Ordered(
+    const std::vector<const DirectoryEndpoint*>& endpoints, const Hash& hash) {
+  std::vector<std::pair<std::uint64_t, const DirectoryEndpoint*>> ordered;
+  ordered.reserve(endpoints.size());
   for (const DirectoryEndpoint* endpoint : endpoints) {
-    if (IsExcluded(*endpoint, request) || !AcceptsConnection(*endpoint, request)) continue;
-    ranked.emplace_back(StableHash(endpoint->record.id, request.prompt), endpoint);
+    ordered.emplace_back(hash(endpoint->record.id), endpoint);
   }
-  std::sort(ranked.begin(), ranked.end());
+  std::sort(ordered.begin(), ordered.end());
   std::vector<const DirectoryEndpoint*> order;
-  order.reserve(ranked.size());
-  for (const auto& [hash, endpoint] : ranked) order.push_back(endpoint);
+  order.reserve(ordered.size());
+  for (const auto& [value, endpoint] : ordered) order.push_back(endpoint);
   return order;
 }
 
+/// All daemons hear each other: they prefer endpoints in an order that depends on the prompt.
+std::vector<Candidate> RankByPrompt(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                    const PlacementRequest& request) {
+  std::vector<Candidate> candidates;
+  const auto hash = [&](const EndpointId& id) { return StableHash(id, request.prompt); };
+  for (const DirectoryEndpoint* endpoint : Ordered(endpoints, hash)) {
+    const double rank = static_cast<double>(candidates.size() + 1);
+    candidates.push_back({endpoint, rank * kTokensPerRank, 0.0});
+  }
+  return candidates;
+}
+
+double RingDistance(double a, double b) {
+  const double distance = std::abs(a - b);
+  return std::min(distance, 1.0 - distance);
+}
+
+/// Each daemon prefers the endpoints near it on the ring.
+std::vector<Candidate> RankByRing(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                  const RingView& ring) {
+  std::vector<Candidate> candidates;
+  const auto hash = [](const EndpointId& id) { return StableHash(id); };
+  const double count = static_cast<double>(endpoints.size());
+  double heard = 0.0;
+  double requests = 0.0;
+  for (const DirectoryEndpoint* endpoint : Ordered(endpoints, hash)) {
+    const double position = static_cast<double>(candidates.size()) / count;
+    const double distance = RingDistance(position, ring.position);
+    candidates.push_back({endpoint, distance * kTokensPerRing, 0.0});
+    if (distance > ring.heard_distance) {
+      candidates.back().unheard_requests = 1.0;
+      continue;
+    }
+    heard += 1.0;
+    requests += endpoint->Requests();
+  }
+  // Those out of hearing are probably used like those within.
+  const double typical = heard == 0.0 ? 0.0 : requests / heard;
+  for (Candidate& candidate : candidates) candidate.unheard_requests *= typical;
+  return candidates;
+}
+
+/// Returns the endpoints that may be chosen.
+std::vector<Candidate> Candidates(const std::vector<const DirectoryEndpoint*>& endpoints,
+                                  const PlacementRequest& request) {
+  std::vector<Candidate> candidates =
+      request.ring ? RankByRing(endpoints, *request.ring) : RankByPrompt(endpoints, request);
+  const auto is_closed = [&request](const Candidate& candidate) {
+    return IsExcluded(*candidate.endpoint, request) ||
+           !AcceptsConnection(*candidate.endpoint, request);
+  };
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(), is_closed),
+                   candidates.end());
+  return candidates;
+}
+
+/// Returns the tokens that daemons out of hearing probably have placed there.
+double UnheardTokens(const Candidate& candidate, const PlacementRequest& request) {
+  return candidate.unheard_requests * kUnreadShare * static_cast<double>(request.prompt_tokens);
+}
+
 double SuspicionPenalty(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
   return request.now < endpoint.suspected_until ? kSuspectedPenalty : 0.0;
 }
@@ -94,14 +170,13 @@
                                      const PlacementRequest& request) {
   const DirectoryEndpoint* best = nullptr;
   double best_tokens = 0.0;
-  double rank_tokens = 0.0;
-  for (const DirectoryEndpoint* endpoint : Ranked(endpoints, request)) {
-    rank_tokens += kTokensPerRank;
-    if (!HasRoom(*endpoint, request)) continue;
-    const double tokens =
-        BacklogTokens(*endpoint, request) + rank_tokens + SuspicionPenalty(*endpoint, request);
+  for (const Candidate& candidate : Candidates(endpoints, request)) {
+    const DirectoryEndpoint& endpoint = *candidate.endpoint;
+    if (!HasRoom(endpoint, request)) continue;
+    const double tokens = BacklogTokens(endpoint, request) + candidate.rank_tokens +
+                          UnheardTokens(candidate, request) + SuspicionPenalty(endpoint, request);
     if (best != nullptr && tokens >= best_tokens) continue;
-    best = endpoint;
+    best = &endpoint;
     best_tokens = tokens;
   }
   const DirectoryEndpoint* preferred = FindPreferred(endpoints, request);
@@ -117,11 +192,13 @@
   const DirectoryEndpoint* best = nullptr;
   bool best_elsewhere = false;
   double best_tokens = 0.0;
-  for (const DirectoryEndpoint* endpoint : Ranked(endpoints, request)) {
+  for (const Candidate& candidate : Candidates(endpoints, request)) {
+    const DirectoryEndpoint* endpoint = candidate.endpoint;
     if (endpoint == &primary || !HasRoom(*endpoint, request)) continue;
     const bool elsewhere = endpoint->record.failure_domain != primary.record.failure_domain;
+    const double unheard = candidate.unheard_requests * static_cast<double>(request.memory_tokens);
     const double tokens = static_cast<double>(endpoint->MemoryTokens() + endpoint->UnreadTokens()) +
-                          SuspicionPenalty(*endpoint, request);
+                          unheard + SuspicionPenalty(*endpoint, request);
     const bool is_better = elsewhere != best_elsewhere ? elsewhere : tokens < best_tokens;
     if (best != nullptr && !is_better) continue;
     best = endpoint;
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordination/endpoint_directory.h"
+#include "coordination/ring_view.h"
 #include "utils/random.h"
 
 namespace fulmarpoint {
@@ -24,6 +25,8 @@
   /// Identifies the prompt. All daemons rank the engines for a prompt alike, so that one that knows
   /// nothing of an earlier run probably finds the engine that holds the prompt.
   std::uint64_t prompt = 0;
+  /// Where this daemon stands if there are daemons that it does not hear.
+  std::optional<RingView> ring;
   /// Tokens to read and to keep; zero for requests to application engines.
   std::int64_t prompt_tokens = 0;
   std::int64_t memory_tokens = 0;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -262,6 +262,7 @@
   placement.failure_domain = m_context.settings.failure_domain;
   placement.now = SteadyNow();
   placement.excluded = m_excluded;
+  placement.ring = m_context.peers.View();
   placement.prompt_tokens = m_request.fields.prompt_tokens;
   placement.memory_tokens = MemoryTokens();
   placement.most_requests = m_context.Connections(*m_request.table, m_request.service).requests;
