Log without waiting and within a budget; tell the story of a request from logs

Log lines went to standard output with a blocking write and no limit: a reader that stops would have stopped the daemon, and a flood of requests would have been a flood of lines. Values were not escaped, so that a caller's request id could look like other fields.

Refusals, and requests that end without their endpoint's answer, are warnings now, so that they are kept before successes. Fields are typed and values quoted where needed.

fulmarpointctl logs explain ID prints the lines of a request from the logs of all daemons, with those of other requests, endpoints and daemons that explain it.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -55,7 +55,7 @@
   Task<TryEnd> ReadAnswer();
   TryEnd JudgeHead(const EndpointAnswerFields& answer);
   void OnBroken(std::string_view reason);
-  Task<void> Answer(HttpReply reply, std::string_view outcome);
+  Task<void> Answer(HttpReply reply, RequestOutcome outcome);
   Task<void> AnswerFailure();
   bool MayRepeat();
   bool IsRepeatable() const { return m_request.route->repeatability == Repeatability::kIdempotent; }
@@ -116,7 +116,7 @@
   }
   m_exchange.OnClientGone(nullptr);
   if (m_exchange.ClientGone()) {
-    LogRequestEnd(m_request, "caller_gone", 0, "runs=" + std::to_string(m_runs));
+    LogRequestEnd(m_request, RequestOutcome::kCallerGone, 0, {{"runs", m_runs}});
     co_return;
   }
   co_await AnswerFailure();
@@ -178,8 +178,9 @@
     error = co_await m_connection->ReadBody(m_reply.body, kMaxAnswerBytes, Patience());
     if (!is_own) {
       Log(LogLevel::kWarning, "stray_answer",
-          "request=" + m_request.fields.request_id + " endpoint=" + m_endpoint.id +
-              " answer_to=" + answer.request_id);
+          {{"request", m_request.fields.request_id},
+           {"endpoint", m_endpoint.id},
+           {"answer_to", answer.request_id}});
       if (error || !m_connection->BodyDone()) co_return TryEnd::kLost;
       continue;
     }
@@ -199,7 +200,7 @@
       m_failure = std::move(m_reply);
       co_return TryEnd::kLost;
     }
-    co_await Answer(std::move(m_reply), "answered");
+    co_await Answer(std::move(m_reply), RequestOutcome::kAnswered);
     co_return TryEnd::kAnswered;
   }
   OnBroken("only stray answers");
@@ -228,46 +229,44 @@
   if (m_exchange.ClientGone()) return;
   m_context.OnEndpointFailure(m_endpoint.id);
   Log(LogLevel::kWarning, "endpoint_failure",
-      "request=" + m_request.fields.request_id + " endpoint=" + m_endpoint.id + " reason=\"" +
-          std::string(reason) + "\"");
+      {{"request", m_request.fields.request_id}, {"endpoint", m_endpoint.id}, {"reason", reason}});
 }
 
-Task<void> CallSession::Answer(HttpReply reply, std::string_view outcome) {
+Task<void> CallSession::Answer(HttpReply reply, RequestOutcome outcome) {
   const int status = reply.status;
-  const std::string details = "endpoint=" + m_endpoint.id + " runs=" + std::to_string(m_runs);
   reply.headers = EndToEndHeaders(reply.headers);
-  m_context.metrics.Count("relay_requests", outcome);
+  m_context.metrics.Count("relay_requests", NameOf(kRequestOutcomeNames, outcome));
   m_context.metrics.Observe("relay_call",
                             NameOf(kRepeatabilityNames, m_request.route->repeatability),
                             SteadyNow() - m_request.arrived);
   co_await m_exchange.Respond(std::move(reply));
-  LogRequestEnd(m_request, outcome, status, details);
+  LogRequestEnd(m_request, outcome, status, {{"endpoint", m_endpoint.id}, {"runs", m_runs}});
 }
 
 Task<void> CallSession::AnswerFailure() {
   if (m_failure) {
-    co_await Answer(std::move(*m_failure), "endpoint_failed");
+    co_await Answer(std::move(*m_failure), RequestOutcome::kEndpointFailed);
     co_return;
   }
   const bool late = Left() <= Duration::zero();
   if (m_may_have_run || m_runs > 0) {
     co_await Answer(RelayProblem(late ? ResultCode::kOutcomeUnknown : ResultCode::kEndpointFailed,
                                  "the request was sent to an endpoint and its answer was lost"),
-                    "lost");
+                    RequestOutcome::kLost);
   } else if (m_stale) {
     co_await Answer(RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterNoEndpoint),
-                    "stale");
+                    RequestOutcome::kStale);
   } else {
     co_await Answer(RelayProblem(ResultCode::kNoEndpoint, "no endpoint has taken the request",
                                  kRetryAfterNoEndpoint),
-                    "refused");
+                    RequestOutcome::kRefused);
   }
 }
 
 bool CallSession::MayRepeat() {
   if (m_context.TryRepeat(m_request.service)) return true;
   Log(LogLevel::kWarning, "retry_budget_empty",
-      "request=" + m_request.fields.request_id + " service=" + m_request.service);
+      {{"request", m_request.fields.request_id}, {"service", m_request.service}});
   return false;
 }
 
--- a/src/libs/relay/caller_front.cpp
+++ b/src/libs/relay/caller_front.cpp
@@ -144,11 +144,13 @@
   const std::optional<Duration> age = m_context.freshness.Age(BootNow());
   const std::int64_t version = m_context.table ? m_context.table->Version() : 0;
   const ResultCodeInfo& info = InfoOf(refusal.code);
-  Log(LogLevel::kInfo, "request_refused",
-      "request=" + request_id + " status=" + std::to_string(info.http_status) +
-          " code=" + std::string(info.name) + " reason=\"" + refusal.detail +
-          "\" configuration=" + std::to_string(version) +
-          " proof_age_ms=" + (age ? std::to_string(age->count() / 1000) : "none"));
+  Log(LogLevel::kWarning, "request_refused",
+      {{"request", request_id},
+       {"status", info.http_status},
+       {"code", info.name},
+       {"reason", refusal.detail},
+       {"configuration", version},
+       {"proof_age_ms", age ? std::to_string(age->count() / 1000) : "none"}});
 }
 
 HttpReply CallerFront::RejectionReply(HttpRejection rejection) {
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -119,7 +119,7 @@
     seen[peer.name] = is_reachable;
     const auto known = reachable.find(peer.name);
     if (known != reachable.end() && known->second == is_reachable) continue;
-    Log(LogLevel::kInfo, is_reachable ? "peer_reachable" : "peer_silent", "peer=" + peer.name);
+    Log(LogLevel::kInfo, is_reachable ? "peer_reachable" : "peer_silent", {{"peer", peer.name}});
     // What a lost daemon used is free: its connections to the endpoints are gone.
     if (!is_reachable) context.endpoints.SetPeerUses(peer.name, {});
   }
--- a/src/libs/relay/peer_registration.cpp
+++ b/src/libs/relay/peer_registration.cpp
@@ -74,8 +74,7 @@
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
   const bool ok = reply.status == StoreStatus::kOk;
   if (ok) written = !removes;
-  Log(LogLevel::kInfo, "registration",
-      std::string(removes ? "action=remove" : "action=write") + " ok=" + (ok ? "1" : "0"));
+  Log(LogLevel::kInfo, "registration", {{"action", removes ? "remove" : "write"}, {"ok", ok}});
   co_return ok;
 }
 
@@ -86,7 +85,7 @@
     StoreTransaction transaction;
     transaction.conditions.push_back({kPeerTable, "", name, version->second});
     transaction.removes.push_back(RowOf(name));
-    Log(LogLevel::kInfo, "peer_row_removed", "peer=" + name);
+    Log(LogLevel::kInfo, "peer_row_removed", {{"peer", name}});
     co_await context.store.commit(std::move(transaction));
   }
 }
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -193,8 +193,7 @@
                                         &CallerFront::RejectionReply);
   const std::error_code error = server->Listen(address);
   if (error) {
-    Log(LogLevel::kError, "listen_failed",
-        "address=" + address + " reason=\"" + error.message() + "\"");
+    Log(LogLevel::kError, "listen_failed", {{"address", address}, {"reason", error.message()}});
   }
   return error;
 }
@@ -250,8 +249,7 @@
     if (change.row.key != sources.configuration_key || change.row.removed) continue;
     std::optional<RelayConfiguration> parsed = sources.parse_configuration(change.row.value);
     if (!parsed) {
-      Log(LogLevel::kError, "configuration_rejected",
-          "row_version=" + std::to_string(change.row.version));
+      Log(LogLevel::kError, "configuration_rejected", {{"row_version", change.row.version}});
       continue;
     }
     Apply(std::move(*parsed));
@@ -261,17 +259,16 @@
 void RelayDaemon::State::Apply(RelayConfiguration configuration) {
   if (context.table && configuration.version < context.table->Version()) {
     Log(LogLevel::kWarning, "configuration_ignored",
-        "version=" + std::to_string(configuration.version) +
-            " in_effect=" + std::to_string(context.table->Version()));
+        {{"version", configuration.version}, {"in_effect", context.table->Version()}});
     return;
   }
   context.table = std::make_shared<const RelayTable>(std::move(configuration));
   callers->SetLimits(LimitsOf(context.settings, context.table->Limits()));
   const RelayConfiguration& applied = context.table->Configuration();
   Log(LogLevel::kInfo, "configuration_applied",
-      "version=" + std::to_string(applied.version) +
-          " routes=" + std::to_string(applied.routes.size()) +
-          " organisations=" + std::to_string(applied.organisations.size()));
+      {{"version", applied.version},
+       {"routes", applied.routes.size()},
+       {"organisations", applied.organisations.size()}});
 }
 
 void RelayDaemon::State::OnEndpointRows(const std::vector<TableFollower::Change>& changes) {
@@ -281,19 +278,21 @@
     if (change.row.removed) {
       context.endpoints.Remove(id, change.provisional ? change.until : now);
       Log(LogLevel::kInfo, "endpoint_gone",
-          "endpoint=" + id + " provisional=" + (change.provisional ? "1" : "0"));
+          {{"endpoint", id}, {"provisional", change.provisional}});
       continue;
     }
     const std::optional<EndpointRecord> record = sources.parse_endpoint(id, change.row.value);
     if (!record) {
-      Log(LogLevel::kWarning, "endpoint_row_ignored", "endpoint=" + id);
+      Log(LogLevel::kWarning, "endpoint_row_ignored", {{"endpoint", id}});
       context.endpoints.Remove(id, now);
       continue;
     }
     context.endpoints.Put(*record, now);
     Log(LogLevel::kInfo, record->draining ? "endpoint_draining" : "endpoint_listed",
-        "endpoint=" + id + " service=" + record->service + " address=" + record->address +
-            " version=" + record->version);
+        {{"endpoint", id},
+         {"service", record->service},
+         {"address", record->address},
+         {"version", record->version}});
   }
 }
 
@@ -311,6 +310,7 @@
     context.endpoints.Forget(now);
     context.streams.Forget(now);
     LogReadiness();
+    FlushLog();
   }
 }
 
@@ -320,8 +320,8 @@
   was_ready = is_ready;
   const std::optional<Duration> age = context.freshness.Age(BootNow());
   Log(LogLevel::kInfo, is_ready ? "ready" : "not_ready",
-      "endpoints=" + std::to_string(context.endpoints.Size()) +
-          " proof_age_ms=" + (age ? std::to_string(age->count() / 1000) : "none"));
+      {{"endpoints", context.endpoints.Size()},
+       {"proof_age_ms", age ? std::to_string(age->count() / 1000) : "none"}});
 }
 
 Task<void> RelayDaemon::State::AnswerLookup(HttpExchange& request) {
@@ -388,7 +388,7 @@
                    callers->Close();
                  },
                  [this](const Drain::Exit&) {
-                   Log(LogLevel::kInfo, "stopped", "requests=" + std::to_string(context.requests));
+                   Log(LogLevel::kInfo, "stopped", {{"requests", context.requests}});
                    if (on_stopped) on_stopped();
                  },
                  [this](const Drain::SetTimer& timer) {
@@ -422,9 +422,9 @@
   state.StartFeeds();
   Spawn(state.context.executor, [shared = m_state]() { return shared->Housekeeping(); });
   Log(LogLevel::kInfo, "started",
-      "name=" + state.context.settings.name +
-          " incarnation=" + std::to_string(state.context.incarnation) +
-          " callers=" + state.context.settings.caller_address);
+      {{"name", state.context.settings.name},
+       {"incarnation", state.context.incarnation},
+       {"callers", state.context.settings.caller_address}});
   return {};
 }
 
@@ -432,7 +432,7 @@
   State& state = *m_state;
   if (state.drain) return;
   state.on_stopped = std::move(on_stopped);
-  Log(LogLevel::kInfo, "stopping", "requests=" + std::to_string(state.context.requests));
+  Log(LogLevel::kInfo, "stopping", {{"requests", state.context.requests}});
   state.drain = std::make_unique<Drain>(DrainOptionsOf(state.context.settings));
   state.HandleDrain(Drain::RequestsLeft{state.context.requests});
   state.HandleDrain(Drain::StopRequested{});
@@ -451,7 +451,7 @@
   current = applied;
   const std::shared_ptr<const RelayTable>& table = m_state->context.table;
   m_state->callers->SetLimits(LimitsOf(current, table ? table->Limits() : CallerLimits()));
-  Log(LogLevel::kInfo, "settings_reloaded", "name=" + current.name);
+  Log(LogLevel::kInfo, "settings_reloaded", {{"name", current.name}});
 }
 
 std::string RelayDaemon::CallerAddress() const { return m_state->callers->Address(); }
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -91,17 +91,19 @@
   return reply;
 }
 
-void LogRequestEnd(const RelayedRequest& request, std::string_view outcome, int status,
-                   const std::string& details) {
-  std::string fields = "request=" + request.fields.request_id;
-  fields += " route=" + request.route->name;
-  if (!request.organisation.empty()) fields += " organisation=" + request.organisation;
-  fields += " outcome=" + std::string(outcome);
-  fields += " status=" + std::to_string(status);
-  fields += " configuration=" + std::to_string(request.table->Version());
-  fields += " ms=" + std::to_string(Millis(SteadyNow() - request.arrived));
-  if (!details.empty()) fields += " " + details;
-  Log(LogLevel::kInfo, "request_end", fields);
+void LogRequestEnd(const RelayedRequest& request, RequestOutcome outcome, int status,
+                   const std::vector<LogField>& details) {
+  const bool is_good =
+      outcome == RequestOutcome::kAnswered || outcome == RequestOutcome::kCallerGone;
+  std::vector<LogField> fields = {{"request", request.fields.request_id},
+                                  {"route", request.route->name},
+                                  {"organisation", request.organisation},
+                                  {"outcome", NameOf(kRequestOutcomeNames, outcome)},
+                                  {"status", status},
+                                  {"configuration", request.table->Version()},
+                                  {"ms", Millis(SteadyNow() - request.arrived)}};
+  fields.insert(fields.end(), details.begin(), details.end());
+  Log(is_good ? LogLevel::kInfo : LogLevel::kWarning, "request_end", fields);
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <array>
 #include <memory>
 #include <string>
-#include <string_view>
+#include <vector>
 
 #include "coordination/relay_placement.h"
 #include "coordination/relay_table.h"
@@ -12,6 +13,8 @@
 #include "transport/http_client.h"
 #include "transport/http_message.h"
 #include "transport/http_server.h"
+#include "utils/enum_names.h"
+#include "utils/log_field.h"
 
 namespace fulmarpoint {
 
@@ -56,8 +59,33 @@
 HttpReply RelayProblem(ResultCode code, const std::string& detail,
                        Duration retry_after = Duration::zero());
 
-/// Writes the log line for the end of a request.
-void LogRequestEnd(const RelayedRequest& request, std::string_view outcome, int status,
-                   const std::string& details);
+/// How a relayed request ended.
+enum class RequestOutcome {
+  kAnswered,
+  /// An endpoint's own failure was passed on.
+  kEndpointFailed,
+  /// It may have run, and there is no answer.
+  kLost,
+  /// A stream ended before its last event.
+  kCut,
+  kRefused,
+  /// Refused because the configuration could not be proven current.
+  kStale,
+  kCallerGone,
+};
+
+inline constexpr std::array<EnumName<RequestOutcome>, 7> kRequestOutcomeNames = {{
+    {RequestOutcome::kAnswered, "answered"},
+    {RequestOutcome::kEndpointFailed, "endpoint_failed"},
+    {RequestOutcome::kLost, "lost"},
+    {RequestOutcome::kCut, "cut"},
+    {RequestOutcome::kRefused, "refused"},
+    {RequestOutcome::kStale, "stale"},
+    {RequestOutcome::kCallerGone, "caller_gone"},
+}};
+
+/// Writes the log line for the end of a request, with `details` after the common fields.
+void LogRequestEnd(const RelayedRequest& request, RequestOutcome outcome, int status,
+                   const std::vector<LogField>& details);
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -57,7 +57,7 @@
   const std::optional<std::string> name = context.wire.decode_copy(reply);
   copy->OnRequestEnded(name);
   context.metrics.Count("run_copies_requested", name ? "made" : "failed");
-  if (!name) Log(LogLevel::kWarning, "copy_failed", "status=" + std::to_string(reply.status));
+  if (!name) Log(LogLevel::kWarning, "copy_failed", {{"status", reply.status}});
 }
 
 class StreamSession {
@@ -93,9 +93,9 @@
   void ClearUses();
   void OnPromptRead();
   void ObservePace();
-  Task<void> Answer(HttpReply reply, std::string_view outcome);
+  Task<void> Answer(HttpReply reply, RequestOutcome outcome);
   Task<void> Fail();
-  void LogEnd(std::string_view outcome, int status);
+  void LogEnd(RequestOutcome outcome, int status);
   bool HasLeft() const { return SteadyNow() < m_request.deadline; }
   std::int64_t MemoryTokens() const {
     return m_request.fields.prompt_tokens + m_request.fields.max_output_tokens;
@@ -158,7 +158,7 @@
   Step step = Step::kGoOn;
   while (step == Step::kGoOn) {
     if (m_exchange.ClientGone()) {
-      LogEnd("caller_gone", 0);
+      LogEnd(RequestOutcome::kCallerGone, 0);
       break;
     }
     if (!HasLeft()) {
@@ -205,7 +205,7 @@
   ++m_tries;
   if (m_arrivals > 0 && !m_context.TryRepeat(m_request.service)) {
     Log(LogLevel::kWarning, "retry_budget_empty",
-        "request=" + m_request.fields.request_id + " service=" + m_request.service);
+        {{"request", m_request.fields.request_id}, {"service", m_request.service}});
     co_await Fail();
     co_return Step::kEnd;
   }
@@ -216,8 +216,9 @@
     m_context.OnEndpointFailure(engine->id);
     m_excluded.insert(engine->id);
     Log(LogLevel::kWarning, "endpoint_failure",
-        "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
-            " reason=\"connect: " + error.message() + "\"");
+        {{"request", m_request.fields.request_id},
+         {"endpoint", engine->id},
+         {"reason", "connect: " + error.message()}});
     co_return Step::kGoOn;
   }
   if (m_exchange.ClientGone()) co_return Step::kGoOn;
@@ -236,9 +237,11 @@
       {m_from_copy, pace.Expect(m_backlog), pace.Expect(m_request.fields.prompt_tokens)},
       m_run_started);
   Log(LogLevel::kInfo, "run_started",
-      "request=" + m_request.fields.request_id + " endpoint=" + engine->id +
-          " after=" + std::to_string(fields.last_event.value_or(0)) +
-          " copy=" + (m_from_copy ? "1" : "0") + " backup=" + HolderId());
+      {{"request", m_request.fields.request_id},
+       {"endpoint", engine->id},
+       {"after", fields.last_event.value_or(0)},
+       {"copy", m_from_copy},
+       {"backup", HolderId()}});
   m_run->Start(
       m_context.executor, m_context.wire,
       BuildEndpointRequest(m_context, m_request, engine->address, std::move(fields), SteadyNow()),
@@ -340,8 +343,10 @@
   m_copy->OnRequested(*target, engine.address, now);
   SetUses(engine, true);
   Log(LogLevel::kInfo, "copy_requested",
-      "request=" + m_request.fields.request_id + " endpoint=" + engine.id +
-          " backup=" + target->id + " renewal=" + (is_intact ? "1" : "0"));
+      {{"request", m_request.fields.request_id},
+       {"endpoint", engine.id},
+       {"backup", target->id},
+       {"renewal", is_intact}});
   const EngineCall call = m_context.wire.copy_run(m_request.fields.request_id, target->address);
   Spawn(m_context.executor, [&context = m_context, copy = m_copy, engine, call]() {
     return RequestCopy(context, copy, engine.address, call);
@@ -394,7 +399,7 @@
   }
   co_await m_exchange.FinishStream();
   m_context.metrics.Count("relay_requests", "answered");
-  LogEnd("answered", status);
+  LogEnd(RequestOutcome::kAnswered, status);
   co_return Step::kEnd;
 }
 
@@ -428,7 +433,7 @@
     m_excluded.insert(engine);
     co_return Step::kGoOn;
   }
-  co_await Answer(std::move(m_run->Reply()), "answered");
+  co_await Answer(std::move(m_run->Reply()), RequestOutcome::kAnswered);
   co_return Step::kEnd;
 }
 
@@ -468,9 +473,10 @@
   const EndpointId engine = m_run->Endpoint().id;
   // Written first, because the run may own the reason.
   Log(LogLevel::kWarning, "run_abandoned",
-      "request=" + m_request.fields.request_id + " endpoint=" + engine +
-          " after=" + std::to_string(m_continuation.LastEvent().value_or(0)) + " reason=\"" +
-          std::string(reason) + "\"");
+      {{"request", m_request.fields.request_id},
+       {"endpoint", engine},
+       {"after", m_continuation.LastEvent().value_or(0)},
+       {"reason", reason}});
   m_run->Cancel();
   m_run.reset();
   ClearUses();
@@ -538,10 +544,10 @@
   if (m_context.on_news_for_peers) m_context.on_news_for_peers();
 }
 
-Task<void> StreamSession::Answer(HttpReply reply, std::string_view outcome) {
+Task<void> StreamSession::Answer(HttpReply reply, RequestOutcome outcome) {
   const int status = reply.status;
   reply.headers = EndToEndHeaders(reply.headers);
-  m_context.metrics.Count("relay_requests", outcome);
+  m_context.metrics.Count("relay_requests", NameOf(kRequestOutcomeNames, outcome));
   co_await m_exchange.Respond(std::move(reply));
   LogEnd(outcome, status);
 }
@@ -553,30 +559,31 @@
   if (m_head_sent) {
     m_exchange.CloseAfterwards();
     m_context.metrics.Count("relay_requests", "cut");
-    LogEnd("cut", 200);
+    LogEnd(RequestOutcome::kCut, 200);
     co_return;
   }
   if (m_failure) {
-    co_await Answer(std::move(*m_failure), "endpoint_failed");
+    co_await Answer(std::move(*m_failure), RequestOutcome::kEndpointFailed);
   } else if (m_stale) {
     co_await Answer(RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterNoEngine),
-                    "stale");
+                    RequestOutcome::kStale);
   } else if (m_continuation.Runs() == 0) {
     co_await Answer(RelayProblem(ResultCode::kNoEndpoint, "no engine has taken the request",
                                  kRetryAfterNoEngine),
-                    "refused");
+                    RequestOutcome::kRefused);
   } else {
-    co_await Answer(RelayProblem(ResultCode::kEndpointFailed, "the engines failed"), "lost");
+    co_await Answer(RelayProblem(ResultCode::kEndpointFailed, "the engines failed"),
+                    RequestOutcome::kLost);
   }
 }
 
-void StreamSession::LogEnd(std::string_view outcome, int status) {
-  LogRequestEnd(
-      m_request, outcome, status,
-      "runs=" + std::to_string(m_continuation.Runs()) + " resumes=" + std::to_string(m_resumes) +
-          " last_event=" + std::to_string(m_continuation.LastEvent().value_or(0)) +
-          " first_ms=" + std::to_string(m_first_event.count() / 1000) +
-          " longest_pause_ms=" + std::to_string(m_continuation.LongestPause().count() / 1000));
+void StreamSession::LogEnd(RequestOutcome outcome, int status) {
+  LogRequestEnd(m_request, outcome, status,
+                {{"runs", m_continuation.Runs()},
+                 {"resumes", m_resumes},
+                 {"last_event", m_continuation.LastEvent().value_or(0)},
+                 {"first_ms", m_first_event.count() / 1000},
+                 {"longest_pause_ms", m_continuation.LongestPause().count() / 1000}});
 }
 
 }  // namespace
--- a/src/libs/relay/table_feed.cpp
+++ b/src/libs/relay/table_feed.cpp
@@ -60,7 +60,7 @@
   if (!follower.IsComplete()) return;
   std::string chosen = handlers.choose_source();
   if (chosen == source) return;
-  Log(LogLevel::kInfo, "feed_source", "table=" + table + " source=" + chosen);
+  Log(LogLevel::kInfo, "feed_source", {{"table", table}, {"source", chosen}});
   source = std::move(chosen);
   follower.Restart();
 }
@@ -81,7 +81,7 @@
   const Duration age = reply.age;
   const bool is_answer = status == StoreStatus::kOk || status == StoreStatus::kHistoryGone;
   if (!source.empty() && !is_answer) {
-    Log(LogLevel::kWarning, "feed_source_failed", "table=" + table + " source=" + source);
+    Log(LogLevel::kWarning, "feed_source_failed", {{"table", table}, {"source", source}});
     handlers.on_source_failed(source);
     return;
   }
@@ -98,12 +98,12 @@
 
 void TableFeed::State::LogConnection(StoreStatus status) {
   if (status == StoreStatus::kHistoryGone) {
-    Log(LogLevel::kInfo, "store_history_gone", "table=" + table);
+    Log(LogLevel::kInfo, "store_history_gone", {{"table", table}});
   }
   if (follower.IsConnected() == connected) return;
   connected = follower.IsConnected();
   Log(connected ? LogLevel::kInfo : LogLevel::kWarning, connected ? "store_regained" : "store_lost",
-      "table=" + table);
+      {{"table", table}});
 }
 
 TableFeed::TableFeed(const Executor& executor, const Store& store, MirrorClient& peers,
--- a/src/libs/server/control_plane_driver.cpp
+++ b/src/libs/server/control_plane_driver.cpp
@@ -132,8 +132,8 @@
           [this](const Membership::SendDatagram& send) { peers.Send(send.address, send.datagram); },
           [this](const Membership::MemberChanged& change) {
             Log(LogLevel::kInfo, "member_changed",
-                "member=" + ToString(change.member.id) +
-                    " state=" + std::string(NameOf(kMemberStateNames, change.member.state)));
+                {{"member", ToString(change.member.id)},
+                 {"state", NameOf(kMemberStateNames, change.member.state)}});
             PublishMembers();
             if (on_member) on_member(change.member);
           },
@@ -143,18 +143,17 @@
           },
           [this](const Membership::Superseded& successor) {
             superseded = true;
-            Log(LogLevel::kError, "superseded", "by=" + ToString(successor.by));
+            Log(LogLevel::kError, "superseded", {{"by", ToString(successor.by)}});
             if (on_superseded) on_superseded();
           },
           [this](const CatalogueReplica::RevisionChanged& change) {
             services.catalogue.Apply(change.revision, change.changed, change.removed);
-            Log(LogLevel::kInfo, "catalogue_in_effect",
-                "revision=" + std::to_string(change.revision));
+            Log(LogLevel::kInfo, "catalogue_in_effect", {{"revision", change.revision}});
           },
           [this](const CatalogueReplica::FenceChanged& change) {
             services.metrics.Count("catalogue_fence", change.fenced ? "fenced" : "unfenced");
             Log(change.fenced ? LogLevel::kWarning : LogLevel::kInfo, "fence_changed",
-                change.fenced ? "fenced=true" : "fenced=false");
+                {{"fenced", change.fenced}});
           },
           [this](CatalogueWriter::ApplyFinished& done) {
             const auto change = changes.find(done.id);
--- a/src/libs/server/daemon.cpp
+++ b/src/libs/server/daemon.cpp
@@ -254,7 +254,7 @@
   const std::error_code error = state.server.Listen(state.settings.listen.http);
   if (error) {
     Log(LogLevel::kError, "listen_failed",
-        "address=" + state.settings.listen.http + " reason=\"" + error.message() + "\"");
+        {{"address", state.settings.listen.http}, {"reason", error.message()}});
     return error;
   }
   state.drivers.buffers.Start();
@@ -271,7 +271,7 @@
   if (state.settings.use_credits) state.credit_driver.Start(state.pool.GetExecutor());
   state.endpoints.Start(state.pool.GetExecutor());
   Log(LogLevel::kInfo, "started",
-      "daemon=" + ToString(state.services.self) + " http=" + state.server.Address());
+      {{"daemon", ToString(state.services.self)}, {"http", state.server.Address()}});
   return {};
 }
 
--- a/src/libs/server/dispatcher.cpp
+++ b/src/libs/server/dispatcher.cpp
@@ -316,8 +316,7 @@
     const SuspicionChanged& changed = std::get<SuspicionChanged>(action);
     const std::string_view name = NameOf(kSuspicionStateNames, changed.state);
     metrics.Count("suspicion_changes", name);
-    Log(LogLevel::kWarning, "suspicion",
-        "fingerprint=" + std::to_string(changed.fingerprint) + " state=" + std::string(name));
+    Log(LogLevel::kWarning, "suspicion", {{"fingerprint", changed.fingerprint}, {"state", name}});
   }
 }
 
@@ -359,8 +358,7 @@
       rollouts.AddOutcome(run.service, run.version, std::move(outcome), SteadyNow());
   if (!notice) return;
   Log(LogLevel::kWarning, "version_bad",
-      "service=" + notice->service + " version=" + notice->version + " reason=\"" + notice->reason +
-          "\"");
+      {{"service", notice->service}, {"version", notice->version}, {"reason", notice->reason}});
   if (publisher) publisher(*notice);
 }
 
--- a/src/libs/server/drain_driver.cpp
+++ b/src/libs/server/drain_driver.cpp
@@ -62,8 +62,8 @@
   phase = drain.Phase();
   if (before != drain.Phase()) {
     Log(LogLevel::kInfo, "drain",
-        "phase=" + std::string(NameOf(kDrainPhaseNames, drain.Phase())) +
-            " requests=" + std::to_string(services.running.Count()));
+        {{"phase", NameOf(kDrainPhaseNames, drain.Phase())},
+         {"requests", services.running.Count()}});
   }
   for (const Drain::Action& action : actions) Execute(action);
 }
--- a/src/libs/server/endpoint_registry.cpp
+++ b/src/libs/server/endpoint_registry.cpp
@@ -209,8 +209,7 @@
       const std::string_view to = NameOf(kEndpointStateNames, change->to);
       metrics.Count("endpoint_state_changes", to);
       Log(LogLevel::kInfo, "endpoint_state",
-          "endpoint=" + change->endpoint + " state=" + std::string(to) +
-              " reason=" + change->reason);
+          {{"endpoint", change->endpoint}, {"state", to}, {"reason", change->reason}});
     }
     if (listener) listener(action);
   }
--- a/src/libs/server/lease_driver.cpp
+++ b/src/libs/server/lease_driver.cpp
@@ -63,12 +63,12 @@
                  },
                  [&](const Lease::Acquired& acquired) {
                    Log(LogLevel::kInfo, "lease_acquired",
-                       "lease=" + key + " token=" + std::to_string(acquired.fencing_token));
+                       {{"lease", key}, {"token", acquired.fencing_token}});
                    services.metrics.Count("leases", "acquired");
                    callbacks.acquired(acquired.fencing_token);
                  },
                  [&](const Lease::Lost&) {
-                   Log(LogLevel::kWarning, "lease_lost", "lease=" + key);
+                   Log(LogLevel::kWarning, "lease_lost", {{"lease", key}});
                    services.metrics.Count("leases", "lost");
                    callbacks.lost();
                  },
--- a/src/libs/server/notice_exchange.cpp
+++ b/src/libs/server/notice_exchange.cpp
@@ -80,7 +80,7 @@
   m_services.metrics.Count("notices", "bad_version_received");
   if (notice.rollout.empty() || !m_services.rollouts.AddNotice(notice, SteadyNow())) return;
   Log(LogLevel::kWarning, "version_bad",
-      "service=" + notice.service + " version=" + notice.version + " from=" + notice.origin.name);
+      {{"service", notice.service}, {"version", notice.version}, {"from", notice.origin.name}});
 }
 
 void NoticeExchange::OnSuspects(const std::string& body) {
--- a/src/libs/server/peer_service.cpp
+++ b/src/libs/server/peer_service.cpp
@@ -123,7 +123,7 @@
   if (!error) error = state.join_udp.Open(http_address);
   if (error) {
     Log(LogLevel::kError, "peer_listen_failed",
-        "address=" + state.services.settings.listen.peer + " reason=\"" + error.message() + "\"");
+        {{"address", state.services.settings.listen.peer}, {"reason", error.message()}});
     return error;
   }
   for (UdpSocket* socket : {&state.udp, &state.join_udp}) {
@@ -145,7 +145,7 @@
 void PeerService::Send(const std::string& address, const PeerDatagram& datagram) {
   const Parsed<std::string> bytes = m_state->codec.Encode(datagram);
   if (!bytes) {
-    Log(LogLevel::kError, "datagram_too_large", "to=" + address);
+    Log(LogLevel::kError, "datagram_too_large", {{"to", address}});
     return;
   }
   const std::error_code error = m_state->udp.Send(address, bytes.Value());
--- a/src/libs/server/rollout_driver.cpp
+++ b/src/libs/server/rollout_driver.cpp
@@ -353,30 +353,30 @@
 }
 
 void RolloutDriver::State::Perform(const Host& host, RolloutController::Action& action) {
-  std::visit(
-      Overloaded{[&](const RolloutController::ReadRow&) {
-                   Spawn(services.executor,
-                         [self = shared_from_this(), host]() { return self->ReadRow(host); });
-                 },
-                 [&](const RolloutController::WriteRow& write) {
-                   Spawn(services.executor, [self = shared_from_this(), host, write]() {
-                     return self->WriteRow(host, write);
-                   });
-                 },
-                 // Answered to the report in `Answer`.
-                 [](const RolloutController::SendDirective&) {},
-                 [&](const RolloutController::PublishNotice& action_notice) {
-                   services.rollouts.AddNotice(action_notice.notice, SteadyNow());
-                   publish(action_notice.notice);
-                 },
-                 [&](const RolloutController::ReportEnd& end) { ReportEnd(end.row); },
-                 [&](const RolloutController::ReportAtRisk& risk) {
-                   Log(LogLevel::kWarning, "rollout_at_risk",
-                       "rollout=" + host->Entry().rollout->id + " reason=\"" + risk.reason + "\"");
-                   const std::lock_guard lock(mutex);
-                   host->SetRisk(risk.reason);
-                 }},
-      action);
+  std::visit(Overloaded{[&](const RolloutController::ReadRow&) {
+                          Spawn(services.executor, [self = shared_from_this(), host]() {
+                            return self->ReadRow(host);
+                          });
+                        },
+                        [&](const RolloutController::WriteRow& write) {
+                          Spawn(services.executor, [self = shared_from_this(), host, write]() {
+                            return self->WriteRow(host, write);
+                          });
+                        },
+                        // Answered to the report in `Answer`.
+                        [](const RolloutController::SendDirective&) {},
+                        [&](const RolloutController::PublishNotice& action_notice) {
+                          services.rollouts.AddNotice(action_notice.notice, SteadyNow());
+                          publish(action_notice.notice);
+                        },
+                        [&](const RolloutController::ReportEnd& end) { ReportEnd(end.row); },
+                        [&](const RolloutController::ReportAtRisk& risk) {
+                          Log(LogLevel::kWarning, "rollout_at_risk",
+                              {{"rollout", host->Entry().rollout->id}, {"reason", risk.reason}});
+                          const std::lock_guard lock(mutex);
+                          host->SetRisk(risk.reason);
+                        }},
+             action);
 }
 
 Task<void> RolloutDriver::State::ReadLease(Host host, Lease::ReadRow read) {
@@ -437,8 +437,10 @@
   services.metrics.Count("rollouts_ended", phase);
   services.burn.AddAction("rollout " + phase + ": " + row.service + " " + row.to);
   Log(LogLevel::kInfo, "rollout_ended",
-      "rollout=" + row.rollout + " service=" + row.service + " result=" + phase + " reason=\"" +
-          row.reason + "\"");
+      {{"rollout", row.rollout},
+       {"service", row.service},
+       {"result", phase},
+       {"reason", row.reason}});
 }
 
 Task<void> RolloutDriver::State::Complete(CatalogueEntry entry) {
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -212,7 +212,7 @@
     co_await shared->handler(exchange);
   } catch (const std::exception& exception) {
     failed = true;
-    Log(LogLevel::kError, "handler_failed", "reason=\"" + std::string(exception.what()) + "\"");
+    Log(LogLevel::kError, "handler_failed", {{"reason", exception.what()}});
   }
   on_client_gone = nullptr;
   StopWatching();
--- a/src/libs/transport/task.cpp
+++ b/src/libs/transport/task.cpp
@@ -25,9 +25,9 @@
     try {
       std::rethrow_exception(error);
     } catch (const std::exception& exception) {
-      Log(LogLevel::kError, "task_failed", "reason=\"" + std::string(exception.what()) + "\"");
+      Log(LogLevel::kError, "task_failed", {{"reason", exception.what()}});
     } catch (...) {
-      Log(LogLevel::kError, "task_failed", "reason=unknown");
+      Log(LogLevel::kError, "task_failed", {{"reason", "unknown"}});
     }
   });
 }
--- /dev/null
+++ b/src/libs/utils/log_field.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace fulmarpoint {
+
+/// A name and a value in a log line. The value of a text is cut off after some hundred bytes, so
+/// that what callers send cannot fill the log.
+class LogField {
+ public:
+  LogField(std::string_view name, std::string_view value);
+  LogField(std::string_view name, const char* value) : LogField(name, std::string_view(value)) {}
+  LogField(std::string_view name, const std::string& value)
+      : LogField(name, std::string_view(value)) {}
+  /// True and false are written as 1 and 0.
+  template <std::integral Number>
+  LogField(std::string_view name, Number value) : m_name(name), m_value(std::to_string(value)) {}
+
+  /// Appends `name=value`. A value with spaces, quotes, equals signs or control characters is
+  /// written in quotes, with `\` before quotes and backslashes and `?` for control characters.
+  void AppendTo(std::string& line) const;
+
+ private:
+  std::string m_name;
+  std::string m_value;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/utils/soft_assert.cpp
+++ b/src/libs/utils/soft_assert.cpp
@@ -8,7 +8,7 @@
 
 void ReportSoftAssert(const char* condition, const char* file, int line) {
   Log(LogLevel::kError, "soft_assert",
-      "condition=\"" + std::string(condition) + "\" at=" + file + ":" + std::to_string(line));
+      {{"condition", condition}, {"at", std::string(file) + ":" + std::to_string(line)}});
 }
 
 }  // namespace fulmarpoint::internal
--- a/src/tools/fulmarpointctl/commands.cpp
+++ b/src/tools/fulmarpointctl/commands.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "catalogue_commands.h"
+#include "logs_command.h"
 #include "report_commands.h"
 #include "table_printer.h"
 #include "transport/address.h"
@@ -93,6 +94,8 @@
        ReportBurn},
       {"endpoints", "", "health and load of the endpoints", 0, 0, ShowEndpoints},
       {"requests explain", "ID", "decisions about a request, with reasons", 1, 1, ExplainRequest},
+      {"logs explain", "ID [FILE...]", "story of a request from logs; default: standard input", 1,
+       kMaxLogFiles, ExplainFromLogs, false},
       {"drain", "IP:PORT", "planned shutdown of one daemon", 1, 1, Drain},
   };
   return commands;
--- a/src/tools/fulmarpointctl/commands.h
+++ b/src/tools/fulmarpointctl/commands.h
@@ -38,6 +38,8 @@
   std::size_t min_arguments = 0;
   std::size_t max_arguments = 0;
   int (*run)(const CommandContext& context);
+  /// False for a command that works without a daemon.
+  bool needs_daemon = true;
 };
 
 const std::vector<Command>& Commands();
--- /dev/null
+++ b/src/tools/fulmarpointctl/logs_command.cpp
@@ -0,0 +1,53 @@
+#include "logs_command.h"
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+#include "log_story.h"
+
+namespace fulmarpoint::ctl {
+
+namespace {
+
+void Read(std::istream& input, const std::string& source, LogStory& story) {
+  std::string text;
+  LogLine line;
+  while (std::getline(input, text)) {
+    if (ParseLogLine(text, source, line)) story.Add(line);
+  }
+}
+
+void Print(const std::vector<LogLine>& lines, const std::string& request) {
+  for (const LogLine& line : lines) {
+    const double seconds = std::chrono::duration<double>(line.time - lines.front().time).count();
+    const char mark = line.Field("request") == request ? '*' : ' ';
+    std::printf("%9.3f %c %s %s\n", seconds, mark, line.source.c_str(), line.text.c_str());
+  }
+}
+
+}  // namespace
+
+int ExplainFromLogs(const CommandContext& context) {
+  const std::string& request = context.arguments.front();
+  LogStory story(request);
+  for (std::size_t index = 1; index < context.arguments.size(); ++index) {
+    const std::string& path = context.arguments[index];
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << path << ": cannot be read\n";
+      return kUsage;
+    }
+    Read(file, path, story);
+  }
+  if (context.arguments.size() == 1) Read(std::cin, "-", story);
+  const std::vector<LogLine> lines = story.Lines();
+  if (lines.empty()) {
+    std::cerr << "no line names the request " << request << "\n";
+    return kRefused;
+  }
+  Print(lines, request);
+  return kSuccess;
+}
+
+}  // namespace fulmarpoint::ctl
--- a/src/tools/fulmarpointctl/main.cpp
+++ b/src/tools/fulmarpointctl/main.cpp
@@ -87,6 +87,7 @@
     std::cerr << "usage: fulmarpointctl " << command->name << " " << command->arguments << "\n";
     return kUsage;
   }
+  if (!command->needs_daemon) return command->run(context);
   const bool valid = std::all_of(
       context.daemons.begin(), context.daemons.end(),
       [](const std::string& address) { return ParseSocketAddress(address).has_value(); });
--- /dev/null
+++ b/tests/auto/tools/tst_log_story.cpp
@@ -0,0 +1,74 @@
+#include <criterion/criterion.h>
+
+#include "log_story.h"
+
+using namespace fulmarpoint;
+using namespace fulmarpoint::ctl;
+
+namespace {
+
+constexpr char kOwnFailure[] =
+    "2026-10-11T14:58:12.762 WARNING event=run_abandoned request=r1 endpoint=e1 after=17 "
+    "reason=\"stream: \\\"cut\\\"\"";
+
+std::vector<LogLine> Story(const std::vector<std::pair<std::string, std::string>>& lines) {
+  LogStory story("r1");
+  for (const auto& [source, text] : lines) {
+    LogLine line;
+    if (ParseLogLine(text, source, line)) story.Add(line);
+  }
+  return story.Lines();
+}
+
+}  // namespace
+
+// Guards against lines that the command cannot read although a daemon wrote them.
+Test(log_story, lines_are_parsed) {
+  LogLine line;
+  cr_assert(ParseLogLine(kOwnFailure, "a.log", line));
+  cr_assert(line.source == "a.log");
+  cr_assert(line.level == "WARNING");
+  cr_assert(line.Field("event") == "run_abandoned");
+  cr_assert(line.Field("after") == "17");
+  cr_assert(line.Field("reason") == "stream: \"cut\"");
+  cr_assert(line.Field("status") == "");
+  cr_assert_eq(line.time.count() % 86'400'000'000,
+               ((14 * 60 + 58) * 60 + 12) * 1'000'000LL + 762'000);
+  cr_assert(ParseLogLine("  12.5 front-a-2 2026-10-11T14:58:09.059 INFO event=ready", "-", line));
+  cr_assert(line.source == "front-a-2");
+  cr_assert_not(ParseLogLine("", "-", line));
+  cr_assert_not(ParseLogLine("terminate called without an active exception", "-", line));
+  cr_assert_not(ParseLogLine("2026-10-11T14:58:09.059 INFO", "-", line));
+}
+
+// Guards against a story without the lines of other daemons that explain it, or with lines that
+// have nothing to do with it.
+Test(log_story, the_lines_that_explain_a_request_are_found) {
+  const std::vector<LogLine> lines = Story({
+      {"a", "2026-10-11T14:58:00.000 WARNING event=store_lost table=op"},
+      {"a", "2026-10-11T14:58:11.500 WARNING event=store_lost table=servers"},
+      {"b", "2026-10-11T14:58:11.600 WARNING event=store_lost table=servers"},
+      {"a", "2026-10-11T14:58:11.900 INFO event=run_started request=r1 endpoint=e1 backup=e2"},
+      {"a", "2026-10-11T14:58:12.000 INFO event=run_started request=r2 endpoint=e1 backup=e3"},
+      {"b", "2026-10-11T14:58:12.700 WARNING event=run_abandoned request=r3 endpoint=e1"},
+      {"b", "2026-10-11T14:58:12.710 WARNING event=run_abandoned request=r4 endpoint=e9"},
+      {"a", "2026-10-11T14:58:12.720 INFO event=endpoint_gone endpoint=e2"},
+      {"a", "2026-10-11T14:58:12.730 INFO event=endpoint_gone endpoint=e9"},
+      {"a", kOwnFailure},
+      {"c", "2026-10-11T14:58:13.100 INFO event=request_end request=r1 outcome=answered"},
+      {"a", "2026-10-11T14:58:14.000 INFO event=store_regained table=servers"},
+  });
+  std::vector<std::string> found;
+  for (const LogLine& line : lines) {
+    found.push_back(line.source + ":" + line.Field("event") + line.Field("request"));
+  }
+  const std::vector<std::string> expected = {"a:store_lost",      "a:run_startedr1",
+                                             "b:run_abandonedr3", "a:endpoint_gone",
+                                             "a:run_abandonedr1", "c:request_endr1"};
+  cr_assert(found == expected);
+}
+
+// Guards against a story that is told of a request that no log names.
+Test(log_story, an_unknown_request_has_no_story) {
+  cr_assert(Story({{"a", "2026-10-11T14:58:11.500 WARNING event=store_lost table=op"}}).empty());
+}
