Let changes that follow each other share a call to the store

A watch returns with the first change, and when a failure domain's engines go down and come back, each row was a call of every reader. Ruled out: the configuration's watches (1.5 s each) and registrations (98 lines). Change: after a watch that returned changes, the tables of endpoints and peers are asked again only after 150 and 500 ms. The configuration is still asked at once. Endpoints that leave are known 150 ms later; the bound is two to three seconds. What is left comes from daemons that read directly after trouble with a reader.

--- a/src/libs/coordination/table_follower.cpp
+++ b/src/libs/coordination/table_follower.cpp
@@ -24,6 +24,8 @@
     // Daemons that lost the store together must not return together.
     std::uniform_int_distribution<Duration::rep> jitter(longest.count() / 2, longest.count());
     next.delay = Duration(jitter(m_random));
+  } else if (m_had_changes) {
+    next.delay = m_options.gather_time;
   }
   if (m_reading) {
     next.call = StoreRead{m_options.table, "", m_from};
@@ -44,6 +46,7 @@
 
 std::vector<TableFollower::Change> TableFollower::OnReply(StoreReply reply, TimePoint now) {
   std::vector<Change> changes;
+  m_had_changes = !m_reading && reply.status == StoreStatus::kOk && !reply.rows.empty();
   if (reply.status == StoreStatus::kHistoryGone) {
     Restart();
     return changes;
--- a/src/libs/coordination/table_follower.h
+++ b/src/libs/coordination/table_follower.h
@@ -22,6 +22,9 @@
     /// How long a watch waits for a change. Each empty answer is a call that is paid for and a
     /// proof that nothing has changed.
     Duration watch_wait = std::chrono::milliseconds(1500);
+    /// Pause after a watch that returned changes, so that changes that come one after the other
+    /// share a call.
+    Duration gather_time{};
     Duration first_backoff = std::chrono::milliseconds(50);
     Duration longest_backoff = std::chrono::milliseconds(800);
     /// Rows that the store drops while it is away come back within this time if their writer lives.
@@ -86,6 +89,8 @@
   std::uint64_t m_read_cursor = 0;
   std::uint64_t m_read_version = 0;
   int m_failures = 0;
+  /// The last call was a watch that returned changes.
+  bool m_had_changes = false;
   /// The store was away until this time.
   TimePoint m_returned = TimePoint::min();
 };
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -24,16 +24,26 @@
 namespace {
 
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(500);
-constexpr Duration kConfigurationWatch = std::chrono::milliseconds(1500);
-constexpr Duration kEndpointWatch = std::chrono::milliseconds(2000);
-constexpr Duration kPeerWatch = std::chrono::seconds(5);
-// Watches of a peer's copies are free; the age of its proof adds to theirs.
-constexpr Duration kConfigurationPeerWait = std::chrono::milliseconds(300);
+
+/// How one of the store's tables is followed.
+struct FeedTiming {
+  Duration watch_wait{};
+  Duration gather_time{};
+  /// Watches of a peer's copy are free; the age of its proof adds to theirs.
+  Duration peer_wait{};
+};
+constexpr FeedTiming kConfigurationTiming = {std::chrono::milliseconds(1500), Duration::zero(),
+                                             std::chrono::milliseconds(300)};
+constexpr FeedTiming kEndpointTiming = {std::chrono::milliseconds(2000),
+                                        std::chrono::milliseconds(150),
+                                        std::chrono::milliseconds(1500)};
+constexpr FeedTiming kPeerTiming = {std::chrono::seconds(5), std::chrono::milliseconds(500),
+                                    std::chrono::seconds(5)};
+
 constexpr int kPortAttempts = 8;
 // A peer's copy is too old after this many of its own watches, and some time for slow answers.
 constexpr int kWatchesUntilOld = 2;
 constexpr Duration kPeerAgeSlack = std::chrono::milliseconds(500);
-constexpr Duration kEndpointPeerWait = std::chrono::milliseconds(1500);
 constexpr Duration kBodyTime = std::chrono::seconds(30);
 constexpr std::size_t kMaxUrlBytes = std::size_t{16} * 1024;
 // Connections that are kept free for endpoints, the store and lookups.
@@ -94,7 +104,7 @@
   std::error_code OpenServer(std::unique_ptr<HttpServer>& server, const std::string& address,
                              HttpServerLimits limits, HttpHandler handler);
   void StartFeeds();
-  void AddFeed(const std::string& table, Duration watch_wait, Duration peer_wait,
+  void AddFeed(const std::string& table, const FeedTiming& timing,
                std::function<void(const std::vector<TableFollower::Change>&)> on_changes);
   void OnConfigurationRows(const std::vector<TableFollower::Change>& changes);
   void OnEndpointRows(const std::vector<TableFollower::Change>& changes);
@@ -200,23 +210,24 @@
 
 void RelayDaemon::State::StartFeeds() {
   AddFeed(
-      sources.configuration_table, kConfigurationWatch, kConfigurationPeerWait,
+      sources.configuration_table, kConfigurationTiming,
       [this](const std::vector<TableFollower::Change>& changes) { OnConfigurationRows(changes); });
-  AddFeed(sources.endpoint_table, kEndpointWatch, kEndpointPeerWait,
+  AddFeed(sources.endpoint_table, kEndpointTiming,
           [this](const std::vector<TableFollower::Change>& changes) { OnEndpointRows(changes); });
-  AddFeed(kPeerTable, kPeerWatch, kPeerWatch,
+  AddFeed(kPeerTable, kPeerTiming,
           [this](const std::vector<TableFollower::Change>& changes) { OnPeerRows(changes); });
   for (const std::unique_ptr<TableFeed>& feed : feeds) feed->Start();
 }
 
 void RelayDaemon::State::AddFeed(
-    const std::string& table, Duration watch_wait, Duration peer_wait,
+    const std::string& table, const FeedTiming& timing,
     std::function<void(const std::vector<TableFollower::Change>&)> on_changes) {
   TableFeed::Options options;
   options.follower.table = table;
-  options.follower.watch_wait = watch_wait;
-  options.peer_wait = peer_wait;
-  options.max_peer_age = watch_wait * kWatchesUntilOld + kPeerAgeSlack;
+  options.follower.watch_wait = timing.watch_wait;
+  options.follower.gather_time = timing.gather_time;
+  options.peer_wait = timing.peer_wait;
+  options.max_peer_age = timing.watch_wait * kWatchesUntilOld + kPeerAgeSlack;
   TableFeed::Handlers handlers;
   handlers.on_changes = [this, table, on_changes = std::move(on_changes)](
                             const std::vector<TableFollower::Change>& changes) {
--- a/tests/auto/coordination/tst_table_follower.cpp
+++ b/tests/auto/coordination/tst_table_follower.cpp
@@ -151,3 +151,29 @@
   cr_assert_eq(changes.size(), 1u);
   cr_assert_eq(NextWatch(follower).after, 12u);
 }
+
+// Guards against a call to the store for each row when many endpoints change one after the other:
+// all readers together may make only so many, and each is paid for.
+Test(table_follower, changes_that_follow_each_other_share_a_call) {
+  TableFollower::Options options = Options();
+  options.gather_time = std::chrono::milliseconds(150);
+  TableFollower follower(options, kSeed);
+  follower.OnReply(Reply({Row("a", 1)}, 1), kStart);
+  constexpr Duration kInterval = std::chrono::milliseconds(10);
+  constexpr int kChanges = 200;
+  TimePoint now = kStart;
+  std::uint64_t seen = 1;
+  int calls = 0;
+  while (seen < kChanges) {
+    now += std::max(follower.Next().delay, kInterval);
+    const std::uint64_t changed = static_cast<std::uint64_t>((now - kStart) / kInterval);
+    std::vector<StoreRow> rows;
+    while (seen < changed && seen < kChanges) rows.push_back(Row("a", ++seen));
+    cr_assert_eq(follower.OnReply(Reply(rows, seen), now).size(), rows.size());
+    ++calls;
+  }
+  // Two empty answers come before the first change, and the last call gathers less than the others.
+  cr_assert_leq(calls, kChanges * kInterval / options.gather_time + 3);
+  follower.OnReply(Reply({}, seen), now);
+  cr_assert_eq(follower.Next().delay.count(), 0, "the next watch waits at the store");
+}
