Derive the configuration's watch from the validity of its proof

A watch that waits 1.5 s dates its proof from its start, and the one in progress when the store goes proves nothing. Change: a watch waits so long that at most 0.4 of the validity has passed when the store is lost, whenever that is: 0.85 s here.

--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -32,8 +32,7 @@
   /// Watches of a peer's copy are free; the age of its proof adds to theirs.
   Duration peer_wait{};
 };
-constexpr FeedTiming kConfigurationTiming = {std::chrono::milliseconds(1500), Duration::zero(),
-                                             std::chrono::milliseconds(300)};
+constexpr Duration kConfigurationPeerWait = std::chrono::milliseconds(300);
 constexpr FeedTiming kEndpointTiming = {std::chrono::milliseconds(2000),
                                         std::chrono::milliseconds(150),
                                         std::chrono::milliseconds(1500)};
@@ -209,8 +208,11 @@
 }
 
 void RelayDaemon::State::StartFeeds() {
+  const FeedTiming configuration_timing = {
+      ProofWatchTime(context.settings.key_revocation, kConfigurationPeerWait), Duration::zero(),
+      kConfigurationPeerWait};
   AddFeed(
-      sources.configuration_table, kConfigurationTiming,
+      sources.configuration_table, configuration_timing,
       [this](const std::vector<TableFollower::Change>& changes) { OnConfigurationRows(changes); });
   AddFeed(sources.endpoint_table, kEndpointTiming,
           [this](const std::vector<TableFollower::Change>& changes) { OnEndpointRows(changes); });
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -120,3 +120,24 @@
   proof.Confirm(At(-1000));
   cr_assert(proof.Holds(At(4999)), "a late answer to an earlier call changes nothing");
 }
+
+// Guards against requests that are refused soon after the store is lost because the last proof was
+// already old: the configuration may have changed at any moment before.
+Test(freshness_proof, most_of_the_validity_is_left_when_the_store_is_lost) {
+  constexpr Duration kFollowDelay = std::chrono::milliseconds(300);
+  for (const int validity_ms : {3000, 5000, 20000}) {
+    const Duration validity = std::chrono::milliseconds(validity_ms);
+    const Duration watch = ProofWatchTime(validity, kFollowDelay);
+    const Duration needed = validity * 6 / 10;
+    for (Duration change{}; change <= watch; change += watch / 20) {
+      for (Duration loss = change; loss < change + watch; loss += watch / 20) {
+        FreshnessProof proof(validity);
+        const TimePoint start(std::chrono::hours(1));
+        // A watch ends early with a change; the next one is lost.
+        proof.Confirm(start);
+        const TimePoint lost = start + loss + kFollowDelay;
+        cr_assert(proof.Holds(lost + needed - Duration(1)), "validity %d ms", validity_ms);
+      }
+    }
+  }
+}
