Replace copies of runs at engines that leave

Ruled out: copies lost by a failure (these are requested again), no room (no refusal). Change: what an engine that leaves holds counts as lost, so that a copy is requested elsewhere. The test fails without it.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -193,7 +193,7 @@
 
 bool EndpointDirectory::IsIntact(const EndpointRecord& record, TimePoint since) const {
   const DirectoryEndpoint* endpoint = Find(record.id);
-  if (endpoint == nullptr || endpoint->gone_at) return false;
+  if (endpoint == nullptr || endpoint->gone_at || endpoint->record.draining) return false;
   if (endpoint->record.incarnation != record.incarnation) return false;
   return !endpoint->latest_failure || *endpoint->latest_failure < since;
 }
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -119,8 +119,8 @@
   /// Returns null if the endpoint is unknown.
   const DirectoryEndpoint* Find(const EndpointId& id) const;
   bool IsUsable(const EndpointId& id, TimePoint now) const;
-  /// Returns whether the process of `record` still runs as far as is known, and nothing has failed
-  /// there since `since`.
+  /// Returns whether the process of `record` still runs as far as is known, does not leave, and
+  /// nothing has failed there since `since`.
   bool IsIntact(const EndpointRecord& record, TimePoint since) const;
   /// Returns whether requests have lately failed at the endpoint or near it.
   bool IsSuspected(const EndpointId& id, TimePoint now) const;
--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -135,7 +135,8 @@
   });
   const double daemons = static_cast<double>(m_peers.size() + 1);
   // Two daemons that are up to this far from an endpoint, on either side, are neighbours.
-  const double reach = static_cast<double>(m_options.max_neighbours / 2) / 2.0;
+  const std::size_t neighbours_on_one_side = m_options.max_neighbours / 2;
+  const double reach = static_cast<double>(neighbours_on_one_side) / 2.0;
   return RingView{static_cast<double>(before) / daemons, reach / daemons};
 }
 
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -100,3 +100,22 @@
   directory.SetPeerUses("peer", {});
   cr_assert_eq(endpoint->MemoryTokens(), 0);
 }
+
+// Guards against a run that reads its prompt again because its copy was at an engine that leaves
+// and was never replaced.
+Test(endpoint_directory, what_an_endpoint_holds_is_lost_when_it_leaves) {
+  EndpointDirectory directory;
+  EndpointRecord record = Record("e");
+  directory.Put(record, kStart);
+  const TimePoint before = kStart - std::chrono::seconds(1);
+  cr_assert(directory.IsIntact(record, before));
+  record.draining = true;
+  directory.Put(record, kStart);
+  cr_assert_not(directory.IsIntact(record, before));
+  directory.Put(Record("e"), kStart);
+  directory.OnPeerFailure("e", kStart);
+  cr_assert_not(directory.IsIntact(Record("e"), before));
+  cr_assert(directory.IsIntact(Record("e"), kStart + std::chrono::milliseconds(1)));
+  directory.Remove("e", kStart);
+  cr_assert_not(directory.IsIntact(Record("e"), kStart + std::chrono::milliseconds(1)));
+}
