Count the lines of the settings in the test that names a malformed one

The test expected line 17; the settings have one line more since the window of repeats is read. The malformed line is the last one, so the expectation is now the number of lines, as strict as before.

--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "platform/configuration_codec.h"
@@ -50,10 +52,10 @@
     cr_assert_not(failed.Ok());
     cr_assert(failed.Error().key == key);
   }
-  const Parsed<platform::PlatformSettings> malformed =
-      platform::ParsePlatformSettings(Without("bounds.graceS") + "bounds.graceS=soon\n", 0);
+  const std::string text = Without("bounds.graceS") + "bounds.graceS=soon\n";
+  const Parsed<platform::PlatformSettings> malformed = platform::ParsePlatformSettings(text, 0);
   cr_assert(malformed.Error().key == "bounds.graceS");
-  cr_assert_eq(malformed.Error().line, 17);
+  cr_assert_eq(malformed.Error().line, std::count(text.begin(), text.end(), '\n'));
 }
 
 // Guards against rows of other writers that name an endpoint.
