Share the steps of a send between calls and streams

Calls and streams each connected, counted the connection, reported and logged a failed endpoint, and asked for a repeat and logged its refusal on their own. These three steps are functions beside the request now. The pool of idle connections no longer makes new ones, so that streams, which use none of its connections, do without it.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -57,7 +57,6 @@
   void OnBroken(std::string_view reason);
   Task<void> Answer(HttpReply reply, RequestOutcome outcome);
   Task<void> AnswerFailure();
-  bool MayRepeat();
   bool IsRepeatable() const { return m_request.route->repeatability == Repeatability::kIdempotent; }
   Duration Left() const { return m_request.deadline - SteadyNow(); }
   Duration Patience() const;
@@ -112,7 +111,7 @@
     if (end == TryEnd::kLost) m_may_have_run = true;
     if (end == TryEnd::kLost && !IsRepeatable()) break;
     if (m_runs >= m_request.route->max_attempts) break;
-    if (m_arrivals > 0 && !MayRepeat()) break;
+    if (m_arrivals > 0 && !TryRepeat(m_context, m_request)) break;
   }
   m_exchange.OnClientGone(nullptr);
   if (m_exchange.ClientGone()) {
@@ -138,12 +137,12 @@
 }
 
 Task<bool> CallSession::Connect() {
-  m_connection = m_pool.MakeNew();
+  m_connection =
+      std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
   const Duration limit =
       std::clamp(m_request.route->goal / 2, kShortestConnectTime, kLongestConnectTime);
-  const std::error_code error =
-      co_await m_connection->Connect(m_endpoint.address, std::min(limit, Left()));
-  m_context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
+  const std::error_code error = co_await ConnectEndpoint(
+      m_context, *m_connection, m_endpoint.address, std::min(limit, Left()));
   if (!error) co_return true;
   if (!m_exchange.ClientGone()) OnBroken("connect: " + error.message());
   co_return false;
@@ -227,9 +226,7 @@
 
 void CallSession::OnBroken(std::string_view reason) {
   if (m_exchange.ClientGone()) return;
-  m_context.OnEndpointFailure(m_endpoint.id);
-  Log(LogLevel::kWarning, "endpoint_failure",
-      {{"request", m_request.fields.request_id}, {"endpoint", m_endpoint.id}, {"reason", reason}});
+  ReportEndpointFailure(m_context, m_request, m_endpoint.id, reason);
 }
 
 Task<void> CallSession::Answer(HttpReply reply, RequestOutcome outcome) {
@@ -263,13 +260,6 @@
   }
 }
 
-bool CallSession::MayRepeat() {
-  if (m_context.TryRepeat(m_request.service)) return true;
-  Log(LogLevel::kWarning, "retry_budget_empty",
-      {{"request", m_request.fields.request_id}, {"service", m_request.service}});
-  return false;
-}
-
 Duration CallSession::Patience() const {
   const bool other_run_left = m_runs < m_request.route->max_attempts;
   if (!IsRepeatable() || !other_run_left) return Left();
--- a/src/libs/relay/caller_front.cpp
+++ b/src/libs/relay/caller_front.cpp
@@ -65,7 +65,7 @@
     co_return;
   }
   if (admission.request.route->repeatability == Repeatability::kStream) {
-    co_await RelayStream(m_context, m_pool, exchange, std::move(admission.request));
+    co_await RelayStream(m_context, exchange, std::move(admission.request));
   } else {
     co_await RelayCall(m_context, m_pool, exchange, std::move(admission.request));
   }
--- a/src/libs/relay/endpoint_pool.cpp
+++ b/src/libs/relay/endpoint_pool.cpp
@@ -48,10 +48,6 @@
   return taken;
 }
 
-std::shared_ptr<HttpClientExchange> EndpointPool::MakeNew() const {
-  return std::make_shared<HttpClientExchange>(m_executor, HttpClientExchange::Options());
-}
-
 void EndpointPool::PutIdle(const EndpointId& endpoint,
                            std::shared_ptr<HttpClientExchange> connection, const HttpReply& reply,
                            std::size_t most_idle, TimePoint now) {
--- a/src/libs/relay/endpoint_pool.h
+++ b/src/libs/relay/endpoint_pool.h
@@ -14,12 +14,8 @@
 /// Idle connections to endpoints. Used on one strand.
 class EndpointPool {
  public:
-  explicit EndpointPool(const Executor& executor) : m_executor(executor) {}
-
   /// Returns an idle connection that is known to be open, or null.
   std::shared_ptr<HttpClientExchange> TakeIdle(const EndpointId& endpoint, TimePoint now);
-  /// Returns a connection that is not connected yet.
-  std::shared_ptr<HttpClientExchange> MakeNew() const;
   /// Keeps a connection for later if it can be used again. `reply` is the last one on it; at most
   /// `most_idle` connections to the endpoint are kept.
   void PutIdle(const EndpointId& endpoint, std::shared_ptr<HttpClientExchange> connection,
@@ -33,7 +29,6 @@
     TimePoint expires{};
   };
 
-  Executor m_executor;
   std::map<EndpointId, std::deque<Idle>> m_idle;
 };
 
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -144,7 +144,6 @@
     : sources(std::move(own_sources)),
       seed(own_seed),
       context(std::move(settings), std::move(wire), std::move(store), executor, own_seed),
-      pool(executor),
       front(context, pool),
       exchange(context),
       peer_copies(executor),
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -71,6 +71,27 @@
   return sent;
 }
 
+Task<std::error_code> ConnectEndpoint(RelayContext& context, HttpClientExchange& connection,
+                                      std::string address, Duration timeout) {
+  const std::error_code error = co_await connection.Connect(std::move(address), timeout);
+  context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
+  co_return error;
+}
+
+void ReportEndpointFailure(RelayContext& context, const RelayedRequest& request,
+                           const EndpointId& endpoint, std::string_view reason) {
+  context.OnEndpointFailure(endpoint);
+  Log(LogLevel::kWarning, "endpoint_failure",
+      {{"request", request.fields.request_id}, {"endpoint", endpoint}, {"reason", reason}});
+}
+
+bool TryRepeat(RelayContext& context, const RelayedRequest& request) {
+  if (context.TryRepeat(request.service)) return true;
+  Log(LogLevel::kWarning, "retry_budget_empty",
+      {{"request", request.fields.request_id}, {"service", request.service}});
+  return false;
+}
+
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers) {
   std::set<std::string> dropped(kConnectionHeaders.begin(), kConnectionHeaders.end());
   for (const HttpHeader& header : headers) {
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -3,6 +3,8 @@
 #include <array>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <system_error>
 #include <vector>
 
 #include "coordination/relay_placement.h"
@@ -11,8 +13,10 @@
 #include "protocol/result_code.h"
 #include "relay/relay_context.h"
 #include "transport/http_client.h"
+#include "transport/http_client_exchange.h"
 #include "transport/http_message.h"
 #include "transport/http_server.h"
+#include "transport/task.h"
 #include "utils/enum_names.h"
 #include "utils/log_field.h"
 
@@ -50,6 +54,17 @@
                                        const std::string& address, EndpointFields fields,
                                        TimePoint now);
 
+/// Connects to "ip:port" of an endpoint for a request, and counts the connection.
+Task<std::error_code> ConnectEndpoint(RelayContext& context, HttpClientExchange& connection,
+                                      std::string address, Duration timeout);
+
+/// Reports to the directory and the peers, and logs, that an endpoint failed a request.
+void ReportEndpointFailure(RelayContext& context, const RelayedRequest& request,
+                           const EndpointId& endpoint, std::string_view reason);
+
+/// Returns whether the request may be sent once more within the fleet's limit, and counts that.
+bool TryRepeat(RelayContext& context, const RelayedRequest& request);
+
 /// Returns the headers of an endpoint's reply that the caller receives: all but those that concern
 /// one connection.
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -62,8 +62,7 @@
 
 class StreamSession {
  public:
-  StreamSession(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
-                RelayedRequest request);
+  StreamSession(RelayContext& context, HttpExchange& exchange, RelayedRequest request);
   ~StreamSession();
   StreamSession(const StreamSession&) = delete;
   StreamSession& operator=(const StreamSession&) = delete;
@@ -102,7 +101,6 @@
   }
 
   RelayContext& m_context;
-  EndpointPool& m_pool;
   HttpExchange& m_exchange;
   RelayedRequest m_request;
   StreamContinuation m_continuation;
@@ -133,10 +131,8 @@
   return {route.goal, route.gap_goal, route.max_attempts, route.can_resume};
 }
 
-StreamSession::StreamSession(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
-                             RelayedRequest request)
+StreamSession::StreamSession(RelayContext& context, HttpExchange& exchange, RelayedRequest request)
     : m_context(context),
-      m_pool(pool),
       m_exchange(exchange),
       m_request(std::move(request)),
       m_continuation(LimitsOf(*m_request.route), m_request.fields.last_event),
@@ -203,22 +199,17 @@
     co_return Step::kGoOn;
   }
   ++m_tries;
-  if (m_arrivals > 0 && !m_context.TryRepeat(m_request.service)) {
-    Log(LogLevel::kWarning, "retry_budget_empty",
-        {{"request", m_request.fields.request_id}, {"service", m_request.service}});
+  if (m_arrivals > 0 && !TryRepeat(m_context, m_request)) {
     co_await Fail();
     co_return Step::kEnd;
   }
-  const std::shared_ptr<HttpClientExchange> connection = m_pool.MakeNew();
-  const std::error_code error = co_await connection->Connect(engine->address, kConnectTime);
-  m_context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
+  const std::shared_ptr<HttpClientExchange> connection =
+      std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
+  const std::error_code error =
+      co_await ConnectEndpoint(m_context, *connection, engine->address, kConnectTime);
   if (error) {
-    m_context.OnEndpointFailure(engine->id);
+    ReportEndpointFailure(m_context, m_request, engine->id, "connect: " + error.message());
     m_excluded.insert(engine->id);
-    Log(LogLevel::kWarning, "endpoint_failure",
-        {{"request", m_request.fields.request_id},
-         {"endpoint", engine->id},
-         {"reason", "connect: " + error.message()}});
     co_return Step::kGoOn;
   }
   if (m_exchange.ClientGone()) co_return Step::kGoOn;
@@ -588,9 +579,8 @@
 
 }  // namespace
 
-Task<void> RelayStream(RelayContext& context, EndpointPool& pool, HttpExchange& exchange,
-                       RelayedRequest request) {
-  StreamSession session(context, pool, exchange, std::move(request));
+Task<void> RelayStream(RelayContext& context, HttpExchange& exchange, RelayedRequest request) {
+  StreamSession session(context, exchange, std::move(request));
   co_await session.Run();
 }
 
