Move the requests for copies of runs out of the stream relay

stream_relay.cpp held the connection, time limits and calls to engines that copy and free the memory of a run beside the stream's own course.

--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -10,6 +10,7 @@
 
 #include "coordination/run_copy.h"
 #include "coordination/stream_continuation.h"
+#include "relay/engine_copies.h"
 #include "relay/stream_run.h"
 #include "transport/notification.h"
 #include "utils/logging.h"
@@ -19,8 +20,6 @@
 namespace {
 
 constexpr Duration kConnectTime = std::chrono::milliseconds(120);
-constexpr Duration kEngineCallTime = std::chrono::milliseconds(1500);
-constexpr std::size_t kMaxEngineReplyBytes = std::size_t{64} * 1024;
 constexpr Duration kRetryAfterNoEngine = std::chrono::milliseconds(300);
 // Pause before engines are looked for again when none has room.
 constexpr Duration kNoEnginePause = std::chrono::milliseconds(50);
@@ -32,34 +31,6 @@
 
 enum class Step { kGoOn, kEnd };
 
-/// Sends a call to an engine on a connection of its own. The status is 0 without an answer.
-Task<HttpReply> CallEngine(Executor executor, std::string address, EngineCall call) {
-  HttpClientExchange connection(executor, HttpClientExchange::Options());
-  HttpReply reply;
-  reply.status = 0;
-  if (co_await connection.Connect(std::move(address), kConnectTime)) co_return reply;
-  HttpClientRequest request;
-  request.method = std::move(call.method);
-  request.target = std::move(call.target);
-  request.body = std::move(call.body);
-  if (!request.body.empty()) request.headers.push_back({"Content-Type", "application/json"});
-  connection.Start(std::move(request));
-  HttpReply received;
-  if (co_await connection.ReadHead(received, kEngineCallTime)) co_return reply;
-  const std::error_code error =
-      co_await connection.ReadBody(received.body, kMaxEngineReplyBytes, kEngineCallTime);
-  co_return error ? reply : received;
-}
-
-Task<void> RequestCopy(RelayContext& context, std::shared_ptr<RunCopy> copy, std::string address,
-                       EngineCall call) {
-  const HttpReply reply = co_await CallEngine(context.executor, std::move(address), call);
-  const std::optional<std::string> name = context.wire.decode_copy(reply);
-  copy->OnRequestEnded(name);
-  context.metrics.Count("run_copies_requested", name ? "made" : "failed");
-  if (!name) Log(LogLevel::kWarning, "copy_failed", {{"status", reply.status}});
-}
-
 class StreamSession {
  public:
   StreamSession(RelayContext& context, HttpExchange& exchange, RelayedRequest request);
@@ -338,9 +309,9 @@
        {"endpoint", engine.id},
        {"backup", target->id},
        {"renewal", is_intact}});
-  const EngineCall call = m_context.wire.copy_run(m_request.fields.request_id, target->address);
-  Spawn(m_context.executor, [&context = m_context, copy = m_copy, engine, call]() {
-    return RequestCopy(context, copy, engine.address, call);
+  Spawn(m_context.executor, [&context = m_context, copy = m_copy, source = engine.address,
+                             request = m_request.fields.request_id, holder = target->address]() {
+    return RequestCopy(context, copy, source, request, holder);
   });
 }
 
@@ -480,13 +451,7 @@
 
 /// A requested copy takes a slot until it is freed or has expired.
 void StreamSession::FreeCopy() {
-  if (!m_copy->IsRequested()) return;
-  const RunCopySource& source = m_copy->Source();
-  const EngineCall call = m_context.wire.free_copy(source.name);
-  Spawn(m_context.executor,
-        [executor = m_context.executor, address = source.address, call]() -> Task<void> {
-          co_await CallEngine(executor, address, call);
-        });
+  if (m_copy->IsRequested()) ReleaseCopy(m_context, m_copy->Source());
 }
 
 void StreamSession::SetUses(const EndpointRecord& engine, bool from_copy) {
