--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -54,7 +54,7 @@
   double unheard_requests = 0.0;
 };
 
-/// Returns the endpoints that may be chosen by rising `hash` of their identity.
+/// Returns the endpoints by rising `hash` of their identity.
 template <typename Hash>
 std::vector<const DirectoryEndpoint*> Ordered(
     const std::vector<const DirectoryEndpoint*>& endpoints, const Hash& hash) {
@@ -93,6 +93,7 @@
   std::vector<Candidate> candidates;
   const auto hash = [](const EndpointId& id) { return StableHash(id); };
   const double count = static_cast<double>(endpoints.size());
+  std::vector<std::size_t> unheard;
   double heard = 0.0;
   double requests = 0.0;
   for (const DirectoryEndpoint* endpoint : Ordered(endpoints, hash)) {
@@ -100,7 +101,7 @@
     const double distance = RingDistance(position, ring.position);
     candidates.push_back({endpoint, distance * kTokensPerRing, 0.0});
     if (distance > ring.heard_distance) {
-      candidates.back().unheard_requests = 1.0;
+      unheard.push_back(candidates.size() - 1);
       continue;
     }
     heard += 1.0;
@@ -108,7 +109,7 @@
   }
   // Those out of hearing are probably used like those within.
   const double typical = heard == 0.0 ? 0.0 : requests / heard;
-  for (Candidate& candidate : candidates) candidate.unheard_requests *= typical;
+  for (const std::size_t index : unheard) candidates[index].unheard_requests = typical;
   return candidates;
 }
 
