relay: keep a silent stream until another engine has accepted it

What callers saw: streams on kept connections were closed in the middle, without their end, while the engines that ran them were sound and only silent for about a second.

Cause: the relay ended a stalled attempt first and looked for a retry, an engine and a connection after that. If the retry quota was used up (all engines silent at once take one retry per stream), or no other engine accepted the connection, nothing was left to continue with and the caller's connection was closed.

Ruled out by reading and by tests with real connections: expiry of the idle, head and body timers while a request is read (the timer's function does nothing once the wait has ended), the stop of the listener (idle connections only), and a later configuration (limits change, connections stay).

Change: a stalled attempt, or one whose probe fails, is replaced only when a retry was granted and the other engine has accepted a connection. Until then it goes on, and the trial is repeated every 0.3 s. A granted retry is kept for the next attempt if the silent engine continues meanwhile.

Evidence: tst_silent_endpoints fails on (streams cut with `retry_budget_empty`; a stream with one sound engine and an unreachable one needed three attempts) and passes now, as do tst_streams and tst_stream_continuation.

--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -27,6 +27,8 @@
 // shorter where other requests have failed.
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kSuspectedProbeInterval = std::chrono::milliseconds(100);
+// Interval of the trials to replace a stalled attempt.
+constexpr Duration kReplacementInterval = std::chrono::milliseconds(300);
 // Limit on the bytes of comments and other events without a number between two numbered events.
 constexpr std::size_t kMaxUnnumberedBytes = std::size_t{16} * 1024;
 // Limit on the duplicate events that one attempt may send.
@@ -52,6 +54,7 @@
   m_repeated_events = 0;
   m_last_progress = now;
   m_last_probe = now;
+  m_keep_until = TimePoint{};
 }
 
 void StreamContinuation::OnAttemptRejected() { m_attempts = std::max(0, m_attempts - 1); }
@@ -81,10 +84,12 @@
 
 void StreamContinuation::OnProbeAnswered(TimePoint now) { m_last_probe = now; }
 
+void StreamContinuation::OnNotReplaced(TimePoint now) { m_keep_until = now + kReplacementInterval; }
+
 StallDecision StreamContinuation::CheckStall(const StallContext& context, TimePoint now) const {
   if (!MayStartAttempt() || !MayContinue()) return StallDecision::kWait;
   const Duration stalled_for = now - m_last_progress;
-  if (stalled_for >= AbandonTimeout(context)) return StallDecision::kAbandon;
+  if (stalled_for >= AbandonTimeout(context) && now >= m_keep_until) return StallDecision::kAbandon;
   const Duration interval = context.suspected ? kSuspectedProbeInterval : kProbeInterval;
   const bool may_probe =
       !m_attempt_event || stalled_for >= m_limits.event_gap_objective / kMaxGapDivisor;
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -57,6 +57,9 @@
   /// The endpoint accepted a new connection while the attempt was stalled.
   void OnProbeAnswered(TimePoint now);
 
+  /// The attempt was to be abandoned, but no other could take its place, so it goes on.
+  void OnNotReplaced(TimePoint now);
+
   /// Conditions that influence how long a stall is tolerated.
   struct StallContext {
     /// Other requests recently failed at the endpoint or near it.
@@ -99,6 +102,8 @@
   int m_attempts = 0;
   TimePoint m_last_progress{};
   TimePoint m_last_probe{};
+  /// The attempt is not abandoned before.
+  TimePoint m_keep_until{};
   TimePoint m_last_delivery{};
   Duration m_longest_gap{};
 };
--- a/src/libs/relay/stream_placement.h
+++ b/src/libs/relay/stream_placement.h
@@ -18,6 +18,7 @@
 
   /// Excludes an engine that has failed or rejected the stream.
   void Exclude(const EndpointId& engine) { m_excluded.insert(engine); }
+  void Readmit(const EndpointId& engine) { m_excluded.erase(engine); }
   bool IsExcluded(const EndpointId& engine) const { return m_excluded.count(engine) > 0; }
   void ClearExcluded() { m_excluded.clear(); }
 
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -54,6 +54,12 @@
  private:
   Task<void> FindPromptOfResumedStream();
   Task<Step> StartAttempt();
+  bool MayStartAttempt() const;
+  Task<bool> TakeRetry();
+  Task<std::shared_ptr<HttpClientExchange>> ConnectTo(const EndpointRecord& engine);
+  void BeginAttempt(const EndpointRecord& engine, std::shared_ptr<HttpClientExchange> connection);
+  Task<void> ReplaceAttempt(std::string_view reason, AttemptLoss loss);
+  Task<bool> TryReplaceAttempt(std::string_view reason, AttemptLoss loss);
   std::optional<EndpointRecord> ChooseEngine() const;
   bool HasBackup() const;
   EndpointFields MakeFields(const EndpointRecord& engine);
@@ -92,6 +98,8 @@
   TimePoint m_attempt_started{};
   int m_endpoint_tries = 0;
   int m_sends = 0;
+  /// A retry was taken from the quota for the next attempt.
+  bool m_has_retry = false;
   int m_resumes = 0;
   /// Time from the arrival of the request to its first event; zero until then.
   Duration m_first_event{};
@@ -156,10 +164,7 @@
 /// Starts an attempt at an engine. If none is available, waits, or ends the request if that has
 /// taken too long.
 Task<Step> StreamSession::StartAttempt() {
-  const TimePoint now = SteadyNow();
-  const bool may_start = m_continuation.MayStartAttempt() && m_continuation.MayContinue() &&
-                         !m_context.poison_requests->IsQuarantined(m_request.fingerprint);
-  if (!may_start || m_endpoint_tries >= kMaxEndpointTries || m_stale) {
+  if (!MayStartAttempt() || m_stale) {
     co_await AnswerFailure();
     co_return Step::kEnd;
   }
@@ -167,7 +172,7 @@
   if (!engine) {
     const bool may_wait =
         m_head_sent ||
-        now - m_request.arrived < m_request.route->latency_objective / kRejectAfterDivisor;
+        SteadyNow() - m_request.arrived < m_request.route->latency_objective / kRejectAfterDivisor;
     if (!may_wait) {
       co_await AnswerFailure();
       co_return Step::kEnd;
@@ -176,34 +181,56 @@
     co_await m_wake->WaitFor(kNoEngineRetryDelay);
     co_return Step::kContinue;
   }
-  ++m_endpoint_tries;
-  if (m_sends > 0) {
-    const bool may_retry = co_await TryTakeRetry(m_context, m_request);
-    if (!may_retry) {
-      co_await AnswerFailure();
-      co_return Step::kEnd;
-    }
+  const bool may_send = co_await TakeRetry();
+  if (!may_send) {
+    co_await AnswerFailure();
+    co_return Step::kEnd;
   }
-  const std::shared_ptr<HttpClientExchange> connection =
+  std::shared_ptr<HttpClientExchange> connection = co_await ConnectTo(*engine);
+  if (!connection || m_exchange.ClientDisconnected()) co_return Step::kContinue;
+  m_stale = !MayForward(m_context, m_request);
+  if (!m_stale) BeginAttempt(*engine, std::move(connection));
+  co_return Step::kContinue;
+}
+
+bool StreamSession::MayStartAttempt() const {
+  return m_continuation.MayStartAttempt() && m_continuation.MayContinue() &&
+         m_endpoint_tries < kMaxEndpointTries &&
+         !m_context.poison_requests->IsQuarantined(m_request.fingerprint);
+}
+
+/// Returns whether the request may be sent: it was not sent before, or the quota allows a retry. An
+/// allowed retry is kept until the request is sent.
+Task<bool> StreamSession::TakeRetry() {
+  if (m_sends > 0 && !m_has_retry) m_has_retry = co_await TryTakeRetry(m_context, m_request);
+  co_return m_sends == 0 || m_has_retry;
+}
+
+/// Returns null, and excludes the engine, if it cannot be reached.
+Task<std::shared_ptr<HttpClientExchange>> StreamSession::ConnectTo(const EndpointRecord& engine) {
+  ++m_endpoint_tries;
+  std::shared_ptr<HttpClientExchange> connection =
       std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
   const std::error_code error =
-      co_await ConnectEndpoint(m_context, *connection, engine->address, kConnectTimeout);
-  if (error) {
-    ReportEndpointFailure(m_context, m_request, engine->id, "connect: " + error.message());
-    m_placement.Exclude(engine->id);
-    co_return Step::kContinue;
-  }
-  if (m_exchange.ClientDisconnected()) co_return Step::kContinue;
-  m_stale = !MayForward(m_context, m_request);
-  if (m_stale) co_return Step::kContinue;
-  EndpointFields fields = MakeFields(*engine);
+      co_await ConnectEndpoint(m_context, *connection, engine.address, kConnectTimeout);
+  if (!error) co_return connection;
+  ReportEndpointFailure(m_context, m_request, engine.id, "connect: " + error.message());
+  m_placement.Exclude(engine.id);
+  co_return nullptr;
+}
+
+/// Sends the request on a new connection to the engine.
+void StreamSession::BeginAttempt(const EndpointRecord& engine,
+                                 std::shared_ptr<HttpClientExchange> connection) {
+  EndpointFields fields = MakeFields(engine);
   m_from_backup = fields.kv_cache_backup.has_value();
-  m_usage.Set(engine->id, BackupHolderId(), m_from_backup);
-  const DirectoryEndpoint* known = m_context.endpoints.Find(engine->id);
+  m_usage.Set(engine.id, BackupHolderId(), m_from_backup);
+  const DirectoryEndpoint* known = m_context.endpoints.Find(engine.id);
   m_backlog_tokens =
       known == nullptr ? m_request.fields.prompt_tokens : known->PendingPrefillTokens();
-  m_attempt = std::make_shared<StreamAttempt>(*engine, connection, m_wake);
+  m_attempt = std::make_shared<StreamAttempt>(engine, std::move(connection), m_wake);
   ++m_sends;
+  m_has_retry = false;
   m_attempt_started = SteadyNow();
   const PrefillRateEstimator& pace = m_context.PrefillRate(m_request.service);
   m_continuation.OnAttemptStarted({m_from_backup, pace.EstimateTimeToFirstEvent(m_backlog_tokens),
@@ -211,15 +238,42 @@
                                   m_attempt_started);
   Log(LogLevel::kInfo, "run_started",
       {{"request", m_request.fields.request_id},
-       {"endpoint", engine->id},
+       {"endpoint", engine.id},
        {"after", fields.last_event.value_or(0)},
        {"copy", m_from_backup},
        {"backup", BackupHolderId()}});
   m_attempt->Start(
       m_context.executor, m_context.wire,
-      BuildEndpointRequest(m_context, m_request, engine->address, std::move(fields), SteadyNow()),
+      BuildEndpointRequest(m_context, m_request, engine.address, std::move(fields), SteadyNow()),
       m_request.fields.request_id);
-  co_return Step::kContinue;
+}
+
+/// Continues a stalled attempt at another engine, if there is one. Otherwise the attempt goes on:
+/// its engine may be silent for a moment only, and ending it would end the stream.
+Task<void> StreamSession::ReplaceAttempt(std::string_view reason, AttemptLoss loss) {
+  const EndpointId engine = m_attempt->Endpoint().id;
+  m_placement.Exclude(engine);
+  if (co_await TryReplaceAttempt(reason, loss)) co_return;
+  m_placement.Readmit(engine);
+  m_continuation.OnNotReplaced(SteadyNow());
+  Log(LogLevel::kInfo, "run_kept",
+      {{"request", m_request.fields.request_id}, {"endpoint", engine}, {"reason", reason}});
+}
+
+/// Returns whether the attempt was replaced. Connects to the other engine first, because it may not
+/// accept the connection.
+Task<bool> StreamSession::TryReplaceAttempt(std::string_view reason, AttemptLoss loss) {
+  if (!MayStartAttempt() || !MayForward(m_context, m_request)) co_return false;
+  const std::optional<EndpointRecord> engine = ChooseEngine();
+  if (!engine) co_return false;
+  const bool may_send = co_await TakeRetry();
+  if (!may_send) co_return false;
+  std::shared_ptr<HttpClientExchange> connection = co_await ConnectTo(*engine);
+  const bool is_stalled = !m_attempt->HasEvent() && !m_attempt->End();
+  if (!connection || !is_stalled || m_exchange.ClientDisconnected()) co_return false;
+  AbandonAttempt(reason, loss);
+  BeginAttempt(*engine, std::move(connection));
+  co_return true;
 }
 
 std::shared_ptr<KvCacheBackup> StreamSession::NewBackup() const {
@@ -379,7 +433,7 @@
   co_return Step::kEnd;
 }
 
-/// Waits for events, and probes or abandons an attempt that has stalled.
+/// Waits for events, and probes or replaces an attempt that has stalled.
 Task<Step> StreamSession::WaitForEvents() {
   MaintainBackup();
   const TimePoint now = SteadyNow();
@@ -388,7 +442,7 @@
   stall_context.has_backup = HasBackup();
   switch (m_continuation.CheckStall(stall_context, now)) {
     case StallDecision::kAbandon:
-      AbandonAttempt("silent", AttemptLoss::kStalledOrInvalid);
+      co_await ReplaceAttempt("silent", AttemptLoss::kStalledOrInvalid);
       co_return Step::kContinue;
     case StallDecision::kProbe:
       co_await Probe(m_attempt);
@@ -410,7 +464,8 @@
   m_context.metrics.Count("endpoint_probes", error ? "failed" : "answered");
   m_continuation.OnProbeAnswered(SteadyNow());
   const bool is_lost = error && attempt == m_attempt && !attempt->HasEvent() && !attempt->End();
-  if (is_lost) AbandonAttempt("probe: " + error.message(), AttemptLoss::kBroken);
+  const std::string reason = "probe: " + error.message();
+  if (is_lost) co_await ReplaceAttempt(reason, AttemptLoss::kBroken);
 }
 
 void StreamSession::AbandonAttempt(std::string_view reason, AttemptLoss loss) {
--- a/tests/auto/coordination/tst_stream_continuation.cpp
+++ b/tests/auto/coordination/tst_stream_continuation.cpp
@@ -56,6 +56,23 @@
   cr_assert(stream.NextStallCheck(At(1000)) == At(1350));
 }
 
+// Guards against a stream that ends because no other engine can take it while its engine pauses,
+// and against trials to replace the attempt without a pause.
+Test(stream_continuation, an_attempt_that_was_not_replaced_goes_on) {
+  StreamContinuation stream = Started();
+  stream.OnEvent(1, At(1000));
+  cr_assert_eq(stream.CheckStall({false, true}, At(1350)), StallDecision::kAbandon);
+  stream.OnNotReplaced(At(1350));
+  cr_assert_neq(stream.CheckStall({false, true}, At(1649)), StallDecision::kAbandon);
+  cr_assert_eq(stream.CheckStall({false, true}, At(1650)), StallDecision::kAbandon);
+  cr_assert_eq(stream.OnEvent(2, At(1700)), EventDisposition::kDeliver);
+  stream.OnNotReplaced(At(1700));
+  stream.OnAttemptStarted({}, At(1710));
+  stream.OnEvent(3, At(1720));
+  cr_assert_eq(stream.CheckStall({false, true}, At(2070)), StallDecision::kAbandon,
+               "the next attempt has its own time");
+}
+
 // Guards against an attempt without a backup that is moved because its engine pauses: prefill
 // elsewhere takes longer than the pause.
 Test(stream_continuation, a_stalled_attempt_without_a_backup_is_probed_first) {
--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -123,6 +123,9 @@
     case EndpointBehaviour::kStall:
       co_await WaitUntilCallerDisconnected(exchange);
       co_return;
+    case EndpointBehaviour::kPause:
+      co_await Sleep(pause);
+      break;
     case EndpointBehaviour::kBreak:
       co_await exchange.StartStream(200, reply.headers);
       co_await exchange.WriteChunk("half of the bo");
@@ -143,6 +146,7 @@
       co_await WaitUntilCallerDisconnected(exchange);
       co_return;
     }
+    if (reached && behaviour == EndpointBehaviour::kPause) co_await Sleep(pause);
     if (reached && behaviour == EndpointBehaviour::kBreak) {
       if (sent > 0) co_await exchange.WriteChunk("id: " + std::to_string(number) + "\nda");
       exchange.CloseAfterReply();
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -27,6 +27,9 @@
   kBreak,
   /// Stalls: a call at once, a stream after `events_before_fault` events.
   kStall,
+  /// Is silent for `pause` and then goes on: a call at once, a stream after `events_before_fault`
+  /// events.
+  kPause,
   /// Skips one event of a stream after `events_before_fault` events.
   kSkip,
   /// Replies with the identifier of another request.
@@ -64,6 +67,7 @@
   std::string crashing_target;
   std::string version = "v1";
   int events_before_fault = 0;
+  Duration pause{};
   int total_events = 10;
   /// Events sent on the latest stream so far.
   int sent = 0;
--- /dev/null
+++ b/tests/auto/platform/tst_silent_endpoints.cpp
@@ -0,0 +1,97 @@
+#include <criterion/criterion.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform_world.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+// Longer than the relay waits for an event or a reply before it looks for another endpoint.
+constexpr Duration kPause = std::chrono::milliseconds(1200);
+constexpr int kEventsBeforePause = 4;
+const char kUnreachableAddress[] = "127.0.0.1:9";
+// More than the three requests that may lose their reply.
+constexpr std::size_t kRequests = 4;
+
+std::string AllEvents() {
+  std::string text;
+  for (int number = 1; number <= 10; ++number) {
+    text += "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+  }
+  return text;
+}
+
+void RunTest(Task<void> (*test)(PlatformWorld&)) {
+  PlatformWorld world;
+  world.Run([&world, test]() { return test(world); });
+}
+
+void AddPausingEndpoint(PlatformWorld& world, const std::string& service,
+                        const std::string& domain) {
+  EndpointStandin& endpoint = world.AddEndpoint(service, domain);
+  endpoint.behaviour = EndpointBehaviour::kPause;
+  endpoint.pause = kPause;
+  endpoint.events_before_fault = kEventsBeforePause;
+}
+
+void DenyRetries(PlatformWorld& world) {
+  world.settings.retry_share = 0.0;
+  world.settings.retry_slack = 0.0;
+}
+
+/// Sends `kRequests` requests at the same time, each as the second one on its connection, and
+/// returns the results.
+Task<std::vector<HttpResult>> SendOnKeptConnections(PlatformWorld& world, std::string method,
+                                                    std::string target) {
+  HttpClientOptions options;
+  options.max_idle_connections = kRequests;
+  world.client = std::make_unique<HttpClient>(world.loop.GetExecutor(), options);
+  std::vector<HttpResult> results;
+  for (const std::string& path : {std::string("/unknown/"), target}) {
+    results.clear();
+    for (std::size_t index = 0; index < kRequests; ++index) {
+      Spawn(world.loop.GetExecutor(), [&world, &results, method, path]() -> Task<void> {
+        results.push_back(co_await world.Send(method, path));
+      });
+    }
+    co_await PlatformWorld::WaitFor([&results]() { return results.size() == kRequests; });
+  }
+  co_return results;
+}
+
+Task<void> StreamsGoOnWithoutRetries(PlatformWorld& world) {
+  AddPausingEndpoint(world, "drafts", "a");
+  AddPausingEndpoint(world, "drafts", "b");
+  DenyRetries(world);
+  co_await world.Start();
+  const std::vector<HttpResult> results =
+      co_await SendOnKeptConnections(world, "POST", "/stream/x");
+  for (const HttpResult& result : results) {
+    cr_assert_not(result.error, "%s", result.error.message().c_str());
+    cr_assert(result.reply.body == AllEvents(), "%s", result.reply.body.c_str());
+  }
+}
+
+Task<void> StreamsGoOnWithoutAnotherEngine(PlatformWorld& world) {
+  AddPausingEndpoint(world, "drafts", "a");
+  co_await world.Start();
+  world.store->Put("servers", "i-unreachable", EndpointRow(kUnreachableAddress, "drafts", "b"));
+  const HttpResult result = co_await world.Send("POST", "/stream/x");
+  cr_assert_not(result.error, "%s", result.error.message().c_str());
+  cr_assert(result.reply.body == AllEvents(), "%s", result.reply.body.c_str());
+  cr_assert_eq(world.endpoints[0]->seen.size(), 1u);
+}
+
+}  // namespace
+
+// Guards against streams that are closed although their engines are only silent for a moment.
+Test(silent_endpoints, streams_go_on_without_retry_quota) { RunTest(&StreamsGoOnWithoutRetries); }
+
+// Guards against a stream that leaves its silent engine for one that does not accept it.
+Test(silent_endpoints, a_stream_goes_on_if_no_other_engine_accepts_it) {
+  RunTest(&StreamsGoOnWithoutAnotherEngine);
+}
