relay: wait for a silent endpoint's reply until a retry is granted

What callers saw: idempotent calls failed with 502 although their endpoint was sound, silent for a moment, and would have replied before the deadline.

Cause: the connection was closed after twice the latency objective, before it was known whether the retry quota and another endpoint allowed the call to go elsewhere.

Change: SlowReplyWatch asks for a retry once the reply is slow, only if another endpoint is usable, and closes the connection when the retry is granted. Otherwise the call waits, up to its deadline, and asks again every 0.2 s. The granted retry is used for the next attempt.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "relay/poison_request_detector.h"
+#include "relay/slow_reply_watch.h"
 #include "utils/logging.h"
 
 namespace fulmarpoint {
@@ -23,9 +24,12 @@
 // Limit on the endpoints tried, including those that rejected the request or were unreachable.
 constexpr int kMaxEndpointTries = 6;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
-// An idempotent request is sent to another endpoint after this multiple of its latency objective.
-constexpr int kReplyTimeoutFactor = 2;
-constexpr Duration kMinReplyTimeout = std::chrono::milliseconds(250);
+// An idempotent request may be sent to another endpoint after this multiple of its latency
+// objective.
+constexpr int kSlowReplyFactor = 2;
+constexpr Duration kMinSlowReply = std::chrono::milliseconds(250);
+// Interval of the requests for a retry while a reply is slow.
+constexpr Duration kRetryRequestInterval = std::chrono::milliseconds(200);
 
 enum class TryResult {
   kAnswered,
@@ -56,6 +60,8 @@
   Task<TryResult> TryEndpoint();
   Task<bool> Connect();
   Task<TryResult> Exchange();
+  const DirectoryEndpoint* Place(std::set<EndpointId> excluded) const;
+  SlowReplyWatch::Options WatchOptions();
   Task<TryResult> ReadReply();
   TryResult ClassifyHead(const EndpointResponseFields& reply_fields);
   void OnEndpointFailed(std::string_view reason);
@@ -64,7 +70,10 @@
   Task<void> RespondWithFailure();
   bool IsIdempotent() const { return m_request.route->retryability == Retryability::kIdempotent; }
   Duration TimeLeft() const { return m_request.deadline - SteadyNow(); }
-  Duration ReplyTimeout() const;
+  bool HasRetry() const { return m_watch && m_watch->HasRetry(); }
+  bool MayRunElsewhere() const {
+    return IsIdempotent() && m_attempts < m_request.route->max_attempts;
+  }
 
   RelayContext& m_context;
   EndpointConnectionPool& m_pool;
@@ -73,6 +82,8 @@
   const ConnectionShare m_connections;
   std::set<EndpointId> m_excluded;
   std::shared_ptr<HttpClientExchange> m_connection;
+  /// Exists while an attempt may be replaced by one at another endpoint.
+  std::unique_ptr<SlowReplyWatch> m_watch;
   EndpointRecord m_endpoint;
   TimePoint m_attempt_started{};
   bool m_is_reused = false;
@@ -85,6 +96,8 @@
   /// How often the request was sent, and how many of those endpoints may have run it.
   int m_sends = 0;
   int m_attempts = 0;
+  /// A retry was taken from the quota for the next attempt.
+  bool m_has_retry = false;
   bool m_use_idle = true;
   bool m_may_have_run = false;
   bool m_stale = false;
@@ -97,14 +110,7 @@
   });
   while (m_endpoint_tries++ < kMaxEndpointTries && TimeLeft() > Duration::zero() &&
          !m_exchange.ClientDisconnected()) {
-    const std::vector<const DirectoryEndpoint*> usable =
-        m_context.UsableFor(m_request.service, m_request.version);
-    PlacementRequest placement;
-    placement.failure_domain = m_context.settings.failure_domain;
-    placement.now = SteadyNow();
-    placement.excluded = m_excluded;
-    placement.max_requests = m_connections.requests;
-    const DirectoryEndpoint* endpoint = PlaceCall(usable, placement, m_context.random);
+    const DirectoryEndpoint* endpoint = Place(m_excluded);
     if (endpoint == nullptr) break;
     m_endpoint = endpoint->record;
     const EndpointUse use{m_endpoint.id};
@@ -122,8 +128,8 @@
     if (m_attempts >= m_request.route->max_attempts) break;
     if (m_sends == 0) continue;
     if (m_context.poison_requests->IsQuarantined(m_request.fingerprint)) break;
-    const bool may_retry = co_await TryTakeRetry(m_context, m_request);
-    if (!may_retry) break;
+    if (!m_has_retry) m_has_retry = co_await TryTakeRetry(m_context, m_request);
+    if (!m_has_retry) break;
   }
   m_exchange.OnClientDisconnect(nullptr);
   if (m_exchange.ClientDisconnected()) {
@@ -133,6 +139,18 @@
   co_await RespondWithFailure();
 }
 
+/// Returns an endpoint that may receive the request; null if there is none.
+const DirectoryEndpoint* CallSession::Place(std::set<EndpointId> excluded) const {
+  const std::vector<const DirectoryEndpoint*> usable =
+      m_context.UsableFor(m_request.service, m_request.version);
+  PlacementRequest placement;
+  placement.failure_domain = m_context.settings.failure_domain;
+  placement.now = SteadyNow();
+  placement.excluded = std::move(excluded);
+  placement.max_requests = m_connections.requests;
+  return PlaceCall(usable, placement, m_context.random);
+}
+
 Task<TryResult> CallSession::TryEndpoint() {
   // If the endpoint closed an idle connection meanwhile, a request sent on it could not be told
   // from one that ran and lost its reply, so only idempotent requests use idle connections.
@@ -169,14 +187,35 @@
   m_attempt_started = SteadyNow();
   ++m_sends;
   ++m_attempts;
+  if (MayRunElsewhere()) {
+    m_watch = std::make_unique<SlowReplyWatch>(m_context.executor, m_connection, WatchOptions());
+  }
   const TryResult end = co_await ReadReply();
+  m_has_retry = HasRetry();
+  m_watch.reset();
   if (end == TryResult::kNotRun || end == TryResult::kClosedIdle) --m_attempts;
   co_return end;
 }
 
+/// Returns the options of the watch over an attempt that may be replaced.
+SlowReplyWatch::Options CallSession::WatchOptions() {
+  SlowReplyWatch::Options options;
+  options.patience = std::max(kMinSlowReply, m_request.route->latency_objective * kSlowReplyFactor);
+  options.interval = kRetryRequestInterval;
+  // The session may end while the quota is requested, so it is used only before.
+  options.take_retry = [this, &context = m_context]() -> Task<bool> {
+    std::set<EndpointId> excluded = m_excluded;
+    excluded.insert(m_endpoint.id);
+    if (Place(std::move(excluded)) == nullptr) co_return false;
+    co_return co_await context.TryTakeRetry(m_request.service);
+  };
+  return options;
+}
+
 Task<TryResult> CallSession::ReadReply() {
   for (int stray = 0; stray <= kMaxStrayReplies; ++stray) {
-    std::error_code error = co_await m_connection->ReadHead(m_reply, ReplyTimeout());
+    std::error_code error = co_await m_connection->ReadHead(m_reply, TimeLeft());
+    if (error && HasRetry()) error = std::make_error_code(std::errc::timed_out);
     if (error) {
       const bool was_closed = m_is_reused && error != std::errc::timed_out;
       m_use_idle = m_use_idle && !was_closed;
@@ -193,16 +232,17 @@
           {{"request", m_request.fields.request_id},
            {"endpoint", m_endpoint.id},
            {"answer_to", reply_fields.request_id}});
-      error = co_await m_connection->ReadBody(m_reply.body, kMaxStrayBytes, ReplyTimeout());
+      error = co_await m_connection->ReadBody(m_reply.body, kMaxStrayBytes, TimeLeft());
       if (!error) continue;
       OnEndpointFailed("stray answer: " + error.message());
       co_return TryResult::kMayHaveRun;
     }
     const TryResult end = ClassifyHead(reply_fields);
     if (end != TryResult::kAnswered) co_return end;
+    if (m_watch) m_watch->OnProgress();
     m_memory.Release();
-    error =
-        co_await m_connection->ReadBody(m_reply.body, kMaxReplyBytes, ReplyTimeout(), &m_memory);
+    error = co_await m_connection->ReadBody(m_reply.body, kMaxReplyBytes, TimeLeft(), &m_memory);
+    if (error && HasRetry()) error = std::make_error_code(std::errc::timed_out);
     if (error) {
       OnAttemptLost("body", error);
       co_return TryResult::kMayHaveRun;
@@ -287,13 +327,6 @@
   }
 }
 
-Duration CallSession::ReplyTimeout() const {
-  const bool has_attempts_left = m_attempts < m_request.route->max_attempts;
-  if (!IsIdempotent() || !has_attempts_left) return TimeLeft();
-  return std::min(TimeLeft(), std::max(kMinReplyTimeout,
-                                       m_request.route->latency_objective * kReplyTimeoutFactor));
-}
-
 }  // namespace
 
 Task<void> RelayCall(RelayContext& context, EndpointConnectionPool& pool, HttpExchange& exchange,
--- a/tests/auto/platform/tst_silent_endpoints.cpp
+++ b/tests/auto/platform/tst_silent_endpoints.cpp
@@ -86,6 +86,38 @@
   cr_assert_eq(world.endpoints[0]->seen.size(), 1u);
 }
 
+Task<void> CallsWaitWithoutRetries(PlatformWorld& world) {
+  AddPausingEndpoint(world, "orders", "a");
+  AddPausingEndpoint(world, "orders", "b");
+  DenyRetries(world);
+  co_await world.Start();
+  const std::vector<HttpResult> results = co_await SendOnKeptConnections(world, "GET", "/look/x");
+  for (const HttpResult& result : results) {
+    cr_assert_not(result.error, "%s", result.error.message().c_str());
+    cr_assert_eq(result.reply.status, 200, "%d", result.reply.status);
+  }
+}
+
+Task<void> CallsWaitWithoutAnotherEndpoint(PlatformWorld& world) {
+  AddPausingEndpoint(world, "orders", "a");
+  co_await world.Start();
+  const HttpResult result = co_await world.Send("GET", "/look/x");
+  cr_assert_eq(result.reply.status, 200, "%d", result.reply.status);
+  cr_assert_eq(world.endpoints[0]->seen.size(), 1u);
+}
+
+Task<void> CallsGoElsewhereWithRetries(PlatformWorld& world) {
+  AddPausingEndpoint(world, "orders", "a");
+  co_await world.Start();
+  // In the other failure domain, so that the request reaches the slow endpoint first.
+  EndpointStandin& other = world.AddEndpoint("orders", "b");
+  world.endpoints[0]->pause = std::chrono::seconds(30);
+  co_await Sleep(std::chrono::milliseconds(500));
+  const HttpResult result = co_await world.Send("GET", "/look/x");
+  cr_assert_eq(result.reply.status, 200, "%d", result.reply.status);
+  cr_assert_eq(other.seen.size(), 1u);
+}
+
 }  // namespace
 
 // Guards against streams that are closed although their engines are only silent for a moment.
@@ -95,3 +127,16 @@
 Test(silent_endpoints, a_stream_goes_on_if_no_other_engine_accepts_it) {
   RunTest(&StreamsGoOnWithoutAnotherEngine);
 }
+
+// Guards against calls that fail although their endpoints would have replied before the deadline.
+Test(silent_endpoints, calls_wait_without_retry_quota) { RunTest(&CallsWaitWithoutRetries); }
+
+// Guards against a call that fails because its only endpoint is silent for a moment.
+Test(silent_endpoints, a_call_waits_if_there_is_no_other_endpoint) {
+  RunTest(&CallsWaitWithoutAnotherEndpoint);
+}
+
+// Guards against calls that wait for a silent endpoint although another one is free.
+Test(silent_endpoints, a_call_goes_elsewhere_with_retry_quota) {
+  RunTest(&CallsGoElsewhereWithRetries);
+}
