--- a/src/libs/coordination/crash_tracker.cpp
+++ b/src/libs/coordination/crash_tracker.cpp
@@ -4,6 +4,13 @@
 
 namespace fulmarpoint {
 
+namespace {
+
+// Limit on the other parts that are kept for a part.
+constexpr std::size_t kMaxCompanions = 256;
+
+}  // namespace
+
 CrashTracker::Finding CrashTracker::OnCrash(const CrashedAttempt& attempt, TimePoint now) {
   if (m_consecutive_crashes.count(attempt.fingerprint) == 0) {
     ForgetExpired(now);
@@ -19,18 +26,48 @@
   const bool is_next = attempt.started + m_options.jitter >= crashes.last_ended &&
                        crashes.endpoints.count(attempt.endpoint) == 0;
   if (!is_first && !is_next) return Finding::kNothing;
-  if (is_first) crashes.first_started = attempt.started;
-  crashes.last_ended = attempt.ended;
-  crashes.endpoints.insert(attempt.endpoint);
-  const bool is_due =
-      crashes.state == State::kCounting && crashes.endpoints.size() >= m_options.crash_threshold;
-  if (!is_due) return Finding::kNothing;
+  if (attempt.request && crashes.requests[*attempt.request] >= m_options.part_crashes_per_request) {
+    return Finding::kNothing;
+  }
+  Count(crashes, attempt);
+  if (!IsQueryDue(crashes)) return Finding::kNothing;
   crashes.state = State::kQuerying;
   crashes.queried_at = now;
   return Finding::kQueryCompletion;
 }
 
+void CrashTracker::Count(ConsecutiveCrashes& crashes, const CrashedAttempt& attempt) {
+  if (crashes.endpoints.empty()) crashes.first_started = attempt.started;
+  crashes.last_ended = attempt.ended;
+  crashes.endpoints.insert(attempt.endpoint);
+  const bool is_new_request = attempt.request && ++crashes.requests[*attempt.request] == 1;
+  if (!is_new_request) return;
+  for (const Fingerprint companion : attempt.companions) {
+    if (crashes.companions.size() < kMaxCompanions) ++crashes.companions[companion];
+  }
+}
+
+/// Returns the other parts that more than half of the requests have.
+std::vector<Fingerprint> CrashTracker::Explanations(const ConsecutiveCrashes& crashes) {
+  std::vector<Fingerprint> explanations;
+  for (const auto& [companion, count] : crashes.companions) {
+    if (2 * count > crashes.requests.size()) explanations.push_back(companion);
+  }
+  return explanations;
+}
+
+bool CrashTracker::IsQueryDue(const ConsecutiveCrashes& crashes) const {
+  if (crashes.state != State::kCounting) return false;
+  const bool is_part = !crashes.requests.empty();
+  if (!is_part) return crashes.endpoints.size() >= m_options.crash_threshold;
+  return crashes.endpoints.size() >= m_options.part_crash_threshold &&
+         crashes.requests.size() >= m_options.part_request_threshold;
+}
+
 bool CrashTracker::OnCompleted(Fingerprint fingerprint) {
+  for (auto& [suspect, crashes] : m_consecutive_crashes) {
+    crashes.companions.erase(fingerprint);
+  }
   const auto found = m_consecutive_crashes.find(fingerprint);
   if (found == m_consecutive_crashes.end()) return false;
   const bool was_quarantined = found->second.state == State::kQuarantined;
@@ -38,11 +75,33 @@
   return was_quarantined;
 }
 
+std::vector<Fingerprint> CrashTracker::OnPoisonFound(Fingerprint fingerprint) {
+  std::vector<Fingerprint> ended;
+  std::erase_if(m_consecutive_crashes, [&](const auto& entry) {
+    const auto& [suspect, crashes] = entry;
+    const auto found = crashes.companions.find(fingerprint);
+    if (found == crashes.companions.end()) return false;
+    const std::size_t requests_with_both = found->second;
+    // A suspect that is not yet quarantined may itself be the poison, and this one its companion.
+    if (crashes.state != State::kQuarantined) {
+      return 2 * requests_with_both > crashes.requests.size();
+    }
+    const bool is_explained = 2 * requests_with_both >= crashes.requests.size();
+    if (is_explained) ended.push_back(suspect);
+    return is_explained;
+  });
+  return ended;
+}
+
 std::vector<Fingerprint> CrashTracker::TakeNewQuarantines(TimePoint now) {
   std::vector<Fingerprint> quarantined;
   for (auto& [fingerprint, crashes] : m_consecutive_crashes) {
     if (crashes.state != State::kQuerying || now - crashes.queried_at < m_options.answer_timeout)
       continue;
+    if (!Explanations(crashes).empty()) {
+      crashes.state = State::kCounting;
+      continue;
+    }
     Quarantine(crashes, now);
     quarantined.push_back(fingerprint);
   }
@@ -62,10 +121,20 @@
   return std::max(Duration::zero(), found->second.quarantined_until - now);
 }
 
-std::optional<TimePoint> CrashTracker::FirstStarted(Fingerprint fingerprint) const {
+std::optional<TimePoint> CrashTracker::ClearedSince(Fingerprint fingerprint) const {
   const auto found = m_consecutive_crashes.find(fingerprint);
   if (found == m_consecutive_crashes.end()) return std::nullopt;
-  return found->second.first_started;
+  const bool is_part = !found->second.requests.empty();
+  return found->second.first_started - (is_part ? m_options.part_lookback : Duration::zero());
+}
+
+std::vector<Fingerprint> CrashTracker::QueriedFingerprints(Fingerprint fingerprint) const {
+  std::vector<Fingerprint> queried = {fingerprint};
+  const auto found = m_consecutive_crashes.find(fingerprint);
+  if (found == m_consecutive_crashes.end()) return queried;
+  const std::vector<Fingerprint> explanations = Explanations(found->second);
+  queried.insert(queried.end(), explanations.begin(), explanations.end());
+  return queried;
 }
 
 void CrashTracker::ForgetExpired(TimePoint now) {
--- a/src/libs/coordination/crash_tracker.h
+++ b/src/libs/coordination/crash_tracker.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -14,22 +15,43 @@
 
 /// An attempt that ended in a crash of its endpoint, on the monotonic clock of the counting daemon.
 struct CrashedAttempt {
+  /// Of the whole request, or of a part of its prompt.
   Fingerprint fingerprint = 0;
+  /// Identifies the endpoint process.
   EndpointId endpoint;
   TimePoint started{};
   TimePoint ended{};
+  /// If `fingerprint` is of a part of the prompt: the fingerprint of the whole request, and those
+  /// of the other parts.
+  std::optional<Fingerprint> request;
+  std::vector<Fingerprint> companions;
 };
 
 /// Counts crashes for the fingerprints that this daemon owns and detects poison requests, which
 /// crash every endpoint that runs them. Only consecutive crashes count: each attempt must have
 /// begun after the previous crash was detected. Endpoints that are lost together therefore count
 /// once, however many of them ran the same request. A fingerprint that any daemon completes in the
-/// meantime is cleared. Not thread-safe.
+/// meantime is cleared.
+///
+/// Poison requests may differ in all but one part of their prompt. A part is quarantined only if
+/// several requests with it crashed endpoints and no other part explains these crashes: each other
+/// part is missing from half of the requests, or was completed elsewhere. Not thread-safe.
 class CrashTracker {
  public:
   struct Options {
     /// Consecutive crashes before the completion query.
     std::size_t crash_threshold = 3;
+    /// The same for a part of prompts: one more, because more requests share it, so that losses of
+    /// failure domains in short succession meet it more often.
+    std::size_t part_crash_threshold = 4;
+    /// Requests that must have crashed endpoints before a part of their prompts is suspected. A
+    /// single one is quarantined as a whole.
+    std::size_t part_request_threshold = 2;
+    /// Crashes of one request that count for a part of its prompt.
+    std::size_t part_crashes_per_request = 2;
+    /// A part is cleared also by completions this long before its first crash, because those of
+    /// other requests with it may take longer than a series of crashes.
+    Duration part_lookback = std::chrono::seconds(20);
     /// How long the other daemons have to answer the completion query.
     Duration answer_timeout = std::chrono::milliseconds(400);
     /// Tolerated difference between the delays of two messages.
@@ -57,16 +79,24 @@
   explicit CrashTracker(Options options) : m_options(options) {}
 
   Finding OnCrash(const CrashedAttempt& attempt, TimePoint now);
-  /// Clears a fingerprint because a request with it completed after its first crash. Returns
-  /// whether this ends a quarantine.
+  /// Clears a fingerprint because a request with it completed after its first crash. Other parts of
+  /// prompts are no longer explained by it. Returns whether this ends a quarantine.
   bool OnCompleted(Fingerprint fingerprint);
+  /// Forgets the crashes of the parts that most of their requests have beside this one, which
+  /// proved to be poison and explains them. Returns those that were quarantined.
+  std::vector<Fingerprint> OnPoisonFound(Fingerprint fingerprint);
   /// Quarantines the fingerprints whose completion query got no answer in time, and returns them.
-  /// Each is returned once.
+  /// Each is returned once. A part whose crashes another part may explain is not quarantined; its
+  /// next crash leads to another query.
   std::vector<Fingerprint> TakeNewQuarantines(TimePoint now);
   /// Returns how much longer the quarantine lasts; zero if there is none.
   Duration RemainingQuarantine(Fingerprint fingerprint, TimePoint now) const;
-  /// Returns the start of the first of the consecutive crashing attempts; nothing if there is none.
-  std::optional<TimePoint> FirstStarted(Fingerprint fingerprint) const;
+  /// Returns the time since which a completion clears the fingerprint: the start of the first of
+  /// the consecutive crashing attempts, or earlier for a part; nothing if there is none.
+  std::optional<TimePoint> ClearedSince(Fingerprint fingerprint) const;
+  /// Returns the fingerprints that a completion query must ask for: this one, and those of other
+  /// parts that may explain its crashes.
+  std::vector<Fingerprint> QueriedFingerprints(Fingerprint fingerprint) const;
   const Options& GetOptions() const { return m_options; }
   std::size_t Size() const { return m_consecutive_crashes.size(); }
 
@@ -81,8 +111,16 @@
     TimePoint quarantined_until{};
     std::size_t quarantine_count = 0;
     std::set<EndpointId> endpoints;
+    /// For a part of a prompt: the counted crashes of each request, and how many of the requests
+    /// have each other part, without those that have completed since.
+    std::map<Fingerprint, std::size_t> requests;
+    std::map<Fingerprint, std::size_t> companions;
   };
 
+  void Count(ConsecutiveCrashes& crashes, const CrashedAttempt& attempt);
+  bool IsQueryDue(const ConsecutiveCrashes& crashes) const;
+  static std::vector<Fingerprint> Explanations(const ConsecutiveCrashes& crashes);
+
   void Quarantine(ConsecutiveCrashes& crashes, TimePoint now);
   void ForgetExpired(TimePoint now);
 
--- a/src/libs/coordination/lost_attempts.cpp
+++ b/src/libs/coordination/lost_attempts.cpp
@@ -7,18 +7,37 @@
 
 namespace fulmarpoint {
 
+namespace {
+
+bool CanHaveCrashed(const LostAttempt& attempt) {
+  if (attempt.ended - attempt.started > LostAttempts::kMaxCrashingAttemptDuration) return false;
+  return !attempt.first_event ||
+         attempt.ended - *attempt.first_event <= LostAttempts::kMaxRunBeforeCrash;
+}
+
+}  // namespace
+
 bool LostAttempts::Add(LostAttempt attempt) {
-  if (attempt.ended - attempt.started > kMaxCrashingAttemptDuration ||
-      m_attempts.size() >= kMaxAttempts)
-    return false;
+  if (!CanHaveCrashed(attempt) || m_attempts.size() >= kMaxAttempts) return false;
   m_attempts.push_back(std::move(attempt));
   return true;
 }
 
 std::vector<LostAttempt> LostAttempts::TakeCrashed(const EndpointId& endpoint) {
-  const auto first = std::stable_partition(
-      m_attempts.begin(), m_attempts.end(),
-      [&](const LostAttempt& attempt) { return attempt.endpoint != endpoint; });
+  return Take([&](const LostAttempt& attempt) { return attempt.endpoint == endpoint; });
+}
+
+std::vector<LostAttempt> LostAttempts::TakeCrashed(const EndpointProcess& process) {
+  return Take([&](const LostAttempt& attempt) {
+    return attempt.endpoint == process.endpoint && attempt.incarnation == process.incarnation;
+  });
+}
+
+template <typename Predicate>
+std::vector<LostAttempt> LostAttempts::Take(const Predicate& is_taken) {
+  const auto first =
+      std::stable_partition(m_attempts.begin(), m_attempts.end(),
+                            [&](const LostAttempt& attempt) { return !is_taken(attempt); });
   std::vector<LostAttempt> crashed(std::make_move_iterator(first),
                                    std::make_move_iterator(m_attempts.end()));
   m_attempts.erase(first, m_attempts.end());
@@ -30,10 +49,12 @@
                 [&](const LostAttempt& attempt) { return attempt.endpoint == endpoint; });
 }
 
-std::vector<EndpointId> LostAttempts::Endpoints() const {
-  std::set<EndpointId> endpoints;
-  for (const LostAttempt& attempt : m_attempts) endpoints.insert(attempt.endpoint);
-  return {endpoints.begin(), endpoints.end()};
+std::vector<EndpointProcess> LostAttempts::Processes() const {
+  std::set<EndpointProcess> processes;
+  for (const LostAttempt& attempt : m_attempts) {
+    processes.insert({attempt.endpoint, attempt.incarnation});
+  }
+  return {processes.begin(), processes.end()};
 }
 
 void LostAttempts::Forget(TimePoint now) {
--- a/src/libs/coordination/lost_attempts.h
+++ b/src/libs/coordination/lost_attempts.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <tuple>
 #include <vector>
 
 #include "protocol/suspect_messages.h"
@@ -14,6 +16,22 @@
   EndpointId endpoint;
   TimePoint started{};
   TimePoint ended{};
+  /// Fingerprints of the parts of the request's prompt.
+  std::vector<Fingerprint> parts;
+  /// The endpoint's process; see `EndpointRecord`.
+  std::int64_t incarnation = 0;
+  /// When the first event of a stream arrived, if any did.
+  std::optional<TimePoint> first_event;
+};
+
+/// One process of an endpoint, which may restart under the same identifier.
+struct EndpointProcess {
+  EndpointId endpoint;
+  std::int64_t incarnation = 0;
+
+  bool operator<(const EndpointProcess& other) const {
+    return std::tie(endpoint, incarnation) < std::tie(other.endpoint, other.incarnation);
+  }
 };
 
 /// Attempts that lost their connection while it is not yet known whether the endpoint's process
@@ -23,6 +41,10 @@
   /// A poison request crashes its endpoint soon after its start. If an attempt that ran for longer
   /// is lost, the cause is another.
   static constexpr Duration kMaxCrashingAttemptDuration = std::chrono::seconds(5);
+  /// An endpoint crashes when it begins to run a poison request, with the first event. A stream
+  /// that has sent events for longer was lost for another reason.
+  /// After this time the request is known to be harmless.
+  static constexpr Duration kMaxRunBeforeCrash = std::chrono::seconds(1);
   /// The store lists a crashed endpoint for a few more heartbeats. A loss that is detected later
   /// does not confirm that the endpoint crashed.
   static constexpr Duration kCrashConfirmationTime = std::chrono::seconds(15);
@@ -32,14 +54,19 @@
   bool Add(LostAttempt attempt);
   /// Removes and returns the attempts at an endpoint whose process was lost.
   std::vector<LostAttempt> TakeCrashed(const EndpointId& endpoint);
+  /// Removes and returns the attempts at one process of an endpoint.
+  std::vector<LostAttempt> TakeCrashed(const EndpointProcess& process);
   /// Drops the attempts at an endpoint whose process still answers: only connections were lost.
   void OnAlive(const EndpointId& endpoint);
-  /// Returns the endpoints of the kept attempts, each once.
-  std::vector<EndpointId> Endpoints() const;
+  /// Returns the endpoint processes of the kept attempts, each once.
+  std::vector<EndpointProcess> Processes() const;
   /// Drops attempts whose endpoint was not found to have crashed in time.
   void Forget(TimePoint now);
 
  private:
+  template <typename Predicate>
+  std::vector<LostAttempt> Take(const Predicate& is_taken);
+
   std::vector<LostAttempt> m_attempts;
 };
 
--- a/src/libs/protocol/crash_messages.h
+++ b/src/libs/protocol/crash_messages.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "protocol/bounded_serialization.h"
 #include "protocol/suspect_messages.h"
@@ -11,9 +12,14 @@
 namespace fulmarpoint {
 
 /// An endpoint process crashed during an attempt. Sent to the owner of the fingerprint, the daemon
-/// that counts its crashes.
+/// that counts its crashes: one report for the whole request and one for each part of its prompt.
 struct CrashReport {
   Fingerprint fingerprint = 0;
+  /// Fingerprint of the whole request; the same as `fingerprint` in the report for it.
+  Fingerprint request = 0;
+  /// In the report for a part of the prompt: the fingerprints of the other parts.
+  std::vector<Fingerprint> companions;
+  /// Identifies the endpoint process, not only the endpoint.
   std::string endpoint;
   /// Duration of the attempt in microseconds.
   std::uint32_t ran_us = 0;
@@ -22,16 +28,17 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, ran_us, ended_us_ago);
+    archive(fingerprint, request, ran_us, ended_us_ago);
+    internal::SerializeList(archive, companions);
     internal::SerializeText(archive, endpoint);
   }
 };
 
-/// Completion query: queries all daemons whether a request with this fingerprint has completed
-/// since the first of the crashes.
+/// Completion query: queries all daemons whether a request with this fingerprint, of the whole or
+/// of a part of its prompt, has completed lately.
 struct CompletionQuery {
   Fingerprint fingerprint = 0;
-  /// Milliseconds since the start of the first attempt that ended in a crash.
+  /// How long ago the completion may have been, in milliseconds.
   std::uint32_t lookback_ms = 0;
 
   template <typename Archive>
@@ -51,8 +58,8 @@
   }
 };
 
-/// Quarantines the requests with this fingerprint, because they crash the endpoints that run them,
-/// or clears the quarantine.
+/// Quarantines the requests with this fingerprint, of the whole or of a part of the prompt, because
+/// they crash the endpoints that run them, or clears the quarantine.
 struct QuarantineUpdate {
   Fingerprint fingerprint = 0;
   /// Remaining duration of the quarantine; 0 clears it.
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -127,7 +127,7 @@
     if (end == TryResult::kMayHaveRun && !IsIdempotent()) break;
     if (m_attempts >= m_request.route->max_attempts) break;
     if (m_sends == 0) continue;
-    if (m_context.poison_requests->IsQuarantined(m_request.fingerprint)) break;
+    if (m_context.poison_requests->IsQuarantined(m_request)) break;
     if (!m_has_retry) m_has_retry = co_await TryTakeRetry(m_context, m_request);
     if (!m_has_retry) break;
   }
@@ -293,8 +293,10 @@
 void CallSession::OnAttemptLost(std::string_view step, const std::error_code& error) {
   OnEndpointFailed(std::string(step) + ": " + error.message());
   if (m_exchange.ClientDisconnected()) return;
-  ReportLostAttempt(m_context, m_request, m_endpoint, m_attempt_started,
-                    error != std::errc::timed_out);
+  AttemptLossDetails details;
+  details.started = m_attempt_started;
+  details.connection_broken = error != std::errc::timed_out;
+  ReportLostAttempt(m_context, m_request, m_endpoint, details);
 }
 
 Task<void> CallSession::Respond(HttpReply reply, RequestOutcome outcome) {
--- a/src/libs/relay/caller_request_handler.cpp
+++ b/src/libs/relay/caller_request_handler.cpp
@@ -121,7 +121,8 @@
   }
   request.body = exchange.TakeBody();
   request.fingerprint = FingerprintOf(request);
-  if (m_context.poison_requests->IsQuarantined(request.fingerprint)) {
+  request.part_fingerprints = PartFingerprintsOf(request.fields);
+  if (m_context.poison_requests->IsQuarantined(request)) {
     admission.rejection =
         Rejection{ResultCode::kRefusedCrashing, "such requests have crashed their endpoints"};
     return admission;
--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -12,6 +12,7 @@
 #include "coordination/rendezvous_owner.h"
 #include "protocol/relay_datagram.h"
 #include "relay/peer_exchange.h"
+#include "relay/relayed_request.h"
 #include "transport/http_client_exchange.h"
 #include "utils/logging.h"
 #include "utils/overloaded.h"
@@ -25,7 +26,8 @@
 // delay could still succeed.
 constexpr Duration kProbeDelay = std::chrono::milliseconds(5);
 constexpr Duration kCompletionLifetime = std::chrono::minutes(1);
-constexpr std::size_t kMaxCompletions = 4096;
+// A request counts with the parts of its prompt.
+constexpr std::size_t kMaxCompletions = 16384;
 // Quarantines are sent twice, because a daemon that misses one runs the request once more.
 constexpr Duration kQuarantineResendDelay = std::chrono::milliseconds(200);
 constexpr std::size_t kMaxQuarantined = 1024;
@@ -44,11 +46,13 @@
       : context(shared), exchange(peer_exchange) {}
 
   Task<void> Probe(EndpointId endpoint, std::string address);
-  void OnCrashed(const EndpointId& endpoint);
-  bool IsGone(const EndpointId& endpoint, TimePoint now) const;
+  void ReportCrashes(const std::vector<LostAttempt>& attempts);
+  bool IsGone(const EndpointProcess& process, TimePoint now) const;
   void Report(const LostAttempt& attempt, const std::vector<PeerRecord>& peers);
+  void ReportFingerprint(CrashReport report, const std::vector<PeerRecord>& peers);
   void CountCrash(const CrashReport& report, const std::string& from);
   void QueryCompletions(Fingerprint fingerprint);
+  bool QueryCompletion(Fingerprint fingerprint, TimePoint since);
   Task<void> QuarantineUnlessCompleted();
   void Quarantine(Fingerprint fingerprint, Duration time);
   void PublishQuarantine(Fingerprint fingerprint);
@@ -56,6 +60,8 @@
   Task<void> ResendQuarantine(Fingerprint fingerprint);
   bool IsQuarantined(Fingerprint fingerprint) const;
   void EndQuarantine(Fingerprint fingerprint);
+  void PublishEndOfQuarantine(Fingerprint fingerprint);
+  void OnLocalCompletion(Fingerprint fingerprint);
   void ReportLocalCompletion(Fingerprint fingerprint);
   void OnRemoteCompletion(Fingerprint fingerprint);
   const PeerRecord* Owner(Fingerprint fingerprint, const std::vector<PeerRecord>& peers) const;
@@ -87,19 +93,20 @@
   probes_in_progress.erase(endpoint);
   context.metrics.Count("endpoint_probes", error ? "failed" : "answered");
   if (!error) lost_attempts.OnAlive(endpoint);
-  if (error == std::errc::connection_refused) OnCrashed(endpoint);
+  if (error == std::errc::connection_refused) ReportCrashes(lost_attempts.TakeCrashed(endpoint));
 }
 
-void PoisonRequestDetector::State::OnCrashed(const EndpointId& endpoint) {
-  const std::vector<LostAttempt> attempts = lost_attempts.TakeCrashed(endpoint);
+void PoisonRequestDetector::State::ReportCrashes(const std::vector<LostAttempt>& attempts) {
   if (attempts.empty()) return;
   const std::vector<PeerRecord> peers = context.peers.AvailablePeers(SteadyNow());
   for (const LostAttempt& attempt : attempts) Report(attempt, peers);
 }
 
-bool PoisonRequestDetector::State::IsGone(const EndpointId& endpoint, TimePoint now) const {
-  const DirectoryEndpoint* known = context.endpoints.Find(endpoint);
-  return known == nullptr || (known->gone_at && *known->gone_at <= now);
+/// Returns whether the process is no longer listed, or was replaced by a restart.
+bool PoisonRequestDetector::State::IsGone(const EndpointProcess& process, TimePoint now) const {
+  const DirectoryEndpoint* known = context.endpoints.Find(process.endpoint);
+  if (known == nullptr || known->record.incarnation != process.incarnation) return true;
+  return known->gone_at && *known->gone_at <= now;
 }
 
 void PoisonRequestDetector::State::Report(const LostAttempt& attempt,
@@ -107,10 +114,22 @@
   const TimePoint now = SteadyNow();
   CrashReport report;
   report.fingerprint = attempt.fingerprint;
-  report.endpoint = attempt.endpoint;
+  report.request = attempt.fingerprint;
+  report.endpoint = attempt.endpoint + "@" + std::to_string(attempt.incarnation);
   report.ran_us = ClampedCount<std::chrono::microseconds>(attempt.ended - attempt.started);
   report.ended_us_ago = ClampedCount<std::chrono::microseconds>(now - attempt.ended);
-  const PeerRecord* owner = Owner(attempt.fingerprint, peers);
+  ReportFingerprint(report, peers);
+  for (const Fingerprint part : attempt.parts) {
+    report.fingerprint = part;
+    report.companions = attempt.parts;
+    std::erase(report.companions, part);
+    ReportFingerprint(report, peers);
+  }
+}
+
+void PoisonRequestDetector::State::ReportFingerprint(CrashReport report,
+                                                     const std::vector<PeerRecord>& peers) {
+  const PeerRecord* owner = Owner(report.fingerprint, peers);
   if (owner == nullptr) {
     CountCrash(report, {});
   } else {
@@ -126,6 +145,10 @@
   attempt.endpoint = report.endpoint;
   attempt.ended = now - std::chrono::microseconds(report.ended_us_ago);
   attempt.started = attempt.ended - std::chrono::microseconds(report.ran_us);
+  if (report.request != report.fingerprint) {
+    attempt.request = report.request;
+    attempt.companions = report.companions;
+  }
   switch (tracker.OnCrash(attempt, now)) {
     case CrashTracker::Finding::kNothing:
       return;
@@ -141,17 +164,31 @@
   }
 }
 
+/// Asks all daemons whether a suspected fingerprint, or one that may explain its crashes, has
+/// completed.
 void PoisonRequestDetector::State::QueryCompletions(Fingerprint fingerprint) {
-  const TimePoint since = tracker.FirstStarted(fingerprint).value_or(TimePoint{});
+  const TimePoint since = tracker.ClearedSince(fingerprint).value_or(TimePoint{});
+  const std::vector<Fingerprint> queried = tracker.QueriedFingerprints(fingerprint);
+  Log(LogLevel::kWarning, "crashes_in_series",
+      {{"fingerprint", fingerprint}, {"companions", queried.size() - 1}});
+  for (const Fingerprint each : queried) {
+    const bool is_cleared = QueryCompletion(each, since) && each == fingerprint;
+    if (is_cleared) return;
+  }
+  Spawn(context.executor,
+        [self = shared_from_this()]() { return self->QuarantineUnlessCompleted(); });
+}
+
+/// Returns whether a request with this fingerprint completed at this daemon. If not, asks the
+/// others.
+bool PoisonRequestDetector::State::QueryCompletion(Fingerprint fingerprint, TimePoint since) {
   if (HasCompletedSince(fingerprint, since)) {
     tracker.OnCompleted(fingerprint);
-    return;
+    return true;
   }
-  Log(LogLevel::kWarning, "crashes_in_series", {{"fingerprint", fingerprint}});
   const Duration age = SteadyNow() - since;
   SendToAll(CompletionQuery{fingerprint, ClampedCount<std::chrono::milliseconds>(age)});
-  Spawn(context.executor,
-        [self = shared_from_this()]() { return self->QuarantineUnlessCompleted(); });
+  return false;
 }
 
 Task<void> PoisonRequestDetector::State::QuarantineUnlessCompleted() {
@@ -190,6 +227,9 @@
   if (!is_new) return;
   Log(LogLevel::kWarning, "request_blocked",
       {{"fingerprint", fingerprint}, {"seconds", ClampedCount<std::chrono::seconds>(time)}});
+  for (const Fingerprint explained : tracker.OnPoisonFound(fingerprint)) {
+    PublishEndOfQuarantine(explained);
+  }
 }
 
 bool PoisonRequestDetector::State::IsQuarantined(Fingerprint fingerprint) const {
@@ -203,6 +243,11 @@
   Log(LogLevel::kWarning, "request_unblocked", {{"fingerprint", fingerprint}});
 }
 
+void PoisonRequestDetector::State::OnLocalCompletion(Fingerprint fingerprint) {
+  completed.Add(fingerprint, SteadyNow());
+  if (IsQuarantined(fingerprint)) ReportLocalCompletion(fingerprint);
+}
+
 /// Ends the quarantine of a request of which an earlier attempt has completed at this daemon, and
 /// notifies the owner.
 void PoisonRequestDetector::State::ReportLocalCompletion(Fingerprint fingerprint) {
@@ -217,7 +262,10 @@
 }
 
 void PoisonRequestDetector::State::OnRemoteCompletion(Fingerprint fingerprint) {
-  if (!tracker.OnCompleted(fingerprint)) return;
+  if (tracker.OnCompleted(fingerprint)) PublishEndOfQuarantine(fingerprint);
+}
+
+void PoisonRequestDetector::State::PublishEndOfQuarantine(Fingerprint fingerprint) {
   EndQuarantine(fingerprint);
   SendToAll(QuarantineUpdate{fingerprint, 0});
 }
@@ -249,23 +297,35 @@
 
 PoisonRequestDetector::~PoisonRequestDetector() { m_state->stopped = true; }
 
-void PoisonRequestDetector::OnAttemptLost(Fingerprint fingerprint, const EndpointRecord& endpoint,
-                                          TimePoint started, bool connection_broken) {
+void PoisonRequestDetector::OnAttemptLost(const RelayedRequest& request,
+                                          const EndpointRecord& endpoint,
+                                          const AttemptLossDetails& details) {
   State& state = *m_state;
-  if (!state.lost_attempts.Add({fingerprint, endpoint.id, started, SteadyNow()})) return;
-  if (!connection_broken || !state.probes_in_progress.insert(endpoint.id).second) return;
+  LostAttempt attempt;
+  attempt.fingerprint = request.fingerprint;
+  attempt.endpoint = endpoint.id;
+  attempt.started = details.started;
+  attempt.ended = SteadyNow();
+  attempt.parts = request.part_fingerprints;
+  attempt.incarnation = endpoint.incarnation;
+  attempt.first_event = details.first_event;
+  if (!state.lost_attempts.Add(std::move(attempt))) return;
+  if (!details.connection_broken || !state.probes_in_progress.insert(endpoint.id).second) return;
   Spawn(state.context.executor, [shared = m_state, id = endpoint.id, address = endpoint.address]() {
     return shared->Probe(id, address);
   });
 }
 
-void PoisonRequestDetector::OnCompleted(Fingerprint fingerprint) {
-  m_state->completed.Add(fingerprint, SteadyNow());
-  if (IsQuarantined(fingerprint)) m_state->ReportLocalCompletion(fingerprint);
+void PoisonRequestDetector::OnSurvived(const RelayedRequest& request) {
+  m_state->OnLocalCompletion(request.fingerprint);
+  for (const Fingerprint part : request.part_fingerprints) m_state->OnLocalCompletion(part);
 }
 
-bool PoisonRequestDetector::IsQuarantined(Fingerprint fingerprint) const {
-  return m_state->IsQuarantined(fingerprint);
+bool PoisonRequestDetector::IsQuarantined(const RelayedRequest& request) const {
+  const std::vector<Fingerprint>& parts = request.part_fingerprints;
+  const auto is_quarantined = [this](Fingerprint part) { return m_state->IsQuarantined(part); };
+  return m_state->IsQuarantined(request.fingerprint) ||
+         std::any_of(parts.begin(), parts.end(), is_quarantined);
 }
 
 void PoisonRequestDetector::OnMessage(const std::string& from, const CrashMessage& message) {
@@ -295,8 +355,10 @@
 void PoisonRequestDetector::CheckLostAttempts() {
   State& state = *m_state;
   const TimePoint now = SteadyNow();
-  for (const EndpointId& endpoint : state.lost_attempts.Endpoints()) {
-    if (state.IsGone(endpoint, now)) state.OnCrashed(endpoint);
+  for (const EndpointProcess& process : state.lost_attempts.Processes()) {
+    if (state.IsGone(process, now)) {
+      state.ReportCrashes(state.lost_attempts.TakeCrashed(process));
+    }
   }
   state.lost_attempts.Forget(now);
   std::erase_if(state.quarantined_until, [&](const auto& entry) { return now >= entry.second; });
--- a/src/libs/relay/poison_request_detector.h
+++ b/src/libs/relay/poison_request_detector.h
@@ -11,11 +11,15 @@
 namespace fulmarpoint {
 
 class PeerExchange;
+struct AttemptLossDetails;
+struct RelayedRequest;
 
 /// Detects, together with the other daemons, poison requests: requests that crash the endpoints
-/// that run them. Each lost attempt whose endpoint proves to be gone is reported to the owner of
-/// the request's fingerprint, which counts the crashes. Every daemon computes the owner from the
-/// list of peers by rendezvous hashing. Used on the daemon's thread.
+/// that run them. Such requests may be the same as a whole, or have a part of their prompt in
+/// common. Each lost attempt whose endpoint proves to be gone is reported to the owners of the
+/// fingerprints of the request and of the parts of its prompt, which count the crashes. Every
+/// daemon computes the owner from the list of peers by rendezvous hashing. Used on the daemon's
+/// thread.
 class PoisonRequestDetector {
  public:
   /// Both must outlive this.
@@ -25,14 +29,15 @@
   PoisonRequestDetector(const PoisonRequestDetector&) = delete;
   PoisonRequestDetector& operator=(const PoisonRequestDetector&) = delete;
 
-  /// An attempt ended without a complete reply. If `connection_broken`, the endpoint is
-  /// probed at once to find out whether it still accepts connections.
-  void OnAttemptLost(Fingerprint fingerprint, const EndpointRecord& endpoint, TimePoint started,
-                     bool connection_broken);
-  /// An endpoint sent a complete reply of any status to the request.
-  void OnCompleted(Fingerprint fingerprint);
-  /// Returns whether requests with this fingerprint are rejected.
-  bool IsQuarantined(Fingerprint fingerprint) const;
+  /// An attempt ended without a complete reply. If its connection broke, the endpoint is probed at
+  /// once to find out whether it still accepts connections.
+  void OnAttemptLost(const RelayedRequest& request, const EndpointRecord& endpoint,
+                     const AttemptLossDetails& details);
+  /// An endpoint sent a complete reply of any status to the request, or has sent events for
+  /// `LostAttempts::kMaxRunBeforeCrash`, so that the request does not crash endpoints.
+  void OnSurvived(const RelayedRequest& request);
+  /// Returns whether the request is rejected, because of the whole or of a part of its prompt.
+  bool IsQuarantined(const RelayedRequest& request) const;
   /// Handles a message from the daemon at `from`, "ip:port".
   void OnMessage(const std::string& from, const CrashMessage& message);
   /// Finds lost attempts whose endpoints the store no longer lists, and drops expired entries. Call
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -73,6 +73,19 @@
   return hash;
 }
 
+std::vector<Fingerprint> PartFingerprintsOf(const CallerFields& fields) {
+  constexpr std::size_t kMaxParts = 32;
+  std::vector<Fingerprint> fingerprints;
+  const Fingerprint model = StableHash(fields.model);
+  for (const PromptPart& part : fields.prompt) {
+    const Fingerprint fingerprint = StableHash(std::to_string(part.id), model);
+    const bool is_known =
+        std::find(fingerprints.begin(), fingerprints.end(), fingerprint) != fingerprints.end();
+    if (!is_known && fingerprints.size() < kMaxParts) fingerprints.push_back(fingerprint);
+  }
+  return fingerprints;
+}
+
 bool MayForward(const RelayContext& context, const RelayedRequest& request) {
   return request.organisation.empty() || context.freshness.Permits(request.arrived_boot);
 }
@@ -113,13 +126,13 @@
 void ReportCompletedAttempt(RelayContext& context, RelayedRequest& request,
                             const EndpointRecord& endpoint, bool is_failure, Duration latency,
                             Duration token_interval) {
-  context.poison_requests->OnCompleted(request.fingerprint);
+  context.poison_requests->OnSurvived(request);
   CompareVersions(context, request, endpoint, is_failure, latency, token_interval);
 }
 
 void ReportLostAttempt(RelayContext& context, RelayedRequest& request,
-                       const EndpointRecord& endpoint, TimePoint started, bool connection_broken) {
-  context.poison_requests->OnAttemptLost(request.fingerprint, endpoint, started, connection_broken);
+                       const EndpointRecord& endpoint, const AttemptLossDetails& details) {
+  context.poison_requests->OnAttemptLost(request, endpoint, details);
   CompareVersions(context, request, endpoint, true, Duration::zero(), Duration::zero());
 }
 
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -42,6 +43,8 @@
   OrganisationId organisation;
   /// The same for all sends of the same request, also if their request identifiers differ.
   Fingerprint fingerprint = 0;
+  /// Fingerprints of the parts of its prompt.
+  std::vector<Fingerprint> part_fingerprints;
   int priority = 5;
   TimePoint arrived{};
   /// The same instant on the clock `BootNow()`.
@@ -53,6 +56,10 @@
 /// Returns the hash of everything that determines how an endpoint handles the request.
 Fingerprint FingerprintOf(const RelayedRequest& request);
 
+/// Returns the fingerprints of the parts of a prompt, each once. They are the same in all requests
+/// for the same model that share the part.
+std::vector<Fingerprint> PartFingerprintsOf(const CallerFields& fields);
+
 /// Returns whether the request may be sent to an endpoint: its key, if any, was confirmed valid
 /// when it arrived. The confirmation also covers later attempts of the same request.
 bool MayForward(const RelayContext& context, const RelayedRequest& request);
@@ -77,10 +84,18 @@
                             const EndpointRecord& endpoint, bool is_failure, Duration latency,
                             Duration token_interval = Duration::zero());
 
-/// Records an attempt that ended without a complete reply. `connection_broken` is false if it timed
-/// out or stalled.
+/// How an attempt ended without a complete reply.
+struct AttemptLossDetails {
+  TimePoint started{};
+  /// False if the attempt timed out or stalled.
+  bool connection_broken = false;
+  /// When the first event of a stream arrived, if any did.
+  std::optional<TimePoint> first_event;
+};
+
+/// Records an attempt that ended without a complete reply.
 void ReportLostAttempt(RelayContext& context, RelayedRequest& request,
-                       const EndpointRecord& endpoint, TimePoint started, bool connection_broken);
+                       const EndpointRecord& endpoint, const AttemptLossDetails& details);
 
 /// Takes one retry from the service's quota. Returns whether the request may be sent once more.
 Task<bool> TryTakeRetry(RelayContext& context, const RelayedRequest& request);
--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -42,6 +42,11 @@
   return timing;
 }
 
+std::optional<TimePoint> StreamAttempt::FirstEventAt() const {
+  if (m_event_count == 0) return std::nullopt;
+  return m_first_arrival;
+}
+
 ArrivedEvent StreamAttempt::TakeEvent() {
   ArrivedEvent event = std::move(m_events.front());
   m_events.pop_front();
--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -67,6 +67,8 @@
   const EndpointResponseFields& Answer() const { return m_answer; }
   const EndpointRecord& Endpoint() const { return m_endpoint; }
   AttemptTiming Timing() const;
+  /// Returns when the first event arrived; nothing if none has.
+  std::optional<TimePoint> FirstEventAt() const;
 
  private:
   Task<void> Read(RelayWire wire, std::string request_id);
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/kv_cache_backup.h"
+#include "coordination/lost_attempts.h"
 #include "coordination/stream_continuation.h"
 #include "relay/kv_cache_backups.h"
 #include "relay/poison_request_detector.h"
@@ -74,6 +75,7 @@
   void AbandonAttempt(std::string_view reason, AttemptLoss loss);
   void ReleaseBackup();
   void OnPromptRead();
+  void OnRunning();
   void ObservePace();
   Task<void> Answer(HttpReply reply, RequestOutcome outcome);
   Task<void> AnswerFailure();
@@ -92,6 +94,8 @@
   StreamEngineUsage m_usage;
   bool m_head_sent = false;
   bool m_stale = false;
+  /// The request has run for long enough to know that it does not crash engines.
+  bool m_is_harmless = false;
   bool m_from_backup = false;
   /// Prompt tokens that the engine had still to read when the current attempt started.
   std::int64_t m_backlog_tokens = 0;
@@ -196,7 +200,7 @@
 bool StreamSession::MayStartAttempt() const {
   return m_continuation.MayStartAttempt() && m_continuation.MayContinue() &&
          m_endpoint_tries < kMaxEndpointTries &&
-         !m_context.poison_requests->IsQuarantined(m_request.fingerprint);
+         !m_context.poison_requests->IsQuarantined(m_request);
 }
 
 /// Returns whether the request may be sent: it was not sent before, or the quota allows a retry. An
@@ -358,6 +362,7 @@
   }
   if (!bytes.empty()) {
     OnPromptRead();
+    OnRunning();
     if (!m_head_sent) {
       m_head_sent = true;
       m_first_event = SteadyNow() - m_request.arrived;
@@ -478,8 +483,11 @@
        {"reason", reason}});
   const bool is_failure = loss != AttemptLoss::kNone;
   if (is_failure) {
-    ReportLostAttempt(m_context, m_request, m_attempt->Endpoint(), m_attempt_started,
-                      loss == AttemptLoss::kBroken);
+    AttemptLossDetails details;
+    details.started = m_attempt_started;
+    details.connection_broken = loss == AttemptLoss::kBroken;
+    details.first_event = m_attempt->FirstEventAt();
+    ReportLostAttempt(m_context, m_request, m_attempt->Endpoint(), details);
   }
   m_attempt->Cancel();
   m_attempt.reset();
@@ -509,6 +517,16 @@
   pace.Observe(m_backlog_tokens, elapsed);
 }
 
+/// Once an attempt has sent events for some time, the request is known not to crash engines.
+void StreamSession::OnRunning() {
+  const std::optional<TimePoint> first_event = m_attempt->FirstEventAt();
+  const bool has_survived =
+      first_event && SteadyNow() - *first_event > LostAttempts::kMaxRunBeforeCrash;
+  if (m_is_harmless || !has_survived) return;
+  m_is_harmless = true;
+  m_context.poison_requests->OnSurvived(m_request);
+}
+
 /// The first event of an attempt shows that its engine has read the prompt.
 void StreamSession::OnPromptRead() {
   if (m_usage.OnPromptRead()) ObservePace();
--- a/tests/auto/coordination/tst_crash_fleet.cpp
+++ b/tests/auto/coordination/tst_crash_fleet.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <string>
 #include <utility>
@@ -21,6 +22,7 @@
 namespace {
 
 constexpr std::uint64_t kSeed = 4127;
+constexpr std::uint64_t kPartSeeds = 5;
 constexpr int kDaemons = 195;
 constexpr int kDomains = 6;
 constexpr int kEndpointsPerDomain = 40;
@@ -29,6 +31,7 @@
 constexpr int kMaxAttempts = 4;
 constexpr Duration kCallTime = std::chrono::milliseconds(60);
 constexpr Duration kStreamTime = std::chrono::seconds(3);
+constexpr Duration kFirstEventTime = std::chrono::milliseconds(800);
 constexpr Duration kCrashTime = std::chrono::milliseconds(2);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(1);
 constexpr Duration kProbeTime = std::chrono::milliseconds(6);
@@ -39,13 +42,21 @@
 constexpr Duration kRetryGracePeriod = std::chrono::seconds(4);
 constexpr int kMaxLateRetries = 3;
 constexpr double kMaxRejectedShare = 1.0 / 500;
+// Parts of prompts: some that many requests share, more that few share, and one per request.
+constexpr int kPopularParts = 20;
+constexpr int kRareParts = 2000;
+constexpr Fingerprint kFirstPart = 1'000'000'000;
+constexpr Fingerprint kFirstOwnPart = 2'000'000'000;
+constexpr Fingerprint kPoisonPart = 3'000'000'000;
+// Poison requests with a part in common may crash this many endpoints before they count as retries.
+constexpr std::size_t kPartCrashes = 5;
 
 /// Simulates, in virtual time, how a fleet of daemons handles requests that crash endpoints.
 /// Messages take up to 5 ms and some are lost. Endpoints are lost with their failure domain or
 /// because of a request that they run.
 class CrashFleet {
  public:
-  CrashFleet() : m_random(kSeed) {
+  explicit CrashFleet(std::uint64_t seed = kSeed) : m_random(seed) {
     for (int index = 0; index < kDaemons; ++index) {
       PeerRecord record;
       record.name = "daemon-" + std::to_string(index);
@@ -56,15 +67,31 @@
     m_attempts.resize(m_down_until.size());
   }
 
+  struct Request {
+    Fingerprint fingerprint = 0;
+    std::vector<Fingerprint> parts;
+    bool crashes = false;
+    /// Time until the request completes or crashes its endpoint.
+    Duration length{};
+    /// Time until the first event; none for calls.
+    std::optional<Duration> first_event;
+    int daemon = 0;
+    int attempts = 0;
+  };
+
   void Send(Fingerprint fingerprint, bool crashes, Duration length);
+  void Send(Request request);
   void CrashDomain(int domain);
   void RunUntil(TimePoint end);
   void In(Duration delay, std::function<void()> step);
   TimePoint Now() const { return m_now; }
   Random& Generator() { return m_random; }
 
+  /// Harmless requests that were sent, that were rejected, and that ended because a later attempt
+  /// was.
   int sent = 0;
   int rejected = 0;
+  int interrupted = 0;
   int quarantines = 0;
   int cleared = 0;
   int queries = 0;
@@ -72,6 +99,9 @@
   /// of the crashes.
   std::map<Fingerprint, std::vector<TimePoint>> crashing_requests;
   std::map<Fingerprint, std::vector<TimePoint>> crashes;
+  /// When attempts with the poison part reached endpoints, and when these crashed.
+  std::vector<TimePoint> part_attempts;
+  std::vector<TimePoint> part_crashes;
 
  private:
   struct Daemon {
@@ -79,13 +109,6 @@
     std::map<Fingerprint, TimePoint> quarantined_until;
     CrashTracker tracker;
   };
-  struct Request {
-    Fingerprint fingerprint = 0;
-    bool crashes = false;
-    Duration length{};
-    int daemon = 0;
-    int attempts = 0;
-  };
   struct Attempt {
     Request request;
     TimePoint started{};
@@ -103,16 +126,21 @@
   void SendMessage(std::function<void()> arrive);
   void StartAttempt(Request request);
   void OnAttemptDue(int endpoint, int attempt);
+  void OnSurvived(const Request& request);
   void Crash(int endpoint);
-  void Report(const Request& request, int endpoint, TimePoint started, TimePoint ended);
+  void Report(const Attempt& attempt, int endpoint, TimePoint ended);
+  void ReportFingerprint(Fingerprint fingerprint, const Request& request, CrashedAttempt attempt);
   void CountCrash(int owner, const CrashedAttempt& attempt, int sender);
   void QueryCompletion(int owner, Fingerprint fingerprint);
   void AnnounceQuarantine(int owner, Fingerprint fingerprint);
   void NotifyAll(Fingerprint fingerprint, Duration time);
   void Quarantine(int daemon, Fingerprint fingerprint, Duration time);
+  void EndQuarantine(int owner, Fingerprint fingerprint);
   bool IsQuarantined(const Daemon& daemon, Fingerprint fingerprint) const;
+  bool IsQuarantined(const Request& request) const;
+  static std::vector<Fingerprint> FingerprintsOf(const Request& request);
   void OnCompleted(int owner, Fingerprint fingerprint);
-  int OwnerIndex(const Request& request) const;
+  int OwnerIndex(Fingerprint fingerprint, int daemon) const;
 
   Random m_random;
   TimePoint m_now{std::chrono::hours(1)};
@@ -149,15 +177,25 @@
   Request request;
   request.fingerprint = fingerprint;
   request.crashes = crashes_endpoints;
-  request.length = length;
+  request.length = crashes_endpoints ? kCrashTime : length;
+  Send(std::move(request));
+}
+
+void CrashFleet::Send(Request request) {
   request.daemon = RandomBelow(kDaemons);
-  if (!crashes_endpoints) ++sent;
-  StartAttempt(request);
+  if (!request.crashes) ++sent;
+  StartAttempt(std::move(request));
+}
+
+std::vector<Fingerprint> CrashFleet::FingerprintsOf(const Request& request) {
+  std::vector<Fingerprint> fingerprints = request.parts;
+  fingerprints.push_back(request.fingerprint);
+  return fingerprints;
 }
 
 void CrashFleet::StartAttempt(Request request) {
-  if (IsQuarantined(m_daemons[request.daemon], request.fingerprint)) {
-    if (!request.crashes) ++rejected;
+  if (IsQuarantined(request)) {
+    if (!request.crashes) ++(request.attempts == 0 ? rejected : interrupted);
     return;
   }
   if (request.attempts++ >= kMaxAttempts) return;
@@ -168,10 +206,15 @@
   if (request.crashes && is_first_attempt) {
     crashing_requests[request.fingerprint].push_back(m_now);
   }
+  if (request.crashes && !request.parts.empty()) part_attempts.push_back(m_now);
   const int attempt = ++m_last_attempt;
   m_attempts[endpoint][attempt] = {request, m_now};
-  In(request.crashes ? kCrashTime : request.length,
-     [this, endpoint, attempt]() { OnAttemptDue(endpoint, attempt); });
+  In(request.length, [this, endpoint, attempt]() { OnAttemptDue(endpoint, attempt); });
+  if (!request.first_event) return;
+  In(*request.first_event + LostAttempts::kMaxRunBeforeCrash, [this, endpoint, attempt]() {
+    const auto found = m_attempts[endpoint].find(attempt);
+    if (found != m_attempts[endpoint].end()) OnSurvived(found->second.request);
+  });
 }
 
 void CrashFleet::OnAttemptDue(int endpoint, int attempt) {
@@ -183,30 +226,34 @@
     return;
   }
   m_attempts[endpoint].erase(found);
+  OnSurvived(request);
+}
+
+void CrashFleet::OnSurvived(const Request& request) {
   Daemon& daemon = m_daemons[request.daemon];
-  daemon.completed.Add(request.fingerprint, m_now);
-  if (!IsQuarantined(daemon, request.fingerprint)) return;
-  daemon.quarantined_until.erase(request.fingerprint);
-  SendMessage([this, owner = OwnerIndex(request), fingerprint = request.fingerprint]() {
-    OnCompleted(owner, fingerprint);
-  });
+  for (const Fingerprint fingerprint : FingerprintsOf(request)) {
+    daemon.completed.Add(fingerprint, m_now);
+    if (!IsQuarantined(daemon, fingerprint)) continue;
+    daemon.quarantined_until.erase(fingerprint);
+    SendMessage([this, owner = OwnerIndex(fingerprint, request.daemon), fingerprint]() {
+      OnCompleted(owner, fingerprint);
+    });
+  }
 }
 
-int CrashFleet::OwnerIndex(const Request& request) const {
-  const PeerRecord* record =
-      OwnerOf(request.fingerprint, m_records[request.daemon].name, m_records);
-  return record == nullptr ? request.daemon : static_cast<int>(record - m_records.data());
+int CrashFleet::OwnerIndex(Fingerprint fingerprint, int daemon) const {
+  const PeerRecord* record = OwnerOf(fingerprint, m_records[daemon].name, m_records);
+  return record == nullptr ? daemon : static_cast<int>(record - m_records.data());
 }
 
 void CrashFleet::Crash(int endpoint) {
   m_down_until[endpoint] = m_now + kDownTime;
   for (const auto& [id, attempt] : std::exchange(m_attempts[endpoint], {})) {
     const Request request = attempt.request;
-    const TimePoint started = attempt.started;
     const TimePoint ended = m_now;
     if (request.crashes) crashes[request.fingerprint].push_back(ended);
-    In(kProbeTime,
-       [this, request, endpoint, started, ended]() { Report(request, endpoint, started, ended); });
+    if (request.crashes && !request.parts.empty()) part_crashes.push_back(ended);
+    In(kProbeTime, [this, lost = attempt, endpoint, ended]() { Report(lost, endpoint, ended); });
     In(kRetryDelay, [this, request]() { StartAttempt(request); });
   }
 }
@@ -217,16 +264,42 @@
   }
 }
 
-void CrashFleet::Report(const Request& request, int endpoint, TimePoint started, TimePoint ended) {
+void CrashFleet::Report(const Attempt& attempt, int endpoint, TimePoint ended) {
+  const Request& request = attempt.request;
   LostAttempts lost;
-  const EndpointId id = "e-" + std::to_string(endpoint);
-  if (!lost.Add({request.fingerprint, id, started, ended})) return;
-  const int owner = OwnerIndex(request);
-  const TimePoint sent_at = m_now;
-  SendMessage([this, owner, id, request, started, ended, sent_at]() {
+  LostAttempt loss;
+  // Each crash ends another process.
+  loss.endpoint = "e-" + std::to_string(endpoint) + "@" +
+                  std::to_string(m_down_until[endpoint].time_since_epoch().count());
+  loss.started = attempt.started;
+  loss.ended = ended;
+  if (request.first_event && ended - attempt.started >= *request.first_event) {
+    loss.first_event = attempt.started + *request.first_event;
+  }
+  if (!lost.Add(loss)) return;
+  CrashedAttempt crashed;
+  crashed.endpoint = loss.endpoint;
+  crashed.started = loss.started;
+  crashed.ended = loss.ended;
+  ReportFingerprint(request.fingerprint, request, crashed);
+  crashed.request = request.fingerprint;
+  for (const Fingerprint part : request.parts) {
+    crashed.companions = request.parts;
+    std::erase(crashed.companions, part);
+    ReportFingerprint(part, request, crashed);
+  }
+}
+
+void CrashFleet::ReportFingerprint(Fingerprint fingerprint, const Request& request,
+                                   CrashedAttempt attempt) {
+  attempt.fingerprint = fingerprint;
+  const int owner = OwnerIndex(fingerprint, request.daemon);
+  SendMessage([this, owner, attempt, daemon = request.daemon, sent_at = m_now]() {
     const Duration transit = m_now - sent_at;
-    CountCrash(owner, {request.fingerprint, id, started + transit, ended + transit},
-               request.daemon);
+    CrashedAttempt arrived = attempt;
+    arrived.started += transit;
+    arrived.ended += transit;
+    CountCrash(owner, arrived, daemon);
   });
 }
 
@@ -245,13 +318,15 @@
 
 void CrashFleet::QueryCompletion(int owner, Fingerprint fingerprint) {
   ++queries;
-  const TimePoint since = *m_daemons[owner].tracker.FirstStarted(fingerprint);
-  for (int index = 0; index < kDaemons; ++index) {
-    SendMessage([this, owner, index, fingerprint, since]() {
-      const std::optional<TimePoint> seen = m_daemons[index].completed.LastSeen(fingerprint, m_now);
-      if (!seen || *seen < since) return;
-      SendMessage([this, owner, fingerprint]() { OnCompleted(owner, fingerprint); });
-    });
+  const TimePoint since = *m_daemons[owner].tracker.ClearedSince(fingerprint);
+  for (const Fingerprint queried : m_daemons[owner].tracker.QueriedFingerprints(fingerprint)) {
+    for (int index = 0; index < kDaemons; ++index) {
+      SendMessage([this, owner, index, queried, since]() {
+        const std::optional<TimePoint> seen = m_daemons[index].completed.LastSeen(queried, m_now);
+        if (!seen || *seen < since) return;
+        SendMessage([this, owner, queried]() { OnCompleted(owner, queried); });
+      });
+    }
   }
   In(m_daemons[owner].tracker.GetOptions().answer_timeout, [this, owner]() {
     for (const Fingerprint quarantined : m_daemons[owner].tracker.TakeNewQuarantines(m_now)) {
@@ -273,6 +348,16 @@
 
 void CrashFleet::Quarantine(int daemon, Fingerprint fingerprint, Duration time) {
   m_daemons[daemon].quarantined_until[fingerprint] = m_now + time;
+  if (time <= Duration::zero()) return;
+  for (const Fingerprint explained : m_daemons[daemon].tracker.OnPoisonFound(fingerprint)) {
+    EndQuarantine(daemon, explained);
+  }
+}
+
+void CrashFleet::EndQuarantine(int owner, Fingerprint fingerprint) {
+  ++cleared;
+  m_daemons[owner].quarantined_until.erase(fingerprint);
+  NotifyAll(fingerprint, Duration::zero());
 }
 
 bool CrashFleet::IsQuarantined(const Daemon& daemon, Fingerprint fingerprint) const {
@@ -280,6 +365,13 @@
   return found != daemon.quarantined_until.end() && m_now < found->second;
 }
 
+bool CrashFleet::IsQuarantined(const Request& request) const {
+  const std::vector<Fingerprint> fingerprints = FingerprintsOf(request);
+  return std::any_of(fingerprints.begin(), fingerprints.end(), [&](Fingerprint fingerprint) {
+    return IsQuarantined(m_daemons[request.daemon], fingerprint);
+  });
+}
+
 void CrashFleet::NotifyAll(Fingerprint fingerprint, Duration time) {
   for (int index = 0; index < kDaemons; ++index) {
     SendMessage([this, index, update = QuarantineUpdate::WithDuration(fingerprint, time)]() {
@@ -289,10 +381,25 @@
 }
 
 void CrashFleet::OnCompleted(int owner, Fingerprint fingerprint) {
-  if (!m_daemons[owner].tracker.OnCompleted(fingerprint)) return;
-  ++cleared;
-  m_daemons[owner].quarantined_until.erase(fingerprint);
-  NotifyAll(fingerprint, Duration::zero());
+  if (m_daemons[owner].tracker.OnCompleted(fingerprint)) EndQuarantine(owner, fingerprint);
+}
+
+Fingerprint RandomPart(CrashFleet& fleet) {
+  const bool is_popular = std::bernoulli_distribution(0.5)(fleet.Generator());
+  const int parts = is_popular ? kPopularParts : kRareParts;
+  const int offset = is_popular ? 0 : kPopularParts;
+  return kFirstPart + static_cast<Fingerprint>(offset + std::uniform_int_distribution<int>(
+                                                            0, parts - 1)(fleet.Generator()));
+}
+
+/// Returns a stream that shares one part of its prompt with others and has one of its own.
+CrashFleet::Request MakeStream(CrashFleet& fleet, Fingerprint fingerprint) {
+  CrashFleet::Request request;
+  request.fingerprint = fingerprint;
+  request.parts = {RandomPart(fleet), kFirstOwnPart + fingerprint};
+  request.length = kStreamTime;
+  request.first_event = kFirstEventTime;
+  return request;
 }
 
 /// Sends requests for `length`: popular calls that share fingerprints, and streams that do not.
@@ -303,7 +410,7 @@
       const auto popular = static_cast<Fingerprint>(
           std::uniform_int_distribution<int>(1, kPopularRequests)(fleet.Generator()));
       fleet.Send(popular, false, kCallTime);
-      fleet.Send(++next_stream, false, kStreamTime);
+      fleet.Send(MakeStream(fleet, ++next_stream));
     });
   }
 }
@@ -320,6 +427,40 @@
 
 }  // namespace
 
+struct PoisonedPartCase {
+  /// Share of the streams that have the poison part.
+  double share = 0.0;
+  Duration interval{};
+  bool loses_domains = false;
+};
+
+/// Sends streams for 30 s, of which some have a poison part beside parts of harmless ones. Returns
+/// how many of these reach endpoints more than `kRetryGracePeriod` after the fifth crash.
+int LateAttemptsWithPoisonPart(CrashFleet& fleet, const PoisonedPartCase& test_case) {
+  constexpr Duration kLength = std::chrono::seconds(30);
+  Fingerprint next_stream = 1'000'000;
+  for (Duration at{}; at < kLength; at += test_case.interval) {
+    fleet.In(at, [&fleet, &next_stream, &test_case]() {
+      CrashFleet::Request request = MakeStream(fleet, ++next_stream);
+      request.crashes = std::bernoulli_distribution(test_case.share)(fleet.Generator());
+      if (request.crashes) {
+        request.parts.insert(request.parts.begin() + 1, kPoisonPart);
+        request.length = kFirstEventTime;
+      }
+      fleet.Send(std::move(request));
+    });
+  }
+  for (int domain = 0; test_case.loses_domains && domain < 3; ++domain) {
+    fleet.In(std::chrono::milliseconds(2000 + 700 * domain),
+             [&fleet, domain]() { fleet.CrashDomain(domain); });
+  }
+  fleet.RunUntil(fleet.Now() + kLength + std::chrono::seconds(5));
+  if (fleet.part_crashes.size() < kPartCrashes) return 0;
+  const TimePoint limit = fleet.part_crashes[kPartCrashes - 1] + kRetryGracePeriod;
+  return static_cast<int>(std::count_if(fleet.part_attempts.begin(), fleet.part_attempts.end(),
+                                        [&](TimePoint started) { return started > limit; }));
+}
+
 // Guards against rejecting harmless requests after the loss of a failure domain, or of several in
 // short succession.
 Test(crash_fleet, lost_failure_domains_cause_no_quarantines) {
@@ -366,6 +507,44 @@
   cr_assert_leq(fleet.rejected, static_cast<int>(kMaxRejectedShare * fleet.sent));
 }
 
+// Guards against requests that share one poison part of their prompts, each of which crashes
+// endpoints anew, and against rejecting the harmless requests that share all their other parts.
+Test(crash_fleet, requests_with_a_poison_part_are_stopped_and_others_run) {
+  for (std::uint64_t seed = kSeed; seed < kSeed + kPartSeeds; ++seed) {
+    for (const double share : {0.05, 0.2, 0.5}) {
+      for (const int interval_ms : {25, 100, 750}) {
+        for (const bool loses_domains : {false, true}) {
+          CrashFleet fleet(seed);
+          const int late = LateAttemptsWithPoisonPart(
+              fleet, {share, std::chrono::milliseconds(interval_ms), loses_domains});
+          std::printf(
+              "share %.2f, interval %d ms, domains %d: crashes %zu, late %d, sent %d, rejected %d, "
+              "interrupted %d, seed %llu\n",
+              share, interval_ms, loses_domains, fleet.part_crashes.size(), late, fleet.sent,
+              fleet.rejected, fleet.interrupted, static_cast<unsigned long long>(seed));
+          cr_expect_leq(late, kMaxLateRetries);
+          cr_expect_leq(fleet.rejected, static_cast<int>(kMaxRejectedShare * fleet.sent));
+        }
+      }
+    }
+  }
+}
+
+// Guards against attributing the loss of one failure domain to parts of the prompts that ran there.
+Test(crash_fleet, a_lost_failure_domain_rejects_no_request_with_a_part_that_ran_there) {
+  for (std::uint64_t seed = kSeed; seed < kSeed + kPartSeeds; ++seed) {
+    CrashFleet fleet(seed);
+    Fingerprint next_stream = 1'000'000;
+    SendTraffic(fleet, std::chrono::seconds(20), next_stream);
+    fleet.In(std::chrono::seconds(2), [&fleet]() { fleet.CrashDomain(1); });
+    fleet.In(std::chrono::seconds(9), [&fleet]() { fleet.CrashDomain(4); });
+    fleet.RunUntil(fleet.Now() + std::chrono::seconds(25));
+    cr_expect_eq(fleet.rejected, 0, "seed %llu: %d", static_cast<unsigned long long>(seed),
+                 fleet.rejected);
+    cr_expect_eq(fleet.interrupted, 0);
+  }
+}
+
 // Guards against a quarantine that ends at other daemons before it ends at the owner of the
 // fingerprint: each of them would run the request once more.
 Test(crash_fleet, a_quarantine_ends_at_its_owner_first) {
--- a/tests/auto/coordination/tst_crash_tracker.cpp
+++ b/tests/auto/coordination/tst_crash_tracker.cpp
@@ -1,5 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <string>
+#include <utility>
+#include <vector>
+
 #include "coordination/crash_tracker.h"
 #include "coordination/lost_attempts.h"
 #include "coordination/recent_fingerprints.h"
@@ -76,7 +80,7 @@
   Crash(tracker, "a", 0, 10);
   Crash(tracker, "b", 20, 30);
   cr_assert_eq(Crash(tracker, "c", 40, 50), CrashTracker::Finding::kQueryCompletion);
-  cr_assert_eq(*tracker.FirstStarted(kRequest), At(0));
+  cr_assert_eq(*tracker.ClearedSince(kRequest), At(0));
   tracker.OnCompleted(kRequest);
   cr_assert(tracker.TakeNewQuarantines(At(900)).empty());
   cr_assert_eq(Crash(tracker, "d", 1000, 1010), CrashTracker::Finding::kNothing);
@@ -128,3 +132,105 @@
   cr_assert_not(recent.LastSeen(1, At(1001)));
   cr_assert_eq(recent.Size(), 3);
 }
+
+namespace {
+
+constexpr Fingerprint kPoisonPart = 900;
+constexpr Fingerprint kSharedPart = 901;
+
+/// Counts a crash of `request`, whose prompt has `part` and `companions`. Its own part is
+/// `request`.
+CrashTracker::Finding PartCrash(CrashTracker& tracker, Fingerprint part, Fingerprint request,
+                                std::vector<Fingerprint> companions, int number) {
+  CrashedAttempt attempt;
+  attempt.fingerprint = part;
+  attempt.endpoint = "e-" + std::to_string(number);
+  attempt.started = At(number * 100);
+  attempt.ended = At(number * 100 + 50);
+  attempt.request = request;
+  attempt.companions = std::move(companions);
+  attempt.companions.push_back(request);
+  return tracker.OnCrash(attempt, At(number * 100 + 55));
+}
+
+}  // namespace
+
+// Guards against requests that differ as a whole and share a poison part.
+Test(crash_tracker, a_part_that_crashing_requests_have_in_common_is_quarantined) {
+  CrashTracker tracker;
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 1, {11}, 0), CrashTracker::Finding::kNothing);
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 1, {11}, 1), CrashTracker::Finding::kNothing);
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 2, {12}, 2), CrashTracker::Finding::kNothing);
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 2, {12}, 3),
+               CrashTracker::Finding::kQueryCompletion);
+  cr_assert_eq(tracker.QueriedFingerprints(kPoisonPart).size(), 1u, "no part explains the crashes");
+  cr_assert_eq(tracker.TakeNewQuarantines(At(1000)).size(), 1u);
+}
+
+// Guards against quarantining the parts of a single poison request, which harmless ones share.
+Test(crash_tracker, parts_of_a_single_crashing_request_are_not_quarantined) {
+  CrashTracker tracker;
+  for (int crash = 0; crash < 8; ++crash) {
+    cr_assert_eq(PartCrash(tracker, kSharedPart, 1, {11}, crash), CrashTracker::Finding::kNothing);
+  }
+}
+
+// Guards against quarantining a part that harmless requests share with poison ones.
+Test(crash_tracker, a_part_is_not_quarantined_while_another_explains_its_crashes) {
+  CrashTracker tracker;
+  for (int crash = 0; crash < 3; ++crash) {
+    const Fingerprint request = static_cast<Fingerprint>(crash + 1);
+    PartCrash(tracker, kSharedPart, request, {kPoisonPart}, crash);
+  }
+  cr_assert_eq(PartCrash(tracker, kSharedPart, 4, {kPoisonPart}, 3),
+               CrashTracker::Finding::kQueryCompletion);
+  cr_assert(tracker.QueriedFingerprints(kSharedPart) ==
+            std::vector<Fingerprint>({kSharedPart, kPoisonPart}));
+  cr_assert(tracker.TakeNewQuarantines(At(1000)).empty(), "either may be the cause");
+  cr_assert_eq(PartCrash(tracker, kSharedPart, 5, {kPoisonPart}, 20),
+               CrashTracker::Finding::kQueryCompletion);
+  tracker.OnCompleted(kPoisonPart);
+  cr_assert_eq(tracker.TakeNewQuarantines(At(3000)).size(), 1u, "the other part is harmless");
+}
+
+// Guards against a part that stays quarantined although the cause has been found.
+Test(crash_tracker, the_quarantine_of_an_explained_part_ends) {
+  CrashTracker tracker;
+  for (int crash = 0; crash < 4; ++crash) {
+    const Fingerprint request = static_cast<Fingerprint>(crash + 1);
+    const bool has_poison = crash % 2 == 0;
+    PartCrash(tracker, kSharedPart, request,
+              has_poison ? std::vector<Fingerprint>{kPoisonPart} : std::vector<Fingerprint>{},
+              crash);
+  }
+  cr_assert_eq(tracker.TakeNewQuarantines(At(1000)).size(), 1u);
+  cr_assert_eq(tracker.OnPoisonFound(kPoisonPart).size(), 1u);
+  cr_assert_eq(tracker.RemainingQuarantine(kSharedPart, At(1000)), Duration::zero());
+}
+
+// Guards against suspecting streams that were running when another request crashed their engine.
+Test(lost_attempts, a_stream_that_has_run_is_no_suspect) {
+  LostAttempts attempts;
+  LostAttempt attempt;
+  attempt.endpoint = "a";
+  attempt.started = At(0);
+  attempt.ended = At(2000);
+  attempt.first_event = At(1500);
+  cr_assert(attempts.Add(attempt), "it had just begun to run");
+  attempt.first_event = At(900);
+  cr_assert_not(attempts.Add(attempt));
+}
+
+// Guards against taking a restarted endpoint for the process that crashed.
+Test(lost_attempts, attempts_belong_to_one_process) {
+  LostAttempts attempts;
+  LostAttempt attempt;
+  attempt.endpoint = "a";
+  attempt.incarnation = 1;
+  cr_assert(attempts.Add(attempt));
+  attempt.incarnation = 2;
+  cr_assert(attempts.Add(attempt));
+  cr_assert_eq(attempts.Processes().size(), 2u);
+  cr_assert_eq(attempts.TakeCrashed(EndpointProcess{"a", 1}).size(), 1u);
+  cr_assert_eq(attempts.Processes().size(), 1u);
+}
--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -83,9 +83,7 @@
   seen.push_back({exchange.Request()});
   const std::size_t index = seen.size() - 1;
   const std::string request_id = HeaderOf(exchange.Request(), kRequestId);
-  const bool crashes =
-      behaviour == EndpointBehaviour::kCrash && exchange.Request().target == crashing_target;
-  if (crashes) {
+  if (Crashes(exchange.Request())) {
     co_await Crash(exchange);
     co_return;
   }
@@ -101,6 +99,13 @@
   seen[index].caller_disconnected = exchange.ClientDisconnected();
 }
 
+bool EndpointStandin::Crashes(const HttpRequest& request) const {
+  if (behaviour != EndpointBehaviour::kCrash) return false;
+  const std::string prompt = HeaderOf(request, "Fulmarpoint-Prompt-Prefix");
+  const bool has_part = !crashing_part.empty() && prompt.find(crashing_part) != std::string::npos;
+  return has_part || request.target == crashing_target;
+}
+
 Task<void> EndpointStandin::Crash(HttpExchange& exchange) {
   m_server.Close();
   co_await WaitUntilCallerDisconnected(exchange);
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -34,7 +34,8 @@
   kSkip,
   /// Replies with the identifier of another request.
   kStray,
-  /// Crashes when it starts to run a request for the target `crashing_target`.
+  /// Crashes when it starts to run a request for the target `crashing_target`, or one whose prompt
+  /// has the part `crashing_part`.
   kCrash,
 };
 
@@ -65,6 +66,7 @@
 
   EndpointBehaviour behaviour = EndpointBehaviour::kAnswer;
   std::string crashing_target;
+  std::string crashing_part;
   std::string version = "v1";
   int events_before_fault = 0;
   Duration pause{};
@@ -79,6 +81,7 @@
 
  private:
   Task<void> Handle(HttpExchange& exchange);
+  bool Crashes(const HttpRequest& request) const;
   Task<void> Crash(HttpExchange& exchange);
   Task<void> AnswerCall(HttpExchange& exchange, std::string request_id);
   Task<void> AnswerStream(HttpExchange& exchange, std::string request_id);
--- a/tests/auto/platform/tst_crashing_requests.cpp
+++ b/tests/auto/platform/tst_crashing_requests.cpp
@@ -103,6 +103,59 @@
   cr_assert_leq(all_attempts, attempts + (retries - 1) * kAttemptsPerRequest, "%zu", all_attempts);
 }
 
+constexpr int kEngines = 20;
+const char kPoisonPart[] = "dead:40";
+const char kSharedPart[] = "5c1e07a2:200";
+
+/// Sends a stream with its own part in the prompt, and with the poison part if `is_poison`.
+Task<HttpResult> SendStreamAt(PlatformWorld& world, std::unique_ptr<RelayDaemon>& daemon,
+                              int number, bool is_poison) {
+  std::string prompt = kSharedPart;
+  if (is_poison) prompt += std::string(",") + kPoisonPart;
+  prompt += "," + std::to_string(number + 1) + ":90";
+  HttpHeaders headers = {{"Fulmarpoint-Model", "m"},
+                         {"Fulmarpoint-Token-Count", "330,100"},
+                         {"Fulmarpoint-Prompt-Prefix", prompt}};
+  std::swap(world.daemon, daemon);
+  HttpResult result = co_await world.Send("POST", "/stream/" + std::to_string(number),
+                                          std::move(headers), "prompt");
+  std::swap(world.daemon, daemon);
+  co_return result;
+}
+
+Task<void> FleetQuarantinesPoisonPart(PlatformWorld& world) {
+  for (int index = 0; index < kEngines; ++index) {
+    EndpointStandin& engine = world.AddEndpoint("drafts", index % 2 == 0 ? "a" : "b");
+    engine.behaviour = EndpointBehaviour::kCrash;
+    engine.crashing_part = kPoisonPart;
+  }
+  co_await world.Start();
+  std::vector<std::unique_ptr<RelayDaemon>> daemons;
+  for (const char* name : {"daemon-2", "daemon-3"}) daemons.push_back(world.StartPeer(name));
+  co_await PlatformWorld::WaitFor([&]() {
+    return std::all_of(daemons.begin(), daemons.end(),
+                       [](const auto& daemon) { return daemon->IsServing(); });
+  });
+  for (std::unique_ptr<RelayDaemon>& daemon : daemons) co_await WaitForPeers(world, daemon);
+  int number = 0;
+  int retries = -1;
+  HttpResult poison;
+  while (!IsRejectedAsPoison(poison)) {
+    cr_assert_leq(++retries, kMaxRetries + 1, "the first two requests make the part known");
+    poison = co_await SendStreamAt(world, daemons[0], number++, true);
+    co_await Sleep(kQuarantineDelay);
+    const HttpResult sound = co_await SendStreamAt(world, daemons[1], number++, false);
+    cr_assert_eq(sound.reply.status, 200, "%d", sound.reply.status);
+    cr_assert_not(sound.error);
+  }
+  for (std::unique_ptr<RelayDaemon>& daemon : daemons) {
+    const HttpResult rejected = co_await SendStreamAt(world, daemon, number++, true);
+    cr_assert(IsRejectedAsPoison(rejected), "%s", rejected.reply.body.c_str());
+    const HttpResult sound = co_await SendStreamAt(world, daemon, number++, false);
+    cr_assert_eq(sound.reply.status, 200, "%d", sound.reply.status);
+  }
+}
+
 Task<void> StalledEndpointsCountOnceUnlisted(PlatformWorld& world) {
   for (const char* domain : {"a", "b", "c", "d", "e", "f"}) {
     world.AddEndpoint("orders", domain).behaviour = EndpointBehaviour::kStall;
@@ -166,3 +219,9 @@
 Test(crashing_requests, broken_connections_quarantine_nothing) {
   RunTest(&BrokenConnectionsQuarantineNothing);
 }
+
+// Guards against requests that differ as a whole and crash one engine after the other because of a
+// part of their prompts, and against rejecting those that share only the other parts.
+Test(crashing_requests, the_fleet_quarantines_a_poison_part) {
+  RunTest(&FleetQuarantinesPoisonPart);
+}
