platform: read each row of the store by itself, and check engine entries strictly

What callers saw: an entry of another writer could take engines away from a daemon, or hold requests until their deadline.

Cause: a single row with a field of another type made the whole reply of the store unreadable, so that the daemon kept its old table or none. Entries passed with a fractional or boolean `slots`, `seq` or `born`, with slots beyond the integer's range, without a zone, or under a key that cannot be sent as a header; a request to such an engine was never written and waited for an answer.

Change: rows that cannot be read are left out one by one and logged. Numbers must be whole and in range, the zone present, and the key visible ASCII; otherwise the entry names no engine.

--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -83,6 +83,27 @@
   cr_assert_not(platform::ParseEndpoint("i-1", Row("address", "\"nowhere\"")).has_value());
   cr_assert_not(platform::ParseEndpoint("i-1", Row("slots", "0")).has_value());
   cr_assert_not(platform::ParseEndpoint("i-1", "[1]").has_value());
+  for (const char* slots : {"8.5", "true", "4294967304", "1e300", "\"8\"", "null"}) {
+    cr_assert_not(platform::ParseEndpoint("i-1", Row("slots", slots)).has_value(), "%s", slots);
+  }
+  for (const char* start : {"12.5", "true", "\"12\"", "null", "1e300"}) {
+    cr_assert_not(platform::ParseEndpoint("i-1", Row("born", start)).has_value(), "%s", start);
+  }
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("seq", "false")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("seq", "1.5")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("zone", "\"\"")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", Row("coldLeftMs", "\"0\"")).has_value());
+  cr_assert(platform::ParseEndpoint("i-1", Row("coldLeftMs", "250")).has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", "\xff\xfe{").has_value());
+  cr_assert_not(platform::ParseEndpoint("i-1", std::string(20000, '[')).has_value());
+}
+
+// Guards against requests that cannot be sent because their endpoint's identifier is no header
+// value.
+Test(configuration_codec, endpoints_whose_identifier_cannot_be_sent_are_ignored) {
+  for (const char* id : {"", "i 1", "i\r\nX: 1", "i\x01", "i\xc3\xa9"}) {
+    cr_assert_not(platform::ParseEndpoint(id, Row()).has_value(), "%s", id);
+  }
 }
 
 // Guards against retries on a route of unknown kind, and against a configuration that is applied in
