coordination: an entry that proves wrong gives its address back

What callers saw: a sound engine got no requests any more.

Cause: of two entries with one address, the one that started later has it, and the other was marked as gone and forgotten. An odd entry (of a service that no configuration names, or of a process that is not there) with a later start took the address of a sound engine for good.

Change: the displaced endpoint is kept. An endpoint of an unknown service claims no address, and one at whose address another answered (421) loses its claim until it starts anew; the others there are used again.

Ruled out: trusting the earlier entry (entries of crashed engines outlive them, which is why the later one has the address: tst_endpoint_directory, unchanged).

Evidence: two new tests in tst_endpoint_directory, which fail before (the endpoint is forgotten).

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "coordination/endpoint_directory.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace fulmarpoint {
@@ -17,8 +18,7 @@
 constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
 
 bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
-  if (endpoint.record.draining || now < endpoint.cool_down_until) return false;
-  return !endpoint.gone_at || now < *endpoint.gone_at;
+  return !endpoint.record.draining && now >= endpoint.cool_down_until && !endpoint.HasEnded(now);
 }
 
 }  // namespace
@@ -46,8 +46,12 @@
   const EndpointRecord before = std::exchange(endpoint.record, record);
   AddToIndexes(endpoint);
   endpoint.gone_at.reset();
-  ResolveSharedAddress(endpoint, now);
-  if (before.incarnation == record.incarnation && before.address == record.address) return;
+  const bool is_same_process =
+      before.incarnation == record.incarnation && before.address == record.address;
+  if (!is_same_process) endpoint.is_refuted = false;
+  ResolveSharedAddress(before.address, now);
+  ResolveSharedAddress(record.address, now);
+  if (is_same_process) return;
   // Failures and load of the previous process do not apply to a new one.
   endpoint.failures = 0;
   endpoint.cool_down_until = TimePoint{};
@@ -58,20 +62,37 @@
   endpoint.load = EndpointLoad{};
 }
 
-/// Of the endpoints with the same address, marks those of earlier processes as gone. Rows may
+void EndpointDirectory::SetServices(std::set<ServiceName> services, TimePoint now) {
+  if (m_services == services) return;
+  m_services = std::move(services);
+  for (const auto& [address, endpoints] : m_by_address) ResolveSharedAddress(address, now);
+}
+
+bool EndpointDirectory::ClaimsAddress(const DirectoryEndpoint& endpoint, TimePoint now) const {
+  const bool is_gone = endpoint.gone_at && *endpoint.gone_at <= now;
+  const bool has_service = !m_services || m_services->count(endpoint.record.service) > 0;
+  return !is_gone && !endpoint.is_refuted && has_service;
+}
+
+/// Of the endpoints that claim the address, marks those of earlier processes as displaced. Rows may
 /// arrive in any order, so the highest incarnation has the address.
-void EndpointDirectory::ResolveSharedAddress(DirectoryEndpoint& endpoint, TimePoint now) {
-  for (const auto& [id, other] : m_by_address[endpoint.record.address]) {
-    if (other == &endpoint || other->gone_at) continue;
-    const bool other_is_earlier = other->record.incarnation < endpoint.record.incarnation;
-    DirectoryEndpoint& earlier = other_is_earlier ? *other : endpoint;
-    if (other->record.incarnation != endpoint.record.incarnation) earlier.gone_at = now;
+void EndpointDirectory::ResolveSharedAddress(const std::string& address, TimePoint now) {
+  const auto found = m_by_address.find(address);
+  if (found == m_by_address.end()) return;
+  std::int64_t latest = std::numeric_limits<std::int64_t>::min();
+  for (const auto& [id, endpoint] : found->second) {
+    if (ClaimsAddress(*endpoint, now)) latest = std::max(latest, endpoint->record.incarnation);
+  }
+  for (const auto& [id, endpoint] : found->second) {
+    endpoint->is_displaced = endpoint->record.incarnation < latest;
   }
 }
 
 void EndpointDirectory::Remove(const EndpointId& id, TimePoint at) {
   const auto found = m_endpoints.find(id);
-  if (found != m_endpoints.end()) found->second.gone_at = at;
+  if (found == m_endpoints.end()) return;
+  found->second.gone_at = at;
+  ResolveSharedAddress(found->second.record.address, at);
 }
 
 void EndpointDirectory::OnFailure(const EndpointId& id, TimePoint now) {
@@ -124,6 +145,10 @@
 
 void EndpointDirectory::OnMisdirected(const EndpointId& id, TimePoint now) {
   StartCoolDown(id, now + m_options.misdirected_cool_down);
+  const auto found = m_endpoints.find(id);
+  if (found == m_endpoints.end()) return;
+  found->second.is_refuted = true;
+  ResolveSharedAddress(found->second.record.address, now);
 }
 
 void EndpointDirectory::OnRejected(const EndpointId& id, TimePoint now) {
@@ -192,7 +217,8 @@
   if (found == m_by_service.end()) return false;
   return std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) {
     const DirectoryEndpoint& endpoint = *entry.second;
-    return !endpoint.gone_at && !endpoint.record.draining && choice.Admits(endpoint.record.version);
+    const bool is_listed = !endpoint.gone_at && !endpoint.is_displaced;
+    return is_listed && !endpoint.record.draining && choice.Admits(endpoint.record.version);
   });
 }
 
@@ -208,7 +234,8 @@
 
 bool EndpointDirectory::IsIntact(const EndpointRecord& record, TimePoint since) const {
   const DirectoryEndpoint* endpoint = Find(record.id);
-  if (endpoint == nullptr || endpoint->gone_at || endpoint->record.draining) return false;
+  if (endpoint == nullptr || endpoint->gone_at || endpoint->is_displaced) return false;
+  if (endpoint->record.draining) return false;
   if (endpoint->record.incarnation != record.incarnation) return false;
   return !endpoint->latest_failure || *endpoint->latest_failure < since;
 }
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,7 +62,13 @@
   /// Set once the store no longer has the endpoint's row: the endpoint counts as gone from this
   /// time on.
   std::optional<TimePoint> gone_at;
+  /// Another process answered at the address.
+  bool is_refuted = false;
+  /// A process that started later has the address.
+  bool is_displaced = false;
 
+  /// Returns whether the process has ended as far as is known.
+  bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
   std::int64_t PendingPrefillTokens() const {
     return own.pending_prefill_tokens + peers.pending_prefill_tokens;
   }
@@ -95,6 +102,9 @@
   EndpointDirectory(const EndpointDirectory&) = delete;
   EndpointDirectory& operator=(const EndpointDirectory&) = delete;
 
+  /// Names the services that exist; until the first call all do. An endpoint of another service has
+  /// no claim to its address.
+  void SetServices(std::set<ServiceName> services, TimePoint now);
   /// The store lists a new or changed endpoint. If two endpoints have the same address, the process
   /// that started earlier has exited; its row remains for some heartbeats after that.
   void Put(const EndpointRecord& record, TimePoint now);
@@ -107,7 +117,8 @@
   void OnPeerFailure(const EndpointId& id, TimePoint now);
   /// Returns the endpoints for which this daemon observed a failure at or after `since`.
   std::vector<EndpointId> FailedSince(TimePoint since) const;
-  /// Another endpoint answered at the endpoint's address.
+  /// Another endpoint answered at the endpoint's address. If the endpoint displaced others there,
+  /// its row is wrong, and they have the address again.
   void OnMisdirected(const EndpointId& id, TimePoint now);
   /// The endpoint rejected a request without executing it because it is full or leaving.
   void OnRejected(const EndpointId& id, TimePoint now);
@@ -148,9 +159,11 @@
   void AddToIndexes(DirectoryEndpoint& endpoint);
   void RemoveFromIndexes(const EndpointRecord& record);
   void Suspect(DirectoryEndpoint& endpoint, TimePoint now);
-  void ResolveSharedAddress(DirectoryEndpoint& endpoint, TimePoint now);
+  bool ClaimsAddress(const DirectoryEndpoint& endpoint, TimePoint now) const;
+  void ResolveSharedAddress(const std::string& address, TimePoint now);
 
   Options m_options;
+  std::optional<std::set<ServiceName>> m_services;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
   Index m_by_address;
--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -106,7 +106,7 @@
 bool PoisonRequestDetector::State::IsGone(const EndpointProcess& process, TimePoint now) const {
   const DirectoryEndpoint* known = context.endpoints.Find(process.endpoint);
   if (known == nullptr || known->record.incarnation != process.incarnation) return true;
-  return known->gone_at && *known->gone_at <= now;
+  return known->HasEnded(now);
 }
 
 void PoisonRequestDetector::State::Report(const LostAttempt& attempt,
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -130,6 +130,9 @@
   table = std::make_shared<const RelayTable>(std::move(configuration));
   m_handlers.on_configuration();
   const RelayConfiguration& applied = table->Configuration();
+  std::set<ServiceName> services;
+  for (const RelayService& service : applied.services) services.insert(service.name);
+  m_context.endpoints.SetServices(std::move(services), SteadyNow());
   Log(LogLevel::kInfo, "configuration_applied",
       {{"version", applied.version},
        {"routes", applied.routes.size()},
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -44,6 +44,38 @@
   cr_assert_not(directory.IsUsable("old", kStart));
 }
 
+// Guards against an endpoint that is lost because a wrong row claims its address.
+Test(endpoint_directory, an_endpoint_has_its_address_again_once_another_is_refuted) {
+  EndpointDirectory directory;
+  directory.Put(Record("true", "10.0.0.1:80", 1), kStart);
+  directory.Put(Record("wrong", "10.0.0.1:80", 2), kStart);
+  cr_assert_not(directory.IsUsable("true", kStart));
+  directory.Forget(kStart);
+  directory.OnMisdirected("wrong", kStart);
+  cr_assert(directory.IsUsable("true", kStart), "the one that answers has the address");
+  cr_assert_not(directory.IsUsable("wrong", kStart));
+  directory.Put(Record("wrong", "10.0.0.1:80", 2), kStart);
+  cr_assert(directory.IsUsable("true", kStart), "the same row again proves nothing");
+  directory.Put(Record("wrong", "10.0.0.1:80", 3), kStart);
+  cr_assert_not(directory.IsUsable("true", kStart), "a later process may have the address");
+  directory.Remove("wrong", kStart);
+  cr_assert(directory.IsUsable("true", kStart));
+}
+
+// Guards against an endpoint that is lost because a row of a service that does not exist has its
+// address.
+Test(endpoint_directory, an_endpoint_of_an_unknown_service_claims_no_address) {
+  EndpointDirectory directory;
+  directory.SetServices({"chat"}, kStart);
+  directory.Put(Record("true", "10.0.0.1:80", 1), kStart);
+  EndpointRecord strange = Record("strange", "10.0.0.1:80", 2);
+  strange.service = "unknown";
+  directory.Put(strange, kStart);
+  cr_assert(directory.IsUsable("true", kStart));
+  directory.SetServices({"chat", "unknown"}, kStart);
+  cr_assert_not(directory.IsUsable("true", kStart), "the configuration now names the service");
+}
+
 // Guards against new requests to an endpoint that is leaving.
 Test(endpoint_directory, draining_and_removed_endpoints_get_no_requests) {
   EndpointDirectory directory;
