relay: send nothing to an endpoint that says in a reply that it leaves

What callers saw: the users' new rule (Server-Leaving: 1 in all replies of an engine that leaves). A daemon learned of a leaving engine only from its row, which some never change; requests went on to it until it exited.

Change: the header of a reply to the daemon's own request, of any status, marks the process as leaving at once. It gets no request, no resumed stream and no backup, whatever its row says, also if the row is away for a while and comes back. A new process under the same identifier starts anew. A reply of another endpoint at the address (421) says nothing about this one.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -9,13 +9,15 @@
 namespace {
 
 constexpr int kMaxCoolDownDoublings = 5;
+// A leaving process that is no longer listed ends within this time.
+constexpr Duration kLeavingMemory = std::chrono::minutes(10);
 // High enough that two slow prompts in a row show, while a single one may be an outlier.
 constexpr double kSlownessSampleWeight = 0.5;
 constexpr double kMaxSlowness = 8.0;
 constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
 
 bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
-  return !endpoint.record.draining && now >= endpoint.cool_down_until && !endpoint.HasEnded(now);
+  return !endpoint.IsDraining() && now >= endpoint.cool_down_until && !endpoint.HasEnded(now);
 }
 
 /// Returns `first` doubled `times` times, at most `most`.
@@ -48,6 +50,7 @@
   const EndpointRecord before = std::exchange(endpoint.record, record);
   AddToIndexes(endpoint);
   endpoint.gone_at.reset();
+  endpoint.is_leaving = HasStatedLeaving(record);
   const bool is_same_process =
       before.incarnation == record.incarnation && before.address == record.address;
   if (!is_same_process) endpoint.is_refuted = false;
@@ -172,6 +175,17 @@
   found->second.suspected_until = TimePoint{};
 }
 
+void EndpointDirectory::OnLeaving(const EndpointRecord& record, TimePoint now) {
+  m_leaving[record.id] = {record.incarnation, now};
+  const auto found = m_endpoints.find(record.id);
+  if (found != m_endpoints.end()) found->second.is_leaving = HasStatedLeaving(found->second.record);
+}
+
+bool EndpointDirectory::HasStatedLeaving(const EndpointRecord& record) const {
+  const auto found = m_leaving.find(record.id);
+  return found != m_leaving.end() && found->second.incarnation == record.incarnation;
+}
+
 void EndpointDirectory::OnFirstEvent(const EndpointId& id, double ratio, TimePoint now) {
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
@@ -228,7 +242,7 @@
   return std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) {
     const DirectoryEndpoint& endpoint = *entry.second;
     const bool is_listed = !endpoint.gone_at && !endpoint.is_displaced;
-    return is_listed && !endpoint.record.draining && choice.Admits(endpoint.record.version);
+    return is_listed && !endpoint.IsDraining() && choice.Admits(endpoint.record.version);
   });
 }
 
@@ -242,10 +256,15 @@
   return endpoint != nullptr && MayReceive(*endpoint, now);
 }
 
+bool EndpointDirectory::IsDraining(const EndpointId& id) const {
+  const DirectoryEndpoint* endpoint = Find(id);
+  return endpoint == nullptr || endpoint->IsDraining();
+}
+
 bool EndpointDirectory::IsIntact(const EndpointRecord& record, TimePoint since) const {
   const DirectoryEndpoint* endpoint = Find(record.id);
   if (endpoint == nullptr || endpoint->gone_at || endpoint->is_displaced) return false;
-  if (endpoint->record.draining) return false;
+  if (endpoint->IsDraining()) return false;
   if (endpoint->record.incarnation != record.incarnation) return false;
   return !endpoint->latest_failure || *endpoint->latest_failure < since;
 }
@@ -256,6 +275,9 @@
 }
 
 void EndpointDirectory::Forget(TimePoint now) {
+  std::erase_if(m_leaving, [&](const auto& entry) {
+    return m_endpoints.count(entry.first) == 0 && now - entry.second.stated_at > kLeavingMemory;
+  });
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const DirectoryEndpoint& endpoint = it->second;
     const bool is_gone = endpoint.gone_at && now >= *endpoint.gone_at;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -67,9 +67,12 @@
   bool is_refuted = false;
   /// A process that started later has the address.
   bool is_displaced = false;
+  /// The process has stated in a reply that it is shutting down.
+  bool is_leaving = false;
 
   /// Returns whether the process has ended as far as is known.
   bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
+  bool IsDraining() const { return record.draining || is_leaving; }
   std::int64_t PendingPrefillTokens() const {
     return own.pending_prefill_tokens + peers.pending_prefill_tokens;
   }
@@ -128,6 +131,9 @@
   /// rejection in a row doubles its cool-down, up to `max_rejection_cool_down`.
   void OnRejected(const EndpointId& id, TimePoint now);
   void OnSuccess(const EndpointId& id);
+  /// The process of `record` stated in a reply that it is shutting down. It gets no request from
+  /// now on, whatever its row says.
+  void OnLeaving(const EndpointRecord& record, TimePoint now);
   /// The first event of a stream took `ratio` times as long as expected from the service's
   /// endpoints.
   void OnFirstEvent(const EndpointId& id, double ratio, TimePoint now);
@@ -147,6 +153,8 @@
   /// Returns null if the endpoint is unknown.
   const DirectoryEndpoint* Find(const EndpointId& id) const;
   bool IsUsable(const EndpointId& id, TimePoint now) const;
+  /// Returns whether the endpoint is shutting down according to its row or a reply, or unknown.
+  bool IsDraining(const EndpointId& id) const;
   /// Returns whether the process of `record` is still running as far as is known, is not draining,
   /// and has had no failure since `since`, so that what it stores is still there.
   bool IsIntact(const EndpointRecord& record, TimePoint since) const;
@@ -160,6 +168,7 @@
  private:
   using Index = std::map<std::string, std::map<EndpointId, DirectoryEndpoint*>>;
 
+  bool HasStatedLeaving(const EndpointRecord& record) const;
   void StartCoolDown(const EndpointId& id, TimePoint until);
   void AddToIndexes(DirectoryEndpoint& endpoint);
   void RemoveFromIndexes(const EndpointRecord& record);
@@ -167,8 +176,16 @@
   bool ClaimsAddress(const DirectoryEndpoint& endpoint, TimePoint now) const;
   void ResolveSharedAddress(const std::string& address, TimePoint now);
 
+  /// A process that stated that it is shutting down.
+  struct LeavingProcess {
+    std::int64_t incarnation = 0;
+    TimePoint stated_at{};
+  };
+
   Options m_options;
   std::optional<std::set<ServiceName>> m_services;
+  /// Also kept for endpoints that are no longer listed, because their rows may come back.
+  std::map<EndpointId, LeavingProcess> m_leaving;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
   Index m_by_address;
--- a/src/libs/protocol/relay_messages.h
+++ b/src/libs/protocol/relay_messages.h
@@ -74,6 +74,8 @@
   bool misdirected = false;
   /// The response has the header that endpoints add to all their responses.
   bool is_from_endpoint = false;
+  /// The endpoint is shutting down and accepts no new requests.
+  bool is_leaving = false;
   std::optional<EndpointLoad> load;
 };
 
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -237,6 +237,7 @@
       OnEndpointFailed("stray answer: " + error.message());
       co_return TryResult::kMayHaveRun;
     }
+    ReportEndpointState(m_context, m_request, m_endpoint, reply_fields);
     const TryResult end = ClassifyHead(reply_fields);
     if (end != TryResult::kAnswered) co_return end;
     if (m_watch) m_watch->OnProgress();
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -116,6 +116,16 @@
   co_return error;
 }
 
+void ReportEndpointState(RelayContext& context, const RelayedRequest& request,
+                         const EndpointRecord& endpoint, const EndpointResponseFields& answer) {
+  const bool is_news =
+      answer.is_leaving && !answer.misdirected && !context.endpoints.IsDraining(endpoint.id);
+  if (!is_news) return;
+  context.endpoints.OnLeaving(endpoint, SteadyNow());
+  Log(LogLevel::kInfo, "endpoint_leaving",
+      {{"request", request.fields.request_id}, {"endpoint", endpoint.id}});
+}
+
 void ReportEndpointFailure(RelayContext& context, const RelayedRequest& request,
                            const EndpointId& endpoint, std::string_view reason) {
   context.OnEndpointFailure(endpoint);
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -350,6 +350,7 @@
 
 /// Forwards the events that have arrived.
 Task<Step> StreamSession::ForwardEvents() {
+  ReportEndpointState(m_context, m_request, m_attempt->Endpoint(), m_attempt->Answer());
   std::string bytes;
   bool has_gap = false;
   while (m_attempt->HasEvent() && !has_gap) {
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -92,6 +92,27 @@
   cr_assert_eq(UsableCount(directory, kStart + std::chrono::seconds(1)), 0u);
 }
 
+// Guards against new requests to an endpoint that has stated that it leaves but whose row is late,
+// and against a restarted one that stays unused.
+Test(endpoint_directory, an_endpoint_that_states_that_it_leaves_gets_no_requests) {
+  EndpointDirectory directory;
+  directory.Put(Record("e"), kStart);
+  directory.OnLeaving(Record("e", "10.0.0.1:80", 0), kStart);
+  cr_assert(directory.IsUsable("e", kStart), "an earlier process said so");
+  directory.OnLeaving(Record("e"), kStart);
+  cr_assert_not(directory.IsUsable("e", kStart));
+  cr_assert_not(directory.IsIntact(Record("e"), kStart));
+  directory.Put(Record("e"), kStart);
+  directory.OnSuccess("e");
+  cr_assert_not(directory.IsUsable("e", kStart + std::chrono::hours(1)));
+  directory.Remove("e", kStart);
+  directory.Forget(kStart);
+  directory.Put(Record("e"), kStart);
+  cr_assert_not(directory.IsUsable("e", kStart), "its row was away and came back");
+  directory.Put(Record("e", "10.0.0.1:80", 2), kStart);
+  cr_assert(directory.IsUsable("e", kStart), "a new process");
+}
+
 // Guards against a failed endpoint that every request tries, and against a recovered endpoint that
 // stays unused.
 Test(endpoint_directory, the_cool_down_grows_with_consecutive_failures) {
--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_standin.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace fulmarpoint {
 
@@ -88,7 +89,7 @@
     co_return;
   }
   if (behaviour == EndpointBehaviour::kReject) {
-    co_await exchange.Respond(Refusal(request_id));
+    co_await exchange.Respond(WithExtraHeaders(Refusal(request_id)));
   } else if (behaviour == EndpointBehaviour::kMisdirect) {
     co_await exchange.Respond(Misdirection());
   } else if (exchange.Request().target.substr(0, 8) == "/stream/") {
@@ -99,6 +100,11 @@
   seen[index].caller_disconnected = exchange.ClientDisconnected();
 }
 
+HttpReply EndpointStandin::WithExtraHeaders(HttpReply reply) const {
+  reply.headers.insert(reply.headers.end(), extra_headers.begin(), extra_headers.end());
+  return reply;
+}
+
 bool EndpointStandin::Crashes(const HttpRequest& request) const {
   if (behaviour != EndpointBehaviour::kCrash) return false;
   const std::string prompt = HeaderOf(request, "Fulmarpoint-Prompt-Prefix");
@@ -112,7 +118,7 @@
 }
 
 Task<void> EndpointStandin::AnswerCall(HttpExchange& exchange, std::string request_id) {
-  HttpReply reply = Success(request_id, m_id);
+  HttpReply reply = WithExtraHeaders(Success(request_id, m_id));
   switch (behaviour) {
     case EndpointBehaviour::kFail:
       reply.status = 500;
@@ -160,7 +166,8 @@
     ++sent;
     if (reached && behaviour == EndpointBehaviour::kSkip) continue;
     if (!exchange.Started()) {
-      co_await exchange.StartStream(200, StreamHeaders(request_id, m_id));
+      HttpReply head = WithExtraHeaders({200, StreamHeaders(request_id, m_id), ""});
+      co_await exchange.StartStream(200, std::move(head.headers));
     }
     co_await exchange.WriteChunk(EventText(number));
     co_await Sleep(event_interval);
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -65,6 +65,8 @@
   std::string Header(std::size_t request, const char* name) const;
 
   EndpointBehaviour behaviour = EndpointBehaviour::kAnswer;
+  /// Headers of all replies, beside those of the behaviour.
+  HttpHeaders extra_headers;
   std::string crashing_target;
   std::string crashing_part;
   std::string version = "v1";
@@ -82,6 +84,7 @@
  private:
   Task<void> Handle(HttpExchange& exchange);
   bool Crashes(const HttpRequest& request) const;
+  HttpReply WithExtraHeaders(HttpReply reply) const;
   Task<void> Crash(HttpExchange& exchange);
   Task<void> AnswerCall(HttpExchange& exchange, std::string request_id);
   Task<void> AnswerStream(HttpExchange& exchange, std::string request_id);
