relay: keep the time that an endpoint states with Retry-After

Change: the stated time (at most an hour, numbers only) is the endpoint's cool-down. A restart under the same identifier ends it. A stream is rejected at once if all engines of its service are known to take nothing within the time that it may wait; it was held for an eighth of its objective before. Callers are told to come back when the first endpoint takes requests again, 0.2 s to 1 s, since other daemons may be served sooner, and spread over half of that time.

Evidence: tst_leaving_endpoints (two tests on real connections: nothing reaches the endpoint before its time, rejections come at once and name a time), tst_endpoint_directory, tst_codecs.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -236,6 +236,19 @@
   return usable;
 }
 
+std::optional<TimePoint> EndpointDirectory::NextCoolDownEnd(const ServiceName& service,
+                                                            TimePoint now) const {
+  std::optional<TimePoint> next;
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) return next;
+  for (const auto& [id, endpoint] : found->second) {
+    const TimePoint end = endpoint->cool_down_until;
+    if (endpoint->IsDraining() || endpoint->HasEnded(now) || end <= now) continue;
+    next = next ? std::min(*next, end) : end;
+  }
+  return next;
+}
+
 bool EndpointDirectory::HasVersion(const ServiceName& service, const VersionChoice& choice) const {
   const auto found = m_by_service.find(service);
   if (found == m_by_service.end()) return false;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -130,6 +130,8 @@
   /// The endpoint rejected a request without executing it because it is full or leaving. Each
   /// rejection in a row doubles its cool-down, up to `max_rejection_cool_down`.
   void OnRejected(const EndpointId& id, TimePoint now);
+  /// The endpoint wants no request from this daemon until `until`.
+  void OnRetryAfter(const EndpointId& id, TimePoint until) { StartCoolDown(id, until); }
   void OnSuccess(const EndpointId& id);
   /// The process of `record` stated in a reply that it is shutting down. It gets no request from
   /// now on, whatever its row says.
@@ -147,6 +149,9 @@
   /// Returns the endpoints of `service` that may receive a request now. The pointers are valid
   /// until the next call of a non-const function.
   std::vector<const DirectoryEndpoint*> Usable(const ServiceName& service, TimePoint now) const;
+  /// Returns when the first of the endpoints of `service` that are in cool-down may receive
+  /// requests again; nothing if none is.
+  std::optional<TimePoint> NextCoolDownEnd(const ServiceName& service, TimePoint now) const;
   /// Returns whether the store lists an endpoint of `service` that `choice` admits, whether or not
   /// it is usable now.
   bool HasVersion(const ServiceName& service, const VersionChoice& choice) const;
--- a/src/libs/protocol/relay_messages.h
+++ b/src/libs/protocol/relay_messages.h
@@ -76,6 +76,8 @@
   bool is_from_endpoint = false;
   /// The endpoint is shutting down and accepts no new requests.
   bool is_leaving = false;
+  /// The endpoint wants no request from this daemon for this long.
+  std::optional<Duration> retry_after;
   std::optional<EndpointLoad> load;
 };
 
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -324,9 +324,9 @@
     co_await Respond(RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfter),
                      RequestOutcome::kStale);
   } else {
-    co_await Respond(
-        RelayProblem(ResultCode::kNoEndpoint, "no endpoint has taken the request", kRetryAfter),
-        RequestOutcome::kRefused);
+    co_await Respond(RelayProblem(ResultCode::kNoEndpoint, "no endpoint has taken the request",
+                                  RetryAfterOf(m_context, m_request)),
+                     RequestOutcome::kRefused);
   }
 }
 
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <cstdio>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -20,6 +21,13 @@
     "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "te",
     "trailer",    "transfer-encoding", "upgrade",          "content-length",     "expect"};
 
+// What a caller that is rejected is told to wait: until an endpoint takes requests again, if that
+// is known, but not for long, because the endpoints may take requests of other daemons meanwhile.
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
+// Callers that are rejected together return over a time that is this fraction of their wait.
+constexpr int kRetryAfterSpreadDivisor = 2;
+
 std::string LowerCase(std::string_view text) {
   std::string lower(text);
   for (char& c : lower) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
@@ -118,8 +126,11 @@
 
 void ReportEndpointState(RelayContext& context, const RelayedRequest& request,
                          const EndpointRecord& endpoint, const EndpointResponseFields& answer) {
-  const bool is_news =
-      answer.is_leaving && !answer.misdirected && !context.endpoints.IsDraining(endpoint.id);
+  if (answer.misdirected) return;
+  if (answer.retry_after) {
+    context.endpoints.OnRetryAfter(endpoint.id, SteadyNow() + *answer.retry_after);
+  }
+  const bool is_news = answer.is_leaving && !context.endpoints.IsDraining(endpoint.id);
   if (!is_news) return;
   context.endpoints.OnLeaving(endpoint, SteadyNow());
   Log(LogLevel::kInfo, "endpoint_leaving",
@@ -146,6 +157,24 @@
   CompareVersions(context, request, endpoint, true, Duration::zero(), Duration::zero());
 }
 
+bool IsUnservable(const RelayContext& context, const RelayedRequest& request, TimePoint until) {
+  const TimePoint now = SteadyNow();
+  if (!context.endpoints.Usable(request.service, now).empty()) return false;
+  const std::optional<TimePoint> next = context.endpoints.NextCoolDownEnd(request.service, now);
+  return next && *next > until;
+}
+
+Duration RetryAfterOf(RelayContext& context, const RelayedRequest& request) {
+  const TimePoint now = SteadyNow();
+  Duration wait = kMinRetryAfter;
+  if (context.endpoints.Usable(request.service, now).empty()) {
+    const std::optional<TimePoint> next = context.endpoints.NextCoolDownEnd(request.service, now);
+    if (next) wait = std::clamp(*next - now, kMinRetryAfter, kMaxRetryAfter);
+  }
+  std::uniform_int_distribution<Duration::rep> spread(0, wait.count() / kRetryAfterSpreadDivisor);
+  return wait + Duration(spread(context.random));
+}
+
 Task<bool> TryTakeRetry(RelayContext& context, const RelayedRequest& request) {
   const bool may_retry = co_await context.TryTakeRetry(request.service);
   if (may_retry) co_return true;
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -101,6 +101,13 @@
 void ReportLostAttempt(RelayContext& context, RelayedRequest& request,
                        const EndpointRecord& endpoint, const AttemptLossDetails& details);
 
+/// Returns whether it is known that no endpoint takes the request before `until`.
+bool IsUnservable(const RelayContext& context, const RelayedRequest& request, TimePoint until);
+
+/// Returns how long the caller of a request that no endpoint takes should wait before it tries
+/// again.
+Duration RetryAfterOf(RelayContext& context, const RelayedRequest& request);
+
 /// Takes one retry from the service's quota. Returns whether the request may be sent once more.
 Task<bool> TryTakeRetry(RelayContext& context, const RelayedRequest& request);
 
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -174,9 +174,10 @@
   }
   const std::optional<EndpointRecord> engine = ChooseEngine();
   if (!engine) {
-    const bool may_wait =
-        m_head_sent ||
-        SteadyNow() - m_request.arrived < m_request.route->latency_objective / kRejectAfterDivisor;
+    const TimePoint wait_until =
+        m_request.arrived + m_request.route->latency_objective / kRejectAfterDivisor;
+    const bool may_wait = m_head_sent || (SteadyNow() < wait_until &&
+                                          !IsUnservable(m_context, m_request, wait_until));
     if (!may_wait) {
       co_await AnswerFailure();
       co_return Step::kEnd;
@@ -558,7 +559,7 @@
                     RequestOutcome::kStale);
   } else if (m_continuation.Attempts() == 0) {
     co_await Answer(RelayProblem(ResultCode::kNoEndpoint, "no engine has taken the request",
-                                 kRetryAfterNoEngine),
+                                 RetryAfterOf(m_context, m_request)),
                     RequestOutcome::kRefused);
   } else {
     co_await Answer(RelayProblem(ResultCode::kEndpointFailed, "the engines failed"),
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -150,6 +150,26 @@
   cr_assert(directory.IsUsable("e", now + std::chrono::milliseconds(100)));
 }
 
+// Guards against requests to an endpoint before the time that it has stated, and against a wait for
+// an endpoint that leaves.
+Test(endpoint_directory, an_endpoint_gets_nothing_until_the_time_it_has_stated) {
+  EndpointDirectory directory;
+  directory.Put(Record("e"), kStart);
+  const TimePoint until = kStart + std::chrono::seconds(3);
+  directory.OnRetryAfter("e", until);
+  directory.OnSuccess("e");
+  directory.OnRejected("e", kStart);
+  cr_assert_not(directory.IsUsable("e", until - Duration(1)));
+  cr_assert(directory.IsUsable("e", until));
+  cr_assert(directory.NextCoolDownEnd("chat", kStart) == until);
+  cr_assert_not(directory.NextCoolDownEnd("chat", until));
+  directory.Put(Record("other", "10.0.0.2:80"), kStart);
+  directory.OnRetryAfter("other", kStart + std::chrono::seconds(1));
+  cr_assert(directory.NextCoolDownEnd("chat", kStart) == kStart + std::chrono::seconds(1));
+  directory.OnLeaving(Record("other", "10.0.0.2:80"), kStart);
+  cr_assert(directory.NextCoolDownEnd("chat", kStart) == until);
+}
+
 // Guards against a new process that is in cool-down for the failures of the previous one.
 Test(endpoint_directory, a_new_incarnation_starts_without_failures) {
   EndpointDirectory directory;
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -148,3 +148,19 @@
   cr_assert(wire.is_reserved("KV-FROM"));
   cr_assert_not(wire.is_reserved("Fulmarpoint-Length-Hint"));
 }
+
+// Guards against endpoints that get requests before they want any, and against a reply that makes
+// one unusable for good.
+Test(relay_codec, retry_after_is_read_from_rejections) {
+  const RelayWire wire = platform::MakeRelayWire();
+  const auto read = [&wire](int status, const char* text) {
+    return wire.decode_answer(status, {{"Retry-After", text}}).retry_after;
+  };
+  cr_assert(read(503, "2") == std::chrono::seconds(2));
+  cr_assert(read(503, "0.25") == std::chrono::milliseconds(250));
+  cr_assert(read(503, "1e300") == std::chrono::hours(1));
+  cr_assert_not(read(200, "2"));
+  for (const char* text : {"", "0", "-1", "nan", "soon", "Sat, 05 Dec 2026 03:00:00 GMT", "2s"}) {
+    cr_assert_not(read(503, text), "%s", text);
+  }
+}
--- a/tests/auto/platform/tst_leaving_endpoints.cpp
+++ b/tests/auto/platform/tst_leaving_endpoints.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <string>
+
 #include "platform_world.h"
 
 using namespace fulmarpoint;
@@ -58,6 +60,42 @@
   cr_assert_eq(leaving.seen.size(), 1u);
 }
 
+double RetryAfterSeconds(const HttpResult& result) {
+  return std::stod(std::string(FindHeader(result.reply.headers, "Retry-After").value_or("-1")));
+}
+
+Task<void> NothingBeforeRetryAfter(PlatformWorld& world, std::string service, std::string method,
+                                   std::string target) {
+  EndpointStandin& endpoint = world.AddEndpoint(service, "a");
+  endpoint.behaviour = EndpointBehaviour::kReject;
+  endpoint.extra_headers = OneHeader("Retry-After", "0.9");
+  co_await world.Start();
+  const TimePoint sent = SteadyNow();
+  HttpResult result = co_await world.Send(method, target);
+  cr_assert_eq(result.reply.status, 503);
+  cr_assert_eq(endpoint.seen.size(), 1u);
+  endpoint.behaviour = EndpointBehaviour::kAnswer;
+  result = co_await world.Send(method, target);
+  cr_assert_eq(result.reply.status, 503, "what cannot be served is rejected");
+  while (result.reply.status == 503) {
+    cr_assert_eq(endpoint.seen.size(), 1u);
+    cr_assert_gt(RetryAfterSeconds(result), 0.0);
+    cr_assert_leq(RetryAfterSeconds(result), 1.5);
+    co_await Sleep(std::chrono::milliseconds(20));
+    result = co_await world.Send(method, target);
+  }
+  cr_assert_eq(result.reply.status, 200, "%d", result.reply.status);
+  cr_assert_geq((SteadyNow() - sent).count(), Duration(std::chrono::milliseconds(900)).count());
+}
+
+Task<void> CallsWaitForRetryAfter(PlatformWorld& world) {
+  return NothingBeforeRetryAfter(world, "orders", "POST", "/place/x");
+}
+
+Task<void> StreamsWaitForRetryAfter(PlatformWorld& world) {
+  return NothingBeforeRetryAfter(world, "drafts", "POST", "/stream/x");
+}
+
 }  // namespace
 
 // Guards against calls to an endpoint that has stated in a reply that it leaves.
@@ -73,3 +111,10 @@
 Test(leaving_endpoints, requests_are_rejected_if_there_is_no_other) {
   RunTest(&RejectsWithoutAnother);
 }
+
+// Guards against calls to an endpoint before the time that it has stated with a rejection, and
+// against holding calls that cannot be served.
+Test(retry_after, calls_go_elsewhere_or_are_rejected) { RunTest(&CallsWaitForRetryAfter); }
+
+// Guards against the same with streams.
+Test(retry_after, streams_go_elsewhere_or_are_rejected) { RunTest(&StreamsWaitForRetryAfter); }
