--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -1,6 +1,7 @@
 #include "coordination/endpoint_directory.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace fulmarpoint {
@@ -8,17 +9,20 @@
 namespace {
 
 constexpr int kMaxCoolDownDoublings = 5;
-// Short, because a full endpoint has room again when the next request there ends.
-constexpr Duration kRejectionCoolDown = std::chrono::milliseconds(100);
-
+// A leaving process that is no longer listed ends within this time.
+constexpr Duration kLeavingMemory = std::chrono::minutes(10);
 // High enough that two slow prompts in a row show, while a single one may be an outlier.
 constexpr double kSlownessSampleWeight = 0.5;
 constexpr double kMaxSlowness = 8.0;
 constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
 
 bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
-  if (endpoint.record.draining || now < endpoint.cool_down_until) return false;
-  return !endpoint.gone_at || now < *endpoint.gone_at;
+  return !endpoint.IsDraining() && now >= endpoint.cool_down_until && !endpoint.HasEnded(now);
+}
+
+/// Returns `first` doubled `times` times, at most `most`.
+Duration Doubled(Duration first, Duration most, int times) {
+  return std::min(most, first * (1 << std::min(times, kMaxCoolDownDoublings)));
 }
 
 }  // namespace
@@ -46,10 +50,16 @@
   const EndpointRecord before = std::exchange(endpoint.record, record);
   AddToIndexes(endpoint);
   endpoint.gone_at.reset();
-  ResolveSharedAddress(endpoint, now);
-  if (before.incarnation == record.incarnation && before.address == record.address) return;
+  endpoint.is_leaving = HasStatedLeaving(record);
+  const bool is_same_process =
+      before.incarnation == record.incarnation && before.address == record.address;
+  if (!is_same_process) endpoint.is_refuted = false;
+  ResolveSharedAddress(before.address, now);
+  ResolveSharedAddress(record.address, now);
+  if (is_same_process) return;
   // Failures and load of the previous process do not apply to a new one.
   endpoint.failures = 0;
+  endpoint.rejections = 0;
   endpoint.cool_down_until = TimePoint{};
   endpoint.suspected_until = TimePoint{};
   endpoint.slowness = 1.0;
@@ -58,20 +68,37 @@
   endpoint.load = EndpointLoad{};
 }
 
-/// Of the endpoints with the same address, marks those of earlier processes as gone. Rows may
+void EndpointDirectory::SetServices(std::set<ServiceName> services, TimePoint now) {
+  if (m_services == services) return;
+  m_services = std::move(services);
+  for (const auto& [address, endpoints] : m_by_address) ResolveSharedAddress(address, now);
+}
+
+bool EndpointDirectory::ClaimsAddress(const DirectoryEndpoint& endpoint, TimePoint now) const {
+  const bool is_gone = endpoint.gone_at && *endpoint.gone_at <= now;
+  const bool has_service = !m_services || m_services->count(endpoint.record.service) > 0;
+  return !is_gone && !endpoint.is_refuted && has_service;
+}
+
+/// Of the endpoints that claim the address, marks those of earlier processes as displaced. Rows may
 /// arrive in any order, so the highest incarnation has the address.
-void EndpointDirectory::ResolveSharedAddress(DirectoryEndpoint& endpoint, TimePoint now) {
-  for (const auto& [id, other] : m_by_address[endpoint.record.address]) {
-    if (other == &endpoint || other->gone_at) continue;
-    const bool other_is_earlier = other->record.incarnation < endpoint.record.incarnation;
-    DirectoryEndpoint& earlier = other_is_earlier ? *other : endpoint;
-    if (other->record.incarnation != endpoint.record.incarnation) earlier.gone_at = now;
+void EndpointDirectory::ResolveSharedAddress(const std::string& address, TimePoint now) {
+  const auto found = m_by_address.find(address);
+  if (found == m_by_address.end()) return;
+  std::int64_t latest = std::numeric_limits<std::int64_t>::min();
+  for (const auto& [id, endpoint] : found->second) {
+    if (ClaimsAddress(*endpoint, now)) latest = std::max(latest, endpoint->record.incarnation);
+  }
+  for (const auto& [id, endpoint] : found->second) {
+    endpoint->is_displaced = endpoint->record.incarnation < latest;
   }
 }
 
 void EndpointDirectory::Remove(const EndpointId& id, TimePoint at) {
   const auto found = m_endpoints.find(id);
-  if (found != m_endpoints.end()) found->second.gone_at = at;
+  if (found == m_endpoints.end()) return;
+  found->second.gone_at = at;
+  ResolveSharedAddress(found->second.record.address, at);
 }
 
 void EndpointDirectory::OnFailure(const EndpointId& id, TimePoint now) {
@@ -83,9 +110,8 @@
   // Failures during the cool-down count as the same failure, because concurrent requests fail
   // together.
   if (now < endpoint.cool_down_until) return;
-  const int doublings = std::min(endpoint.failures++, kMaxCoolDownDoublings);
   StartCoolDown(
-      id, now + std::min(m_options.max_cool_down, m_options.first_cool_down * (1 << doublings)));
+      id, now + Doubled(m_options.first_cool_down, m_options.max_cool_down, endpoint.failures++));
 }
 
 void EndpointDirectory::OnPeerFailure(const EndpointId& id, TimePoint now) {
@@ -124,19 +150,42 @@
 
 void EndpointDirectory::OnMisdirected(const EndpointId& id, TimePoint now) {
   StartCoolDown(id, now + m_options.misdirected_cool_down);
+  const auto found = m_endpoints.find(id);
+  if (found == m_endpoints.end()) return;
+  found->second.is_refuted = true;
+  ResolveSharedAddress(found->second.record.address, now);
 }
 
 void EndpointDirectory::OnRejected(const EndpointId& id, TimePoint now) {
-  StartCoolDown(id, now + kRejectionCoolDown);
+  const auto found = m_endpoints.find(id);
+  if (found == m_endpoints.end()) return;
+  DirectoryEndpoint& endpoint = found->second;
+  // Rejections during the cool-down count as the same one, because concurrent requests are rejected
+  // together.
+  if (now < endpoint.cool_down_until) return;
+  StartCoolDown(id, now + Doubled(m_options.first_rejection_cool_down,
+                                  m_options.max_rejection_cool_down, endpoint.rejections++));
 }
 
 void EndpointDirectory::OnSuccess(const EndpointId& id) {
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
   found->second.failures = 0;
+  found->second.rejections = 0;
   found->second.suspected_until = TimePoint{};
 }
 
+void EndpointDirectory::OnLeaving(const EndpointRecord& record, TimePoint now) {
+  m_leaving[record.id] = {record.incarnation, now};
+  const auto found = m_endpoints.find(record.id);
+  if (found != m_endpoints.end()) found->second.is_leaving = HasStatedLeaving(found->second.record);
+}
+
+bool EndpointDirectory::HasStatedLeaving(const EndpointRecord& record) const {
+  const auto found = m_leaving.find(record.id);
+  return found != m_leaving.end() && found->second.incarnation == record.incarnation;
+}
+
 void EndpointDirectory::OnFirstEvent(const EndpointId& id, double ratio, TimePoint now) {
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
@@ -187,12 +236,26 @@
   return usable;
 }
 
+std::optional<TimePoint> EndpointDirectory::NextCoolDownEnd(const ServiceName& service,
+                                                            TimePoint now) const {
+  std::optional<TimePoint> next;
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) return next;
+  for (const auto& [id, endpoint] : found->second) {
+    const TimePoint end = endpoint->cool_down_until;
+    if (endpoint->IsDraining() || endpoint->HasEnded(now) || end <= now) continue;
+    next = next ? std::min(*next, end) : end;
+  }
+  return next;
+}
+
 bool EndpointDirectory::HasVersion(const ServiceName& service, const VersionChoice& choice) const {
   const auto found = m_by_service.find(service);
   if (found == m_by_service.end()) return false;
   return std::any_of(found->second.begin(), found->second.end(), [&](const auto& entry) {
     const DirectoryEndpoint& endpoint = *entry.second;
-    return !endpoint.gone_at && !endpoint.record.draining && choice.Admits(endpoint.record.version);
+    const bool is_listed = !endpoint.gone_at && !endpoint.is_displaced;
+    return is_listed && !endpoint.IsDraining() && choice.Admits(endpoint.record.version);
   });
 }
 
@@ -206,9 +269,15 @@
   return endpoint != nullptr && MayReceive(*endpoint, now);
 }
 
+bool EndpointDirectory::IsDraining(const EndpointId& id) const {
+  const DirectoryEndpoint* endpoint = Find(id);
+  return endpoint == nullptr || endpoint->IsDraining();
+}
+
 bool EndpointDirectory::IsIntact(const EndpointRecord& record, TimePoint since) const {
   const DirectoryEndpoint* endpoint = Find(record.id);
-  if (endpoint == nullptr || endpoint->gone_at || endpoint->record.draining) return false;
+  if (endpoint == nullptr || endpoint->gone_at || endpoint->is_displaced) return false;
+  if (endpoint->IsDraining()) return false;
   if (endpoint->record.incarnation != record.incarnation) return false;
   return !endpoint->latest_failure || *endpoint->latest_failure < since;
 }
@@ -219,6 +288,9 @@
 }
 
 void EndpointDirectory::Forget(TimePoint now) {
+  std::erase_if(m_leaving, [&](const auto& entry) {
+    return m_endpoints.count(entry.first) == 0 && now - entry.second.stated_at > kLeavingMemory;
+  });
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const DirectoryEndpoint& endpoint = it->second;
     const bool is_gone = endpoint.gone_at && now >= *endpoint.gone_at;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,8 +50,9 @@
   /// this daemon, last at `slowness_seen`.
   double slowness = 1.0;
   TimePoint slowness_seen{};
-  /// Consecutive failures. The endpoint gets no request until `cool_down_until`.
+  /// Consecutive failures and rejections. The endpoint gets no request until `cool_down_until`.
   int failures = 0;
+  int rejections = 0;
   /// Latest failure observed by this daemon itself, and by this daemon or a peer.
   std::optional<TimePoint> own_failure;
   std::optional<TimePoint> latest_failure;
@@ -61,7 +63,16 @@
   /// Set once the store no longer has the endpoint's row: the endpoint counts as gone from this
   /// time on.
   std::optional<TimePoint> gone_at;
-
+  /// Another process answered at the address.
+  bool is_refuted = false;
+  /// A process that started later has the address.
+  bool is_displaced = false;
+  /// The process has stated in a reply that it is shutting down.
+  bool is_leaving = false;
+
+  /// Returns whether the process has ended as far as is known.
+  bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
+  bool IsDraining() const { return record.draining || is_leaving; }
   std::int64_t PendingPrefillTokens() const {
     return own.pending_prefill_tokens + peers.pending_prefill_tokens;
   }
@@ -79,6 +90,9 @@
   struct Options {
     Duration first_cool_down = std::chrono::milliseconds(400);
     Duration max_cool_down = std::chrono::seconds(4);
+    /// Short, because a full endpoint has room again when the next request there ends.
+    Duration first_rejection_cool_down = std::chrono::milliseconds(100);
+    Duration max_rejection_cool_down = std::chrono::milliseconds(400);
     /// Cool-down of an endpoint at whose address another endpoint answered. Ends early if the
     /// endpoint's row changes.
     Duration misdirected_cool_down = std::chrono::seconds(10);
@@ -95,6 +109,9 @@
   EndpointDirectory(const EndpointDirectory&) = delete;
   EndpointDirectory& operator=(const EndpointDirectory&) = delete;
 
+  /// Names the services that exist; until the first call all do. An endpoint of another service has
+  /// no claim to its address.
+  void SetServices(std::set<ServiceName> services, TimePoint now);
   /// The store lists a new or changed endpoint. If two endpoints have the same address, the process
   /// that started earlier has exited; its row remains for some heartbeats after that.
   void Put(const EndpointRecord& record, TimePoint now);
@@ -107,11 +124,18 @@
   void OnPeerFailure(const EndpointId& id, TimePoint now);
   /// Returns the endpoints for which this daemon observed a failure at or after `since`.
   std::vector<EndpointId> FailedSince(TimePoint since) const;
-  /// Another endpoint answered at the endpoint's address.
+  /// Another endpoint answered at the endpoint's address. If the endpoint displaced others there,
+  /// its row is wrong, and they have the address again.
   void OnMisdirected(const EndpointId& id, TimePoint now);
-  /// The endpoint rejected a request without executing it because it is full or leaving.
+  /// The endpoint rejected a request without executing it because it is full or leaving. Each
+  /// rejection in a row doubles its cool-down, up to `max_rejection_cool_down`.
   void OnRejected(const EndpointId& id, TimePoint now);
+  /// The endpoint wants no request from this daemon until `until`.
+  void OnRetryAfter(const EndpointId& id, TimePoint until) { StartCoolDown(id, until); }
   void OnSuccess(const EndpointId& id);
+  /// The process of `record` stated in a reply that it is shutting down. It gets no request from
+  /// now on, whatever its row says.
+  void OnLeaving(const EndpointRecord& record, TimePoint now);
   /// The first event of a stream took `ratio` times as long as expected from the service's
   /// endpoints.
   void OnFirstEvent(const EndpointId& id, double ratio, TimePoint now);
@@ -125,12 +149,17 @@
   /// Returns the endpoints of `service` that may receive a request now. The pointers are valid
   /// until the next call of a non-const function.
   std::vector<const DirectoryEndpoint*> Usable(const ServiceName& service, TimePoint now) const;
+  /// Returns when the first of the endpoints of `service` that are in cool-down may receive
+  /// requests again; nothing if none is.
+  std::optional<TimePoint> NextCoolDownEnd(const ServiceName& service, TimePoint now) const;
   /// Returns whether the store lists an endpoint of `service` that `choice` admits, whether or not
   /// it is usable now.
   bool HasVersion(const ServiceName& service, const VersionChoice& choice) const;
   /// Returns null if the endpoint is unknown.
   const DirectoryEndpoint* Find(const EndpointId& id) const;
   bool IsUsable(const EndpointId& id, TimePoint now) const;
+  /// Returns whether the endpoint is shutting down according to its row or a reply, or unknown.
+  bool IsDraining(const EndpointId& id) const;
   /// Returns whether the process of `record` is still running as far as is known, is not draining,
   /// and has had no failure since `since`, so that what it stores is still there.
   bool IsIntact(const EndpointRecord& record, TimePoint since) const;
@@ -144,13 +173,24 @@
  private:
   using Index = std::map<std::string, std::map<EndpointId, DirectoryEndpoint*>>;
 
+  bool HasStatedLeaving(const EndpointRecord& record) const;
   void StartCoolDown(const EndpointId& id, TimePoint until);
   void AddToIndexes(DirectoryEndpoint& endpoint);
   void RemoveFromIndexes(const EndpointRecord& record);
   void Suspect(DirectoryEndpoint& endpoint, TimePoint now);
-  void ResolveSharedAddress(DirectoryEndpoint& endpoint, TimePoint now);
+  bool ClaimsAddress(const DirectoryEndpoint& endpoint, TimePoint now) const;
+  void ResolveSharedAddress(const std::string& address, TimePoint now);
+
+  /// A process that stated that it is shutting down.
+  struct LeavingProcess {
+    std::int64_t incarnation = 0;
+    TimePoint stated_at{};
+  };
 
   Options m_options;
+  std::optional<std::set<ServiceName>> m_services;
+  /// Also kept for endpoints that are no longer listed, because their rows may come back.
+  std::map<EndpointId, LeavingProcess> m_leaving;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
   Index m_by_address;
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -73,6 +73,10 @@
 Task<std::error_code> ConnectEndpoint(RelayContext& context, HttpClientExchange& connection,
                                       std::string address, Duration timeout);
 
+/// Records what an endpoint states about itself in a reply to the request.
+void ReportEndpointState(RelayContext& context, const RelayedRequest& request,
+                         const EndpointRecord& endpoint, const EndpointResponseFields& answer);
+
 /// Records that an endpoint failed a request in the directory, the heartbeats and the log.
 void ReportEndpointFailure(RelayContext& context, const RelayedRequest& request,
                            const EndpointId& endpoint, std::string_view reason);
@@ -97,6 +101,13 @@
 void ReportLostAttempt(RelayContext& context, RelayedRequest& request,
                        const EndpointRecord& endpoint, const AttemptLossDetails& details);
 
+/// Returns whether it is known that no endpoint takes the request before `until`.
+bool IsUnservable(const RelayContext& context, const RelayedRequest& request, TimePoint until);
+
+/// Returns how long the caller of a request that no endpoint takes should wait before it tries
+/// again.
+Duration RetryAfterOf(RelayContext& context, const RelayedRequest& request);
+
 /// Takes one retry from the service's quota. Returns whether the request may be sent once more.
 Task<bool> TryTakeRetry(RelayContext& context, const RelayedRequest& request);
 
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -44,6 +44,38 @@
   cr_assert_not(directory.IsUsable("old", kStart));
 }
 
+// Guards against an endpoint that is lost because a wrong row claims its address.
+Test(endpoint_directory, an_endpoint_has_its_address_again_once_another_is_refuted) {
+  EndpointDirectory directory;
+  directory.Put(Record("true", "10.0.0.1:80", 1), kStart);
+  directory.Put(Record("wrong", "10.0.0.1:80", 2), kStart);
+  cr_assert_not(directory.IsUsable("true", kStart));
+  directory.Forget(kStart);
+  directory.OnMisdirected("wrong", kStart);
+  cr_assert(directory.IsUsable("true", kStart), "the one that answers has the address");
+  cr_assert_not(directory.IsUsable("wrong", kStart));
+  directory.Put(Record("wrong", "10.0.0.1:80", 2), kStart);
+  cr_assert(directory.IsUsable("true", kStart), "the same row again proves nothing");
+  directory.Put(Record("wrong", "10.0.0.1:80", 3), kStart);
+  cr_assert_not(directory.IsUsable("true", kStart), "a later process may have the address");
+  directory.Remove("wrong", kStart);
+  cr_assert(directory.IsUsable("true", kStart));
+}
+
+// Guards against an endpoint that is lost because a row of a service that does not exist has its
+// address.
+Test(endpoint_directory, an_endpoint_of_an_unknown_service_claims_no_address) {
+  EndpointDirectory directory;
+  directory.SetServices({"chat"}, kStart);
+  directory.Put(Record("true", "10.0.0.1:80", 1), kStart);
+  EndpointRecord strange = Record("strange", "10.0.0.1:80", 2);
+  strange.service = "unknown";
+  directory.Put(strange, kStart);
+  cr_assert(directory.IsUsable("true", kStart));
+  directory.SetServices({"chat", "unknown"}, kStart);
+  cr_assert_not(directory.IsUsable("true", kStart), "the configuration now names the service");
+}
+
 // Guards against new requests to an endpoint that is leaving.
 Test(endpoint_directory, draining_and_removed_endpoints_get_no_requests) {
   EndpointDirectory directory;
@@ -60,6 +92,27 @@
   cr_assert_eq(UsableCount(directory, kStart + std::chrono::seconds(1)), 0u);
 }
 
+// Guards against new requests to an endpoint that has stated that it leaves but whose row is late,
+// and against a restarted one that stays unused.
+Test(endpoint_directory, an_endpoint_that_states_that_it_leaves_gets_no_requests) {
+  EndpointDirectory directory;
+  directory.Put(Record("e"), kStart);
+  directory.OnLeaving(Record("e", "10.0.0.1:80", 0), kStart);
+  cr_assert(directory.IsUsable("e", kStart), "an earlier process said so");
+  directory.OnLeaving(Record("e"), kStart);
+  cr_assert_not(directory.IsUsable("e", kStart));
+  cr_assert_not(directory.IsIntact(Record("e"), kStart));
+  directory.Put(Record("e"), kStart);
+  directory.OnSuccess("e");
+  cr_assert_not(directory.IsUsable("e", kStart + std::chrono::hours(1)));
+  directory.Remove("e", kStart);
+  directory.Forget(kStart);
+  directory.Put(Record("e"), kStart);
+  cr_assert_not(directory.IsUsable("e", kStart), "its row was away and came back");
+  directory.Put(Record("e", "10.0.0.1:80", 2), kStart);
+  cr_assert(directory.IsUsable("e", kStart), "a new process");
+}
+
 // Guards against a failed endpoint that every request tries, and against a recovered endpoint that
 // stays unused.
 Test(endpoint_directory, the_cool_down_grows_with_consecutive_failures) {
@@ -78,6 +131,45 @@
   cr_assert(directory.IsUsable("e", later + std::chrono::milliseconds(400)));
 }
 
+// Guards against an endpoint that rejects everything and gets a request from every daemon each
+// 100 ms.
+Test(endpoint_directory, the_cool_down_grows_with_consecutive_rejections) {
+  EndpointDirectory directory;
+  directory.Put(Record("e"), kStart);
+  TimePoint now = kStart;
+  for (const int cool_down_ms : {100, 200, 400, 400}) {
+    directory.OnRejected("e", now);
+    directory.OnRejected("e", now);
+    const Duration cool_down = std::chrono::milliseconds(cool_down_ms);
+    cr_assert_not(directory.IsUsable("e", now + cool_down - Duration(1)), "%d", cool_down_ms);
+    now += cool_down;
+    cr_assert(directory.IsUsable("e", now), "%d", cool_down_ms);
+  }
+  directory.OnSuccess("e");
+  directory.OnRejected("e", now);
+  cr_assert(directory.IsUsable("e", now + std::chrono::milliseconds(100)));
+}
+
+// Guards against requests to an endpoint before the time that it has stated, and against a wait for
+// an endpoint that leaves.
+Test(endpoint_directory, an_endpoint_gets_nothing_until_the_time_it_has_stated) {
+  EndpointDirectory directory;
+  directory.Put(Record("e"), kStart);
+  const TimePoint until = kStart + std::chrono::seconds(3);
+  directory.OnRetryAfter("e", until);
+  directory.OnSuccess("e");
+  directory.OnRejected("e", kStart);
+  cr_assert_not(directory.IsUsable("e", until - Duration(1)));
+  cr_assert(directory.IsUsable("e", until));
+  cr_assert(directory.NextCoolDownEnd("chat", kStart) == until);
+  cr_assert_not(directory.NextCoolDownEnd("chat", until));
+  directory.Put(Record("other", "10.0.0.2:80"), kStart);
+  directory.OnRetryAfter("other", kStart + std::chrono::seconds(1));
+  cr_assert(directory.NextCoolDownEnd("chat", kStart) == kStart + std::chrono::seconds(1));
+  directory.OnLeaving(Record("other", "10.0.0.2:80"), kStart);
+  cr_assert(directory.NextCoolDownEnd("chat", kStart) == until);
+}
+
 // Guards against a new process that is in cool-down for the failures of the previous one.
 Test(endpoint_directory, a_new_incarnation_starts_without_failures) {
   EndpointDirectory directory;
