--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -40,6 +40,12 @@
 
 }  // namespace
 
+std::string AllEvents(int first, int last) {
+  std::string text;
+  for (int number = first; number <= last; ++number) text += EventText(number);
+  return text;
+}
+
 EndpointStandin::EndpointStandin(const Executor& executor, std::string id)
     : m_id(std::move(id)),
       m_server(
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -50,6 +50,9 @@
                         const std::string& domain, const std::string& state = "ready",
                         const std::string& version = "v1");
 
+/// Returns the events `first` to `last` as an `EndpointStandin` sends them.
+std::string AllEvents(int first, int last);
+
 /// Test double of an endpoint that speaks the platform's protocol. Streams have the events 1 to
 /// `total_events` and start after the event that the request names. Used on one strand.
 class EndpointStandin {
--- a/tests/auto/platform/platform_world.cpp
+++ b/tests/auto/platform/platform_world.cpp
@@ -145,4 +145,9 @@
   loop.Run();
 }
 
+void RunTest(Task<void> (*test)(PlatformWorld&)) {
+  PlatformWorld world;
+  world.Run([&world, test]() { return test(world); });
+}
+
 }  // namespace fulmarpoint
--- a/tests/auto/platform/platform_world.h
+++ b/tests/auto/platform/platform_world.h
@@ -59,4 +59,7 @@
   int requests = 0;
 };
 
+/// Runs `test` in a world of its own until it completes.
+void RunTest(Task<void> (*test)(PlatformWorld&));
+
 }  // namespace fulmarpoint
--- a/tests/auto/platform/tst_calls.cpp
+++ b/tests/auto/platform/tst_calls.cpp
@@ -17,11 +17,6 @@
   return std::string(FindHeader(result.reply.headers, name).value_or(""));
 }
 
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 Task<void> AnswerIsUnchanged(PlatformWorld& world) {
   EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
   co_await world.Start();
--- a/tests/auto/platform/tst_configuration.cpp
+++ b/tests/auto/platform/tst_configuration.cpp
@@ -12,11 +12,6 @@
 
 namespace {
 
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 Task<int> StatusOf(PlatformWorld& world, std::string target, HttpHeaders headers = {}) {
   const HttpResult result = co_await world.Send("GET", std::move(target), std::move(headers));
   co_return result.error ? 0 : result.reply.status;
--- a/tests/auto/platform/tst_crashing_requests.cpp
+++ b/tests/auto/platform/tst_crashing_requests.cpp
@@ -21,11 +21,6 @@
 constexpr std::size_t kAttemptsPerRequest = 2;
 constexpr Duration kQuarantineDelay = std::chrono::milliseconds(900);
 
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 void AddEndpointsThatCrash(PlatformWorld& world) {
   for (int index = 0; index < kEndpoints; ++index) {
     EndpointStandin& endpoint = world.AddEndpoint("orders", index % 2 == 0 ? "a" : "b");
--- a/tests/auto/platform/tst_framing.cpp
+++ b/tests/auto/platform/tst_framing.cpp
@@ -14,11 +14,6 @@
 
 namespace {
 
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 std::string Head(const std::string& lines) {
   return "POST /place/x HTTP/1.1\r\nHost: h.example\r\nFulmarpoint-Request-Id: r1\r\n"
          "Authorization: Bearer key-1\r\n" +
--- a/tests/auto/platform/tst_leaving_endpoints.cpp
+++ b/tests/auto/platform/tst_leaving_endpoints.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 /// Sends a request to the only endpoint, and more once another one is listed, which run there.
 Task<void> OnlyOneRequestReaches(PlatformWorld& world, EndpointStandin& leaving,
                                  std::string service, std::string method, std::string target) {
--- a/tests/auto/platform/tst_rollouts.cpp
+++ b/tests/auto/platform/tst_rollouts.cpp
@@ -23,11 +23,6 @@
 constexpr Duration kOutageTime = std::chrono::milliseconds(5000);
 const char kNewVersion[] = "v2";
 
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 void AddEndpoints(PlatformWorld& world, const std::string& version, EndpointBehaviour behaviour) {
   for (const char* domain : {"a", "b"}) {
     EndpointStandin& endpoint = world.AddEndpoint("orders", domain);
--- a/tests/auto/platform/tst_silent_endpoints.cpp
+++ b/tests/auto/platform/tst_silent_endpoints.cpp
@@ -17,19 +17,6 @@
 // More than the three requests that may lose their reply.
 constexpr std::size_t kRequests = 4;
 
-std::string AllEvents() {
-  std::string text;
-  for (int number = 1; number <= 10; ++number) {
-    text += "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
-  }
-  return text;
-}
-
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 void AddPausingEndpoint(PlatformWorld& world, const std::string& service,
                         const std::string& domain) {
   EndpointStandin& endpoint = world.AddEndpoint(service, domain);
@@ -72,7 +59,7 @@
       co_await SendOnKeptConnections(world, "POST", "/stream/x");
   for (const HttpResult& result : results) {
     cr_assert_not(result.error, "%s", result.error.message().c_str());
-    cr_assert(result.reply.body == AllEvents(), "%s", result.reply.body.c_str());
+    cr_assert(result.reply.body == AllEvents(1, 10), "%s", result.reply.body.c_str());
   }
 }
 
@@ -82,7 +69,7 @@
   world.store->Put("servers", "i-unreachable", EndpointRow(kUnreachableAddress, "drafts", "b"));
   const HttpResult result = co_await world.Send("POST", "/stream/x");
   cr_assert_not(result.error, "%s", result.error.message().c_str());
-  cr_assert(result.reply.body == AllEvents(), "%s", result.reply.body.c_str());
+  cr_assert(result.reply.body == AllEvents(1, 10), "%s", result.reply.body.c_str());
   cr_assert_eq(world.endpoints[0]->seen.size(), 1u);
 }
 
--- a/tests/auto/platform/tst_streams.cpp
+++ b/tests/auto/platform/tst_streams.cpp
@@ -14,19 +14,6 @@
                                     {"Fulmarpoint-Token-Count", "5000,800"},
                                     {"Fulmarpoint-Prompt-Prefix", "5c1e07a2:200,91bd3f06:4800"}};
 
-std::string AllEvents(int first, int last) {
-  std::string text;
-  for (int number = first; number <= last; ++number) {
-    text += "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
-  }
-  return text;
-}
-
-void RunTest(Task<void> (*test)(PlatformWorld&)) {
-  PlatformWorld world;
-  world.Run([&world, test]() { return test(world); });
-}
-
 /// Returns the endpoint that has seen `count` requests; the test fails if there is none.
 EndpointStandin& SeenBy(PlatformWorld& world, std::size_t count) {
   EndpointStandin* found = nullptr;
