--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -11,6 +11,9 @@
 constexpr int kMaxCoolDownDoublings = 5;
 // A leaving process that is no longer listed ends within this time.
 constexpr Duration kLeavingMemory = std::chrono::minutes(10);
+// Short, because a full endpoint has room again when the next request there ends.
+constexpr Duration kRejectionCoolDown = std::chrono::milliseconds(100);
+
 // High enough that two slow prompts in a row show, while a single one may be an outlier.
 constexpr double kSlownessSampleWeight = 0.5;
 constexpr double kMaxSlowness = 8.0;
@@ -20,11 +23,6 @@
   return !endpoint.IsDraining() && now >= endpoint.cool_down_until && !endpoint.HasEnded(now);
 }
 
-/// Returns `first` doubled `times` times, at most `most`.
-Duration Doubled(Duration first, Duration most, int times) {
-  return std::min(most, first * (1 << std::min(times, kMaxCoolDownDoublings)));
-}
-
 }  // namespace
 
 double DirectoryEndpoint::RecentSlowness(TimePoint now) const {
@@ -59,7 +57,6 @@
   if (is_same_process) return;
   // Failures and load of the previous process do not apply to a new one.
   endpoint.failures = 0;
-  endpoint.rejections = 0;
   endpoint.cool_down_until = TimePoint{};
   endpoint.suspected_until = TimePoint{};
   endpoint.slowness = 1.0;
@@ -110,8 +107,9 @@
   // Failures during the cool-down count as the same failure, because concurrent requests fail
   // together.
   if (now < endpoint.cool_down_until) return;
+  const int doublings = std::min(endpoint.failures++, kMaxCoolDownDoublings);
   StartCoolDown(
-      id, now + Doubled(m_options.first_cool_down, m_options.max_cool_down, endpoint.failures++));
+      id, now + std::min(m_options.max_cool_down, m_options.first_cool_down * (1 << doublings)));
 }
 
 void EndpointDirectory::OnPeerFailure(const EndpointId& id, TimePoint now) {
@@ -157,21 +155,13 @@
 }
 
 void EndpointDirectory::OnRejected(const EndpointId& id, TimePoint now) {
-  const auto found = m_endpoints.find(id);
-  if (found == m_endpoints.end()) return;
-  DirectoryEndpoint& endpoint = found->second;
-  // Rejections during the cool-down count as the same one, because concurrent requests are rejected
-  // together.
-  if (now < endpoint.cool_down_until) return;
-  StartCoolDown(id, now + Doubled(m_options.first_rejection_cool_down,
-                                  m_options.max_rejection_cool_down, endpoint.rejections++));
+  StartCoolDown(id, now + kRejectionCoolDown);
 }
 
 void EndpointDirectory::OnSuccess(const EndpointId& id) {
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
   found->second.failures = 0;
-  found->second.rejections = 0;
   found->second.suspected_until = TimePoint{};
 }
 
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -50,9 +50,8 @@
   /// this daemon, last at `slowness_seen`.
   double slowness = 1.0;
   TimePoint slowness_seen{};
-  /// Consecutive failures and rejections. The endpoint gets no request until `cool_down_until`.
+  /// Consecutive failures. The endpoint gets no request until `cool_down_until`.
   int failures = 0;
-  int rejections = 0;
   /// Latest failure observed by this daemon itself, and by this daemon or a peer.
   std::optional<TimePoint> own_failure;
   std::optional<TimePoint> latest_failure;
@@ -90,9 +89,6 @@
   struct Options {
     Duration first_cool_down = std::chrono::milliseconds(400);
     Duration max_cool_down = std::chrono::seconds(4);
-    /// Short, because a full endpoint has room again when the next request there ends.
-    Duration first_rejection_cool_down = std::chrono::milliseconds(100);
-    Duration max_rejection_cool_down = std::chrono::milliseconds(400);
     /// Cool-down of an endpoint at whose address another endpoint answered. Ends early if the
     /// endpoint's row changes.
     Duration misdirected_cool_down = std::chrono::seconds(10);
@@ -127,8 +123,7 @@
   /// Another endpoint answered at the endpoint's address. If the endpoint displaced others there,
   /// its row is wrong, and they have the address again.
   void OnMisdirected(const EndpointId& id, TimePoint now);
-  /// The endpoint rejected a request without executing it because it is full or leaving. Each
-  /// rejection in a row doubles its cool-down, up to `max_rejection_cool_down`.
+  /// The endpoint rejected a request without executing it because it is full or leaving.
   void OnRejected(const EndpointId& id, TimePoint now);
   /// The endpoint wants no request from this daemon until `until`.
   void OnRetryAfter(const EndpointId& id, TimePoint until) { StartCoolDown(id, until); }
