--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr int kMaxCoolDownDoublings = 5;
-// A leaving process that is no longer listed ends within this time.
-constexpr Duration kLeavingMemory = std::chrono::minutes(10);
+// A process that is no longer listed has ended after this time.
+constexpr Duration kStatementLifetime = std::chrono::minutes(10);
 // Short, because a full endpoint has room again when the next request there ends.
 constexpr Duration kRejectionCoolDown = std::chrono::milliseconds(100);
 
@@ -20,7 +20,7 @@
 constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
 
 bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
-  return !endpoint.IsDraining() && now >= endpoint.cool_down_until && !endpoint.HasEnded(now);
+  return !endpoint.IsDraining() && now >= endpoint.NextRequestAt() && !endpoint.HasEnded(now);
 }
 
 }  // namespace
@@ -48,7 +48,7 @@
   const EndpointRecord before = std::exchange(endpoint.record, record);
   AddToIndexes(endpoint);
   endpoint.gone_at.reset();
-  endpoint.is_leaving = HasStatedLeaving(record);
+  ApplyStatement(endpoint);
   const bool is_same_process =
       before.incarnation == record.incarnation && before.address == record.address;
   if (!is_same_process) endpoint.is_refuted = false;
@@ -95,7 +95,6 @@
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
   found->second.gone_at = at;
-  ResolveSharedAddress(found->second.record.address, at);
 }
 
 void EndpointDirectory::OnFailure(const EndpointId& id, TimePoint now) {
@@ -166,14 +165,36 @@
 }
 
 void EndpointDirectory::OnLeaving(const EndpointRecord& record, TimePoint now) {
-  m_leaving[record.id] = {record.incarnation, now};
+  if (ProcessStatement* statement = StatementOf(record, now)) statement->is_leaving = true;
   const auto found = m_endpoints.find(record.id);
-  if (found != m_endpoints.end()) found->second.is_leaving = HasStatedLeaving(found->second.record);
+  if (found != m_endpoints.end()) ApplyStatement(found->second);
 }
 
-bool EndpointDirectory::HasStatedLeaving(const EndpointRecord& record) const {
-  const auto found = m_leaving.find(record.id);
-  return found != m_leaving.end() && found->second.incarnation == record.incarnation;
+void EndpointDirectory::OnRetryAfter(const EndpointRecord& record, TimePoint until, TimePoint now) {
+  if (ProcessStatement* statement = StatementOf(record, now)) {
+    statement->wanted_from = std::max(statement->wanted_from, until);
+  }
+  const auto found = m_endpoints.find(record.id);
+  if (found != m_endpoints.end()) ApplyStatement(found->second);
+}
+
+/// Returns the statement of the process to change; null if a later process has made one.
+EndpointDirectory::ProcessStatement* EndpointDirectory::StatementOf(const EndpointRecord& record,
+                                                                    TimePoint now) {
+  ProcessStatement& statement = m_statements[record.id];
+  if (record.incarnation < statement.incarnation) return nullptr;
+  if (record.incarnation > statement.incarnation) statement = ProcessStatement();
+  statement.incarnation = record.incarnation;
+  statement.stated_at = now;
+  return &statement;
+}
+
+void EndpointDirectory::ApplyStatement(DirectoryEndpoint& endpoint) const {
+  const auto found = m_statements.find(endpoint.record.id);
+  const bool is_stated =
+      found != m_statements.end() && found->second.incarnation == endpoint.record.incarnation;
+  endpoint.is_leaving = is_stated && found->second.is_leaving;
+  endpoint.wanted_from = is_stated ? found->second.wanted_from : TimePoint{};
 }
 
 void EndpointDirectory::OnFirstEvent(const EndpointId& id, double ratio, TimePoint now) {
@@ -232,13 +253,26 @@
   const auto found = m_by_service.find(service);
   if (found == m_by_service.end()) return next;
   for (const auto& [id, endpoint] : found->second) {
-    const TimePoint end = endpoint->cool_down_until;
+    const TimePoint end = endpoint->NextRequestAt();
     if (endpoint->IsDraining() || endpoint->HasEnded(now) || end <= now) continue;
     next = next ? std::min(*next, end) : end;
   }
   return next;
 }
 
+bool EndpointDirectory::IsUnwanted(const ServiceName& service, TimePoint until,
+                                   TimePoint now) const {
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) return false;
+  bool has_endpoint = false;
+  for (const auto& [id, endpoint] : found->second) {
+    if (endpoint->IsDraining() || endpoint->HasEnded(now)) continue;
+    if (endpoint->wanted_from <= until) return false;
+    has_endpoint = true;
+  }
+  return has_endpoint;
+}
+
 bool EndpointDirectory::HasVersion(const ServiceName& service, const VersionChoice& choice) const {
   const auto found = m_by_service.find(service);
   if (found == m_by_service.end()) return false;
@@ -278,18 +312,27 @@
 }
 
 void EndpointDirectory::Forget(TimePoint now) {
-  std::erase_if(m_leaving, [&](const auto& entry) {
-    return m_endpoints.count(entry.first) == 0 && now - entry.second.stated_at > kLeavingMemory;
+  std::erase_if(m_statements, [&](const auto& entry) {
+    const ProcessStatement& statement = entry.second;
+    return m_endpoints.count(entry.first) == 0 &&
+           now - std::max(statement.stated_at, statement.wanted_from) > kStatementLifetime;
   });
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     const DirectoryEndpoint& endpoint = it->second;
     const bool is_gone = endpoint.gone_at && now >= *endpoint.gone_at;
-    if (!is_gone || endpoint.Requests() > 0) {
+    if (!is_gone) {
       ++it;
       continue;
     }
-    RemoveFromIndexes(endpoint.record);
-    it = m_endpoints.erase(it);
+    // Others at the address may have been displaced by this one.
+    const std::string address = endpoint.record.address;
+    if (endpoint.Requests() > 0) {
+      ++it;
+    } else {
+      RemoveFromIndexes(endpoint.record);
+      it = m_endpoints.erase(it);
+    }
+    ResolveSharedAddress(address, now);
   }
 }
 
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -68,10 +69,14 @@
   bool is_displaced = false;
   /// The process has stated in a reply that it is shutting down.
   bool is_leaving = false;
+  /// The process has stated that it wants no request from this daemon before.
+  TimePoint wanted_from{};
 
   /// Returns whether the process has ended as far as is known.
   bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
   bool IsDraining() const { return record.draining || is_leaving; }
+  /// Returns when the endpoint may receive requests if nothing else prevents it.
+  TimePoint NextRequestAt() const { return std::max(cool_down_until, wanted_from); }
   std::int64_t PendingPrefillTokens() const {
     return own.pending_prefill_tokens + peers.pending_prefill_tokens;
   }
@@ -111,7 +116,8 @@
   /// The store lists a new or changed endpoint. If two endpoints have the same address, the process
   /// that started earlier has exited; its row remains for some heartbeats after that.
   void Put(const EndpointRecord& record, TimePoint now);
-  /// The store no longer lists the endpoint; it counts as gone from `at` on.
+  /// The store no longer lists the endpoint; it counts as gone from `at` on. Endpoints that it
+  /// displaced are used again at the next `Forget` after that.
   void Remove(const EndpointId& id, TimePoint at);
 
   /// Connecting failed, the connection broke, or the endpoint stalled during a request.
@@ -125,8 +131,9 @@
   void OnMisdirected(const EndpointId& id, TimePoint now);
   /// The endpoint rejected a request without executing it because it is full or leaving.
   void OnRejected(const EndpointId& id, TimePoint now);
-  /// The endpoint wants no request from this daemon until `until`.
-  void OnRetryAfter(const EndpointId& id, TimePoint until) { StartCoolDown(id, until); }
+  /// The process of `record` stated in a reply that it wants no request from this daemon until
+  /// `until`.
+  void OnRetryAfter(const EndpointRecord& record, TimePoint until, TimePoint now);
   void OnSuccess(const EndpointId& id);
   /// The process of `record` stated in a reply that it is shutting down. It gets no request from
   /// now on, whatever its row says.
@@ -144,8 +151,11 @@
   /// Returns the endpoints of `service` that may receive a request now. The pointers are valid
   /// until the next call of a non-const function.
   std::vector<const DirectoryEndpoint*> Usable(const ServiceName& service, TimePoint now) const;
-  /// Returns when the first of the endpoints of `service` that are in cool-down may receive
-  /// requests again; nothing if none is.
+  /// Returns whether all endpoints of `service` that stay have stated that they want no request
+  /// before `until`; false if there is none.
+  bool IsUnwanted(const ServiceName& service, TimePoint until, TimePoint now) const;
+  /// Returns when the first of the endpoints of `service` that get no requests now may receive them
+  /// again; nothing if there is none.
   std::optional<TimePoint> NextCoolDownEnd(const ServiceName& service, TimePoint now) const;
   /// Returns whether the store lists an endpoint of `service` that `choice` admits, whether or not
   /// it is usable now.
@@ -161,14 +171,23 @@
   /// Returns whether requests recently failed at the endpoint or near it, or the endpoint is
   /// unknown.
   bool IsSuspected(const EndpointId& id, TimePoint now) const;
-  /// Removes endpoints that are gone and have no requests.
+  /// Removes endpoints that are gone and have no requests, and gives their addresses back.
   void Forget(TimePoint now);
   std::size_t Size() const { return m_endpoints.size(); }
 
  private:
+  /// What a process has stated about itself in replies.
+  struct ProcessStatement {
+    std::int64_t incarnation = 0;
+    bool is_leaving = false;
+    TimePoint wanted_from{};
+    TimePoint stated_at{};
+  };
+
   using Index = std::map<std::string, std::map<EndpointId, DirectoryEndpoint*>>;
 
-  bool HasStatedLeaving(const EndpointRecord& record) const;
+  ProcessStatement* StatementOf(const EndpointRecord& record, TimePoint now);
+  void ApplyStatement(DirectoryEndpoint& endpoint) const;
   void StartCoolDown(const EndpointId& id, TimePoint until);
   void AddToIndexes(DirectoryEndpoint& endpoint);
   void RemoveFromIndexes(const EndpointRecord& record);
@@ -176,16 +195,10 @@
   bool ClaimsAddress(const DirectoryEndpoint& endpoint, TimePoint now) const;
   void ResolveSharedAddress(const std::string& address, TimePoint now);
 
-  /// A process that stated that it is shutting down.
-  struct LeavingProcess {
-    std::int64_t incarnation = 0;
-    TimePoint stated_at{};
-  };
-
   Options m_options;
   std::optional<std::set<ServiceName>> m_services;
   /// Also kept for endpoints that are no longer listed, because their rows may come back.
-  std::map<EndpointId, LeavingProcess> m_leaving;
+  std::map<EndpointId, ProcessStatement> m_statements;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
   Index m_by_address;
--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -316,8 +316,9 @@
   });
 }
 
-void PoisonRequestDetector::OnSurvived(const RelayedRequest& request) {
+void PoisonRequestDetector::OnSurvived(const RelayedRequest& request, bool is_success) {
   m_state->OnLocalCompletion(request.fingerprint);
+  if (!is_success) return;
   for (const Fingerprint part : request.part_fingerprints) m_state->OnLocalCompletion(part);
 }
 
--- a/src/libs/relay/poison_request_detector.h
+++ b/src/libs/relay/poison_request_detector.h
@@ -35,7 +35,8 @@
                      const AttemptLossDetails& details);
   /// An endpoint sent a complete reply of any status to the request, or has sent events for
   /// `LostAttempts::kMaxRunBeforeCrash`, so that the request does not crash endpoints.
-  void OnSurvived(const RelayedRequest& request);
+  /// Only a success proves that the parts of its prompt are harmless.
+  void OnSurvived(const RelayedRequest& request, bool is_success);
   /// Returns whether the request is rejected, because of the whole or of a part of its prompt.
   bool IsQuarantined(const RelayedRequest& request) const;
   /// Handles a message from the daemon at `from`, "ip:port".
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -127,12 +127,14 @@
 void ReportEndpointState(RelayContext& context, const RelayedRequest& request,
                          const EndpointRecord& endpoint, const EndpointResponseFields& answer) {
   if (answer.misdirected) return;
+  const TimePoint now = SteadyNow();
   if (answer.retry_after) {
-    context.endpoints.OnRetryAfter(endpoint.id, SteadyNow() + *answer.retry_after);
+    context.endpoints.OnRetryAfter(endpoint, now + *answer.retry_after, now);
   }
-  const bool is_news = answer.is_leaving && !context.endpoints.IsDraining(endpoint.id);
-  if (!is_news) return;
-  context.endpoints.OnLeaving(endpoint, SteadyNow());
+  if (!answer.is_leaving) return;
+  const bool is_known = context.endpoints.IsDraining(endpoint.id);
+  context.endpoints.OnLeaving(endpoint, now);
+  if (is_known) return;
   Log(LogLevel::kInfo, "endpoint_leaving",
       {{"request", request.fields.request_id}, {"endpoint", endpoint.id}});
 }
@@ -147,7 +149,7 @@
 void ReportCompletedAttempt(RelayContext& context, RelayedRequest& request,
                             const EndpointRecord& endpoint, bool is_failure, Duration latency,
                             Duration token_interval) {
-  context.poison_requests->OnSurvived(request);
+  context.poison_requests->OnSurvived(request, !is_failure);
   CompareVersions(context, request, endpoint, is_failure, latency, token_interval);
 }
 
@@ -158,10 +160,7 @@
 }
 
 bool IsUnservable(const RelayContext& context, const RelayedRequest& request, TimePoint until) {
-  const TimePoint now = SteadyNow();
-  if (!context.endpoints.Usable(request.service, now).empty()) return false;
-  const std::optional<TimePoint> next = context.endpoints.NextCoolDownEnd(request.service, now);
-  return next && *next > until;
+  return context.endpoints.IsUnwanted(request.service, until, SteadyNow());
 }
 
 Duration RetryAfterOf(RelayContext& context, const RelayedRequest& request) {
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -26,6 +26,8 @@
 constexpr Duration kRetryAfterNoEngine = std::chrono::milliseconds(300);
 // Delay before another placement when no engine has capacity.
 constexpr Duration kNoEngineRetryDelay = std::chrono::milliseconds(50);
+// Interval of the requests for a retry of a stream that has left a silent engine.
+constexpr Duration kRetryRequestInterval = std::chrono::milliseconds(300);
 // Limit on the engines tried, including those that rejected the stream or were unreachable.
 constexpr int kMaxEndpointTries = 12;
 // A stream that no engine accepts is rejected after this fraction of its latency objective, so that
@@ -55,6 +57,7 @@
  private:
   Task<void> FindPromptOfResumedStream();
   Task<Step> StartAttempt();
+  void ReadmitEngines();
   bool MayStartAttempt() const;
   Task<bool> TakeRetry();
   Task<std::shared_ptr<HttpClientExchange>> ConnectTo(const EndpointRecord& engine);
@@ -94,6 +97,8 @@
   StreamEngineUsage m_usage;
   bool m_head_sent = false;
   bool m_stale = false;
+  /// The engine from which the stream was moved because it was silent, though not known to be lost.
+  std::optional<EndpointId> m_silent_engine;
   /// The request has run for long enough to know that it does not crash engines.
   bool m_is_harmless = false;
   bool m_from_backup = false;
@@ -182,15 +187,22 @@
       co_await AnswerFailure();
       co_return Step::kEnd;
     }
-    m_placement.ClearExcluded();
+    ReadmitEngines();
     co_await m_wake->WaitFor(kNoEngineRetryDelay);
     co_return Step::kContinue;
   }
   const bool may_send = co_await TakeRetry();
+  // The engine that it has left may go on, so a stream that was moved from it does not end for lack
+  // of a retry.
+  if (!may_send && m_head_sent && m_silent_engine) {
+    co_await m_wake->WaitFor(kRetryRequestInterval);
+    co_return Step::kContinue;
+  }
   if (!may_send) {
     co_await AnswerFailure();
     co_return Step::kEnd;
   }
+  ++m_endpoint_tries;
   std::shared_ptr<HttpClientExchange> connection = co_await ConnectTo(*engine);
   if (!connection || m_exchange.ClientDisconnected()) co_return Step::kContinue;
   m_stale = !MayForward(m_context, m_request);
@@ -198,10 +210,20 @@
   co_return Step::kContinue;
 }
 
+/// Makes engines eligible again because there is no other: first the one that was silent, which may
+/// go on, and the ones that rejected the stream only if it is gone.
+void StreamSession::ReadmitEngines() {
+  if (m_silent_engine && m_context.endpoints.Find(*m_silent_engine) != nullptr) {
+    m_placement.Readmit(*m_silent_engine);
+  } else {
+    m_placement.ClearExcluded();
+  }
+}
+
 bool StreamSession::MayStartAttempt() const {
   return m_continuation.MayStartAttempt() && m_continuation.MayContinue() &&
          m_endpoint_tries < kMaxEndpointTries &&
-         !m_context.poison_requests->IsQuarantined(m_request);
+         (m_is_harmless || !m_context.poison_requests->IsQuarantined(m_request));
 }
 
 /// Returns whether the request may be sent: it was not sent before, or the quota allows a retry. An
@@ -213,7 +235,6 @@
 
 /// Returns null, and excludes the engine, if it cannot be reached.
 Task<std::shared_ptr<HttpClientExchange>> StreamSession::ConnectTo(const EndpointRecord& engine) {
-  ++m_endpoint_tries;
   std::shared_ptr<HttpClientExchange> connection =
       std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
   const std::error_code error =
@@ -268,14 +289,17 @@
 /// Returns whether the attempt was replaced. Connects to the other engine first, because it may not
 /// accept the connection.
 Task<bool> StreamSession::TryReplaceAttempt(std::string_view reason, AttemptLoss loss) {
-  if (!MayStartAttempt() || !MayForward(m_context, m_request)) co_return false;
+  if (!MayStartAttempt()) co_return false;
   const std::optional<EndpointRecord> engine = ChooseEngine();
   if (!engine) co_return false;
   const bool may_send = co_await TakeRetry();
   if (!may_send) co_return false;
   std::shared_ptr<HttpClientExchange> connection = co_await ConnectTo(*engine);
   const bool is_stalled = !m_attempt->HasEvent() && !m_attempt->End();
-  if (!connection || !is_stalled || m_exchange.ClientDisconnected()) co_return false;
+  const bool may_send_now = MayForward(m_context, m_request) && !m_exchange.ClientDisconnected();
+  if (!connection || !is_stalled || !may_send_now) co_return false;
+  ++m_endpoint_tries;
+  m_silent_engine = m_attempt->Endpoint().id;
   AbandonAttempt(reason, loss);
   BeginAttempt(*engine, std::move(connection));
   co_return true;
@@ -526,7 +550,7 @@
       first_event && SteadyNow() - *first_event > LostAttempts::kMaxRunBeforeCrash;
   if (m_is_harmless || !has_survived) return;
   m_is_harmless = true;
-  m_context.poison_requests->OnSurvived(m_request);
+  m_context.poison_requests->OnSurvived(m_request, true);
 }
 
 /// The first event of an attempt shows that its engine has read the prompt.
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -58,8 +58,13 @@
   cr_assert(directory.IsUsable("true", kStart), "the same row again proves nothing");
   directory.Put(Record("wrong", "10.0.0.1:80", 3), kStart);
   cr_assert_not(directory.IsUsable("true", kStart), "a later process may have the address");
-  directory.Remove("wrong", kStart);
-  cr_assert(directory.IsUsable("true", kStart));
+  const TimePoint gone_at = kStart + std::chrono::seconds(2);
+  directory.Remove("wrong", gone_at);
+  directory.Put(Record("true", "10.0.0.1:80", 1), kStart);
+  directory.Forget(kStart);
+  cr_assert_not(directory.IsUsable("true", kStart), "the other may still be there");
+  directory.Forget(gone_at);
+  cr_assert(directory.IsUsable("true", gone_at));
 }
 
 // Guards against an endpoint that is lost because a row of a service that does not exist has its
@@ -137,15 +142,21 @@
   EndpointDirectory directory;
   directory.Put(Record("e"), kStart);
   const TimePoint until = kStart + std::chrono::seconds(3);
-  directory.OnRetryAfter("e", until);
+  directory.OnRetryAfter(Record("e"), until, kStart);
   directory.OnSuccess("e");
   directory.OnRejected("e", kStart);
   cr_assert_not(directory.IsUsable("e", until - Duration(1)));
   cr_assert(directory.IsUsable("e", until));
   cr_assert(directory.NextCoolDownEnd("chat", kStart) == until);
   cr_assert_not(directory.NextCoolDownEnd("chat", until));
+  cr_assert(directory.IsUnwanted("chat", until - Duration(1), kStart));
+  cr_assert_not(directory.IsUnwanted("chat", until, kStart));
+  directory.Remove("e", kStart);
+  directory.Forget(kStart);
+  directory.Put(Record("e"), kStart);
+  cr_assert_not(directory.IsUsable("e", until - Duration(1)), "its row was away and came back");
   directory.Put(Record("other", "10.0.0.2:80"), kStart);
-  directory.OnRetryAfter("other", kStart + std::chrono::seconds(1));
+  directory.OnRetryAfter(Record("other", "10.0.0.2:80"), kStart + std::chrono::seconds(1), kStart);
   cr_assert(directory.NextCoolDownEnd("chat", kStart) == kStart + std::chrono::seconds(1));
   directory.OnLeaving(Record("other", "10.0.0.2:80"), kStart);
   cr_assert(directory.NextCoolDownEnd("chat", kStart) == until);
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -160,7 +160,8 @@
   cr_assert(read(503, "0.25") == std::chrono::milliseconds(250));
   cr_assert(read(503, "1e300") == std::chrono::hours(1));
   cr_assert_not(read(200, "2"));
-  for (const char* text : {"", "0", "-1", "nan", "soon", "Sat, 05 Dec 2026 03:00:00 GMT", "2s"}) {
+  for (const char* text :
+       {"", "0", "-1", "nan", "inf", "soon", "Sat, 05 Dec 2026 03:00:00 GMT", "2s"}) {
     cr_assert_not(read(503, text), "%s", text);
   }
 }
