crashes: find parts that come in pairs, and ask again after a quarantine

Change: after eight crashes a part is quarantined although another may explain them. A crash after the quarantine of a part leads to a query first. Known companions always count.

--- a/src/libs/coordination/crash_tracker.cpp
+++ b/src/libs/coordination/crash_tracker.cpp
@@ -19,8 +19,16 @@
   ConsecutiveCrashes& crashes = m_consecutive_crashes[attempt.fingerprint];
   if (crashes.state == State::kQuarantined) {
     if (now < crashes.quarantined_until) return Finding::kQuarantined;
-    Quarantine(crashes, now);
-    return Finding::kQuarantinedAgain;
+    if (crashes.requests.empty()) {
+      Quarantine(crashes, now);
+      return Finding::kQuarantinedAgain;
+    }
+    // The crash may have another cause, and many requests share a part.
+    crashes.first_started = crashes.quarantined_until + m_options.part_lookback;
+    crashes.last_ended = attempt.ended;
+    crashes.state = State::kQuerying;
+    crashes.queried_at = now;
+    return Finding::kQueryCompletion;
   }
   const bool is_first = crashes.endpoints.empty();
   const bool is_next = attempt.started + m_options.jitter >= crashes.last_ended &&
@@ -43,7 +51,8 @@
   const bool is_new_request = attempt.request && ++crashes.requests[*attempt.request] == 1;
   if (!is_new_request) return;
   for (const Fingerprint companion : attempt.companions) {
-    if (crashes.companions.size() < kMaxCompanions) ++crashes.companions[companion];
+    const bool is_full = crashes.companions.size() >= kMaxCompanions;
+    if (!is_full || crashes.companions.count(companion) > 0) ++crashes.companions[companion];
   }
 }
 
@@ -98,7 +107,9 @@
   for (auto& [fingerprint, crashes] : m_consecutive_crashes) {
     if (crashes.state != State::kQuerying || now - crashes.queried_at < m_options.answer_timeout)
       continue;
-    if (!Explanations(crashes).empty()) {
+    const bool is_explained =
+        !Explanations(crashes).empty() && crashes.endpoints.size() < m_options.part_pair_threshold;
+    if (is_explained) {
       crashes.state = State::kCounting;
       continue;
     }
--- a/src/libs/coordination/crash_tracker.h
+++ b/src/libs/coordination/crash_tracker.h
@@ -49,6 +49,9 @@
     std::size_t part_request_threshold = 2;
     /// Crashes of one request that count for a part of its prompt.
     std::size_t part_crashes_per_request = 2;
+    /// Crashes after which a part is quarantined although another one may explain them: it always
+    /// occurs together with that one.
+    std::size_t part_pair_threshold = 8;
     /// A part is cleared also by completions this long before its first crash, because those of
     /// other requests with it may take longer than a series of crashes.
     Duration part_lookback = std::chrono::seconds(20);
@@ -67,7 +70,7 @@
 
   enum class Finding {
     kNothing,
-    /// Query all daemons whether they have completed such a request since `FirstStarted`.
+    /// Query all daemons whether they have completed such a request since `ClearedSince`.
     kQueryCompletion,
     /// The fingerprint is in quarantine; the sender of the report has not been notified of it.
     kQuarantined,
--- a/tests/auto/coordination/tst_crash_fleet.cpp
+++ b/tests/auto/coordination/tst_crash_fleet.cpp
@@ -195,7 +195,8 @@
 
 void CrashFleet::StartAttempt(Request request) {
   if (IsQuarantined(request)) {
-    if (!request.crashes) ++(request.attempts == 0 ? rejected : interrupted);
+    if (!request.crashes) ++rejected;
+    if (!request.crashes && request.attempts > 0) ++interrupted;
     return;
   }
   if (request.attempts++ >= kMaxAttempts) return;
