relay: leave a slow endpoint only for one that has accepted the call

While a slow caller read its reply, the watch of the finished call took a retry and closed the connection that another call had taken from the pool; that call was sent once more.

Change: the watch takes a retry, connects to the other endpoint and only then closes the first connection; the open one is used for the next attempt. Its conditions are those of an attempt (tries left, key confirmed, not quarantined). The watch ends before the connection is pooled.

Evidence: two new tests in tst_silent_endpoints (a call and a stream whose other endpoint does not take them).

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -43,6 +43,38 @@
   kCallerGone,
 };
 
+/// An endpoint that may take over a call from one that is slow to reply.
+struct CallReplacement {
+  EndpointRecord endpoint;
+  /// Open once the endpoint has accepted it.
+  std::shared_ptr<HttpClientExchange> connection;
+  bool has_retry = false;
+  /// Endpoints that could not be reached.
+  std::set<EndpointId> unreachable;
+};
+
+/// Takes a retry, if `replacement` has none yet, and connects to `endpoint`. Returns whether both
+/// succeeded.
+Task<bool> ObtainReplacement(RelayContext& context, std::shared_ptr<CallReplacement> replacement,
+                             EndpointRecord endpoint, ServiceName service, Duration timeout) {
+  if (!replacement->has_retry) {
+    replacement->has_retry = co_await context.TryTakeRetry(std::move(service));
+  }
+  if (!replacement->has_retry) co_return false;
+  const std::shared_ptr<HttpClientExchange> connection =
+      std::make_shared<HttpClientExchange>(context.executor, HttpClientExchange::Options());
+  const std::error_code error =
+      co_await ConnectEndpoint(context, *connection, endpoint.address, timeout);
+  if (error) {
+    context.OnEndpointFailure(endpoint.id);
+    replacement->unreachable.insert(endpoint.id);
+    co_return false;
+  }
+  replacement->endpoint = std::move(endpoint);
+  replacement->connection = connection;
+  co_return true;
+}
+
 class CallSession {
  public:
   CallSession(RelayContext& context, EndpointConnectionPool& pool, HttpExchange& exchange,
@@ -59,6 +91,8 @@
  private:
   Task<TryResult> TryEndpoint();
   Task<bool> Connect();
+  void EndWatch();
+  Duration ConnectTimeout() const;
   Task<TryResult> Exchange();
   const DirectoryEndpoint* Place(std::set<EndpointId> excluded) const;
   SlowReplyWatch::Options WatchOptions();
@@ -84,6 +118,8 @@
   std::shared_ptr<HttpClientExchange> m_connection;
   /// Exists while an attempt may be replaced by one at another endpoint.
   std::unique_ptr<SlowReplyWatch> m_watch;
+  /// Shared with the watch.
+  std::shared_ptr<CallReplacement> m_replacement;
   EndpointRecord m_endpoint;
   TimePoint m_attempt_started{};
   bool m_is_reused = false;
@@ -110,9 +146,13 @@
   });
   while (m_endpoint_tries++ < kMaxEndpointTries && TimeLeft() > Duration::zero() &&
          !m_exchange.ClientDisconnected()) {
-    const DirectoryEndpoint* endpoint = Place(m_excluded);
-    if (endpoint == nullptr) break;
-    m_endpoint = endpoint->record;
+    if (m_replacement) {
+      m_endpoint = m_replacement->endpoint;
+    } else {
+      const DirectoryEndpoint* endpoint = Place(m_excluded);
+      if (endpoint == nullptr) break;
+      m_endpoint = endpoint->record;
+    }
     const EndpointUse use{m_endpoint.id};
     m_context.endpoints.AddUse(use);
     const TryResult end = co_await TryEndpoint();
@@ -154,9 +194,12 @@
 Task<TryResult> CallSession::TryEndpoint() {
   // If the endpoint closed an idle connection meanwhile, a request sent on it could not be told
   // from one that ran and lost its reply, so only idempotent requests use idle connections.
-  if (IsIdempotent() && m_use_idle) m_connection = m_pool.TakeIdle(m_endpoint.id, SteadyNow());
-  m_is_reused = m_connection != nullptr;
-  if (!m_is_reused && !co_await Connect()) co_return TryResult::kNotRun;
+  const std::shared_ptr<CallReplacement> replacement = std::exchange(m_replacement, nullptr);
+  if (replacement) m_connection = replacement->connection;
+  const bool may_reuse = !replacement && IsIdempotent() && m_use_idle;
+  if (may_reuse) m_connection = m_pool.TakeIdle(m_endpoint.id, SteadyNow());
+  m_is_reused = may_reuse && m_connection != nullptr;
+  if (!m_connection && !co_await Connect()) co_return TryResult::kNotRun;
   if (m_exchange.ClientDisconnected()) co_return TryResult::kCallerGone;
   if (!MayForward(m_context, m_request)) {
     m_stale = true;
@@ -170,15 +213,28 @@
 Task<bool> CallSession::Connect() {
   m_connection =
       std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
-  const Duration limit =
-      std::clamp(m_request.route->latency_objective / 2, kMinConnectTimeout, kMaxConnectTimeout);
-  const std::error_code error = co_await ConnectEndpoint(
-      m_context, *m_connection, m_endpoint.address, std::min(limit, TimeLeft()));
+  const std::error_code error =
+      co_await ConnectEndpoint(m_context, *m_connection, m_endpoint.address, ConnectTimeout());
   if (!error) co_return true;
   if (!m_exchange.ClientDisconnected()) OnEndpointFailed("connect: " + error.message());
   co_return false;
 }
 
+Duration CallSession::ConnectTimeout() const {
+  const Duration limit =
+      std::clamp(m_request.route->latency_objective / 2, kMinConnectTimeout, kMaxConnectTimeout);
+  return std::min(limit, TimeLeft());
+}
+
+/// Keeps the endpoint and the retry that the watch has obtained. The connection may be used for
+/// another request afterwards.
+void CallSession::EndWatch() {
+  if (!m_watch) return;
+  m_has_retry = m_replacement->has_retry;
+  if (!m_watch->HasRetry()) m_replacement.reset();
+  m_watch.reset();
+}
+
 Task<TryResult> CallSession::Exchange() {
   EndpointFields fields;
   fields.endpoint = m_endpoint.id;
@@ -187,12 +243,13 @@
   m_attempt_started = SteadyNow();
   ++m_sends;
   ++m_attempts;
+  m_has_retry = false;
   if (MayRunElsewhere()) {
+    m_replacement = std::make_shared<CallReplacement>();
     m_watch = std::make_unique<SlowReplyWatch>(m_context.executor, m_connection, WatchOptions());
   }
   const TryResult end = co_await ReadReply();
-  m_has_retry = HasRetry();
-  m_watch.reset();
+  EndWatch();
   if (end == TryResult::kNotRun || end == TryResult::kClosedIdle) --m_attempts;
   co_return end;
 }
@@ -202,12 +259,18 @@
   SlowReplyWatch::Options options;
   options.patience = std::max(kMinSlowReply, m_request.route->latency_objective * kSlowReplyFactor);
   options.interval = kRetryRequestInterval;
-  // The session may end while the quota is requested, so it is used only before.
-  options.take_retry = [this, &context = m_context]() -> Task<bool> {
+  // The session may end during the suspensions, so it is used only before the first.
+  options.take_retry = [this, &context = m_context, replacement = m_replacement]() -> Task<bool> {
+    const bool may_retry = m_endpoint_tries < kMaxEndpointTries &&
+                           MayForward(m_context, m_request) &&
+                           !m_context.poison_requests->IsQuarantined(m_request);
     std::set<EndpointId> excluded = m_excluded;
     excluded.insert(m_endpoint.id);
-    if (Place(std::move(excluded)) == nullptr) co_return false;
-    co_return co_await context.TryTakeRetry(m_request.service);
+    excluded.insert(replacement->unreachable.begin(), replacement->unreachable.end());
+    const DirectoryEndpoint* endpoint = may_retry ? Place(std::move(excluded)) : nullptr;
+    if (endpoint == nullptr) co_return false;
+    co_return co_await ObtainReplacement(context, replacement, endpoint->record, m_request.service,
+                                         ConnectTimeout());
   };
   return options;
 }
@@ -248,6 +311,7 @@
       OnAttemptLost("body", error);
       co_return TryResult::kMayHaveRun;
     }
+    EndWatch();
     m_context.endpoints.OnSuccess(m_endpoint.id);
     if (reply_fields.load) m_context.endpoints.OnLoad(m_endpoint.id, *reply_fields.load);
     ReportCompletedAttempt(m_context, m_request, m_endpoint, m_reply.status >= 500,
--- a/tests/auto/platform/tst_silent_endpoints.cpp
+++ b/tests/auto/platform/tst_silent_endpoints.cpp
@@ -93,6 +93,31 @@
   cr_assert_eq(world.endpoints[0]->seen.size(), 1u);
 }
 
+Task<void> CallsWaitIfNoOtherAccepts(PlatformWorld& world) {
+  AddPausingEndpoint(world, "orders", "a");
+  world.store->Put("servers", "i-unreachable", EndpointRow(kUnreachableAddress, "orders", "b"));
+  co_await world.Start();
+  const HttpResult result = co_await world.Send("GET", "/look/x");
+  cr_assert_eq(result.reply.status, 200, "%d", result.reply.status);
+  cr_assert_eq(world.endpoints[0]->seen.size(), 1u);
+}
+
+Task<void> StreamsGoOnIfTheOtherEngineRejects(PlatformWorld& world) {
+  AddPausingEndpoint(world, "drafts", "a");
+  // The quota allows three retries.
+  world.settings.retry_share = 0.0;
+  world.settings.retry_slack = 4.0;
+  co_await world.Start();
+  Spawn(world.loop.GetExecutor(), [&world]() -> Task<void> {
+    co_await PlatformWorld::WaitFor([&world]() { return !world.endpoints[0]->seen.empty(); });
+    world.AddEndpoint("drafts", "b").behaviour = EndpointBehaviour::kReject;
+  });
+  const HttpResult result = co_await world.Send("POST", "/stream/x");
+  cr_assert_not(result.error, "%s", result.error.message().c_str());
+  cr_assert(result.reply.body == AllEvents(1, 10), "%s", result.reply.body.c_str());
+  cr_assert_geq(world.endpoints[1]->seen.size(), 1u, "the other engine was tried");
+}
+
 Task<void> CallsGoElsewhereWithRetries(PlatformWorld& world) {
   AddPausingEndpoint(world, "orders", "a");
   co_await world.Start();
@@ -102,6 +127,7 @@
   co_await Sleep(std::chrono::milliseconds(500));
   const HttpResult result = co_await world.Send("GET", "/look/x");
   cr_assert_eq(result.reply.status, 200, "%d", result.reply.status);
+  cr_assert_eq(world.endpoints[0]->seen.size(), 1u, "the slow endpoint was tried first");
   cr_assert_eq(other.seen.size(), 1u);
 }
 
@@ -127,3 +153,13 @@
 Test(silent_endpoints, a_call_goes_elsewhere_with_retry_quota) {
   RunTest(&CallsGoElsewhereWithRetries);
 }
+
+// Guards against a call that leaves its silent endpoint for one that does not accept it.
+Test(silent_endpoints, a_call_waits_if_no_other_endpoint_accepts_it) {
+  RunTest(&CallsWaitIfNoOtherAccepts);
+}
+
+// Guards against a stream that ends because the engine to which it was moved rejects it.
+Test(silent_endpoints, a_stream_goes_on_if_the_other_engine_rejects_it) {
+  RunTest(&StreamsGoOnIfTheOtherEngineRejects);
+}
