coordination: count only compared requests as evidence for a new version

What callers saw: after an order with a short time limit, a version that was four times slower was accepted and got all traffic.

Cause: a step of the rollout ends after 10 (canary) or 5 requests of the new version, unless there is evidence against it. A request that succeeds before the old version's latency limit is known, which takes 40 requests on its route, was counted there although nothing had been compared. With 12 requests a second these were most of the requests that a rollout of 10 s has.

Ruled out: giving no permits until a limit is known.

Change: only failed requests and those compared with a latency limit count.

--- a/src/libs/coordination/version_comparison.cpp
+++ b/src/libs/coordination/version_comparison.cpp
@@ -52,7 +52,7 @@
   if (m_result == ComparisonResult::kBad) return;
   for (const StratumCounts& stratum : strata) {
     if (stratum.new_version.requests == 0) continue;
-    m_new_requests += stratum.new_version.requests;
+    m_new_requests += stratum.new_version.errors + stratum.new_version.with_latency_limit;
     AddNewVersionOutcomes(stratum, Measure::kErrors);
     AddNewVersionOutcomes(stratum, Measure::kSlow);
   }
--- a/src/libs/coordination/version_comparison.h
+++ b/src/libs/coordination/version_comparison.h
@@ -58,7 +58,9 @@
   const std::string& Reason() const { return m_reason; }
   /// Returns the endpoints that are excluded because bad outcomes were concentrated there.
   const std::set<EndpointId>& ExcludedEndpoints() const { return m_excluded; }
-  /// Returns the number of requests of the new version that were compared.
+  /// Returns the number of requests of the new version that were compared: those that failed, and
+  /// those whose latency was compared with a limit. Successful requests from before the limit is
+  /// known do not count, because they would hide a slow version.
   std::uint64_t NewRequests() const { return m_new_requests; }
   /// Discards the evidence for `kGood`, for example after the share was raised. The evidence for
   /// `kBad` is kept.
--- a/tests/auto/coordination/tst_rollout_exposure.cpp
+++ b/tests/auto/coordination/tst_rollout_exposure.cpp
@@ -1,8 +1,10 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -26,6 +28,8 @@
 constexpr Duration kStep = std::chrono::milliseconds(50);
 constexpr Duration kTakeoverTime = std::chrono::seconds(5);
 constexpr int kEndpointsPerVersion = 12;
+constexpr Duration kShortLatency = std::chrono::milliseconds(55);
+constexpr Duration kLongLatency = std::chrono::seconds(1);
 
 /// What a version adds to the behaviour of a request.
 struct VersionAnswer {
@@ -45,6 +49,7 @@
   Behaviour behaviour;
   /// When the controller is lost. Another takes over after `kTakeoverTime`.
   std::optional<Duration> controller_lost = std::nullopt;
+  Duration median_latency = kShortLatency;
 };
 
 struct Result {
@@ -64,7 +69,14 @@
   Result Run();
 
  private:
+  struct Attempt {
+    RolloutParticipant* daemon = nullptr;
+    VersionOutcome outcome;
+    bool is_bad = false;
+  };
+
   void SendRequest();
+  void EndAttempts();
   void Handle(const RolloutController::Event& event);
   void TickDaemons();
   void StartController(std::uint64_t token);
@@ -82,6 +94,8 @@
   std::optional<RolloutRow> m_row;
   std::uint64_t m_row_version = 0;
   std::vector<RolloutDirective> m_directives;
+  /// Requests in progress, by the time at which they end.
+  std::multimap<TimePoint, Attempt> m_attempts;
   std::optional<TimePoint> m_bad_since;
   int m_bad_answers = 0;
   Result m_result;
@@ -176,17 +190,25 @@
     ++m_result.exposed;
     if (m_bad_since && m_now > *m_bad_since + kRollbackTime) ++m_result.late;
   }
-  const bool is_bad = answer.error || answer.latency_factor > 2.0;
-  if (is_bad && ++m_bad_answers == kBadAnswersUntilDetected) m_bad_since = m_now;
   outcome.error = answer.error || std::bernoulli_distribution(BaseErrorRate(route))(m_random);
-  const double work =
-      std::lognormal_distribution<double>(4.0, 0.5)(m_random) * answer.latency_factor;
-  outcome.latency = std::chrono::microseconds(static_cast<std::int64_t>(work * 1000));
-  std::vector<RolloutParticipant::Action> actions;
-  daemon.Handle(RolloutParticipant::OutcomeSeen{outcome}, m_now, actions);
-  for (const RolloutParticipant::Action& action : actions) {
-    const auto* notice = std::get_if<RolloutParticipant::PublishGossip>(&action);
-    if (notice != nullptr) Handle(RolloutController::GossipReceived{notice->notice});
+  const double median_us = static_cast<double>(m_scenario.median_latency.count());
+  const double work = std::lognormal_distribution<double>(std::log(median_us), 0.5)(m_random) *
+                      answer.latency_factor;
+  outcome.latency = Duration(static_cast<Duration::rep>(work));
+  const bool is_bad = answer.error || answer.latency_factor > 2.0;
+  m_attempts.emplace(m_now + outcome.latency, Attempt{&daemon, outcome, is_bad});
+}
+
+void RolloutFleet::EndAttempts() {
+  while (!m_attempts.empty() && m_attempts.begin()->first <= m_now) {
+    const Attempt attempt = m_attempts.extract(m_attempts.begin()).mapped();
+    if (attempt.is_bad && ++m_bad_answers == kBadAnswersUntilDetected) m_bad_since = m_now;
+    std::vector<RolloutParticipant::Action> actions;
+    attempt.daemon->Handle(RolloutParticipant::OutcomeSeen{attempt.outcome}, m_now, actions);
+    for (const RolloutParticipant::Action& action : actions) {
+      const auto* notice = std::get_if<RolloutParticipant::PublishGossip>(&action);
+      if (notice != nullptr) Handle(RolloutController::GossipReceived{notice->notice});
+    }
   }
 }
 
@@ -197,6 +219,7 @@
     const int count = std::poisson_distribution<int>(per_step)(m_random);
     const bool was_running = !m_result.ended;
     for (int index = 0; index < count; ++index) SendRequest();
+    EndAttempts();
     MaintainController();
     TickDaemons();
     Handle(RolloutController::Tick{});
@@ -303,3 +326,111 @@
   const int runs = kSeeds * static_cast<int>(scenarios.size());
   cr_assert_leq(unfinished, 2, "%d of %d", unfinished, runs);
 }
+
+namespace {
+
+struct HastyOrder {
+  Duration within;
+  double requests_per_second;
+  int daemons;
+  Duration median_latency;
+};
+
+std::vector<HastyOrder> HastyOrders() {
+  std::vector<HastyOrder> orders;
+  for (const int seconds : {6, 10, 15, 30}) {
+    for (const double rate : {1.0, 5.0, 12.0, 40.0, 150.0}) {
+      for (const int daemons : {8, 195}) {
+        for (const Duration latency : {kShortLatency, kLongLatency}) {
+          orders.push_back({std::chrono::seconds(seconds), rate, daemons, latency});
+        }
+      }
+    }
+  }
+  return orders;
+}
+
+struct HastyCounts {
+  int done = 0;
+  int undecided = 0;
+  int judged = 0;
+  int over_exposure = 0;
+  int late = 0;
+  int unended = 0;
+};
+
+HastyCounts PlayHastyOrder(const HastyOrder& order, const Behaviour& behaviour) {
+  constexpr std::uint64_t kHastySeeds = 5;
+  HastyCounts counts;
+  for (std::uint64_t seed = 1; seed <= kHastySeeds; ++seed) {
+    Scenario scenario{"hasty", order.daemons, order.requests_per_second, order.within, behaviour};
+    scenario.median_latency = order.median_latency;
+    RolloutFleet fleet(scenario, seed);
+    const Result result = fleet.Run();
+    const bool is_rolled_back = result.phase == RolloutPhase::kRolledBack;
+    const bool is_done = result.phase == RolloutPhase::kDone;
+    const bool is_undecided = is_rolled_back && result.reason.starts_with("undecided");
+    counts.done += is_done ? 1 : 0;
+    counts.undecided += is_undecided ? 1 : 0;
+    counts.judged += is_rolled_back && !is_undecided ? 1 : 0;
+    counts.unended += is_rolled_back || is_done ? 0 : 1;
+    counts.over_exposure +=
+        result.exposed > kExposureShare * result.requests + kExposureSlack ? 1 : 0;
+    counts.late += result.late > 0 ? 1 : 0;
+  }
+  return counts;
+}
+
+void Print(const char* version, const HastyOrder& order, const HastyCounts& counts) {
+  using Seconds = std::chrono::duration<double>;
+  std::printf("%-9s %4.0f s, %5.0f/s, %3d daemons, %5.3f s: ", version,
+              Seconds(order.within).count(), order.requests_per_second, order.daemons,
+              Seconds(order.median_latency).count());
+  std::printf("%d done, %d undecided, %d judged, %d not ended, %d over exposure, %d late\n",
+              counts.done, counts.undecided, counts.judged, counts.unended, counts.over_exposure,
+              counts.late);
+}
+
+void ExpectNeverAccepted(const char* version, const HastyOrder& order, const Behaviour& behaviour) {
+  const HastyCounts counts = PlayHastyOrder(order, behaviour);
+  Print(version, order, counts);
+  cr_expect_eq(counts.done + counts.unended, 0);
+  cr_expect_eq(counts.over_exposure + counts.late, 0);
+}
+
+}  // namespace
+
+// Guards against a slow version that is accepted because the time is short: because its requests
+// were not compared, or were too few.
+Test(rollout_exposure, hasty_orders_never_accept_a_slow_version) {
+  for (const HastyOrder& order : HastyOrders()) {
+    ExpectNeverAccepted("slow", order, SlowFrom(Duration::zero(), 4.0));
+  }
+}
+
+// Guards against a slow version that is accepted because it is as good as the old one at first.
+Test(rollout_exposure, hasty_orders_never_accept_a_version_that_slows_down) {
+  for (const HastyOrder& order : HastyOrders()) {
+    if (order.median_latency != kShortLatency) continue;
+    ExpectNeverAccepted("slow late", order, SlowFrom(order.within * 2 / 5, 4.0));
+  }
+}
+
+// Guards against a good version that is judged bad, or that is not done although the service has
+// enough requests.
+Test(rollout_exposure, hasty_orders_accept_a_good_version) {
+  constexpr double kEnoughRequestsPerSecond = 150.0;
+  constexpr Duration kEnoughTime = std::chrono::seconds(10);
+  int judged = 0;
+  int unfinished = 0;
+  for (const HastyOrder& order : HastyOrders()) {
+    const HastyCounts counts = PlayHastyOrder(order, Good());
+    Print("good", order, counts);
+    judged += counts.judged;
+    const bool is_enough =
+        order.requests_per_second >= kEnoughRequestsPerSecond && order.within >= kEnoughTime;
+    if (is_enough) unfinished += counts.undecided + counts.unended;
+  }
+  cr_expect_leq(judged, 4, "%d of 400", judged);
+  cr_expect_eq(unfinished, 0);
+}
