relay: keep each service's last latencies for its next rollout

What callers saw: a good version that had to be moved within 10 to 30 s was rolled back as undecided, and a slow one was rolled back as undecided and not as slow.

Cause: the old version's latencies were collected from the order on. With 12 requests a second the limits were known after 9 s or more, and the canary had used its slack for requests that nothing was compared with.

Change: a daemon keeps the last 16 latencies of each service and sends them with its reports until one is answered. Reports from before the controller has read the rollout's row are dropped, so sending them once was not enough (a trace showed limits at 9.5 s as before). Latencies of a version that was rolled back are not kept.

--- a/src/libs/coordination/rollout_participant.cpp
+++ b/src/libs/coordination/rollout_participant.cpp
@@ -19,7 +19,6 @@
 constexpr std::uint32_t kMaxPermitsWanted = 4;
 constexpr std::size_t kMaxStrataPerReport = 64;
 constexpr std::size_t kMaxEndpointsPerReport = 16;
-constexpr std::size_t kMaxLatenciesPerReport = 16;
 /// Latencies up to this multiple of the old version's 95th percentile do not count as slow.
 constexpr double kSlowFactor = 1.25;
 
@@ -46,13 +45,23 @@
 
 }  // namespace
 
-RolloutParticipant::RolloutParticipant(InstanceId self, ServiceName service, RolloutRequest rollout)
+RolloutParticipant::RolloutParticipant(InstanceId self, ServiceName service, RolloutRequest rollout,
+                                       RecentLatencies latencies_before)
     : m_self(std::move(self)),
       m_service(std::move(service)),
       m_rollout(std::move(rollout)),
       m_comparison(VersionComparison::Settings{.false_alarm_rate = kFalseAlarmRatePerDaemon}),
       m_outbox(m_self, m_rollout.id),
-      m_accumulated_share(InitialAccumulatedShare(m_self)) {}
+      m_latencies_before(std::move(latencies_before)),
+      m_accumulated_share(InitialAccumulatedShare(m_self)) {
+  for (const RouteLatency& latency : m_latencies_before) m_local_latencies.Add(latency);
+}
+
+std::optional<RouteLatency> RolloutParticipant::LatencyOf(const VersionOutcome& outcome) {
+  if (outcome.error || outcome.latency <= Duration::zero()) return std::nullopt;
+  return RouteLatency{ShortHash(outcome.route), Microseconds(outcome.latency),
+                      Microseconds(outcome.token_interval)};
+}
 
 void RolloutParticipant::Handle(const Event& event, TimePoint now, std::vector<Action>& actions) {
   std::visit(
@@ -137,19 +146,18 @@
   OutcomeCounts counts;
   counts.requests = 1;
   counts.errors = outcome.error ? 1 : 0;
-  if (outcome.error || outcome.latency <= Duration::zero()) return counts;
-  const RouteLatency measured{ShortHash(outcome.route), Microseconds(outcome.latency),
-                              Microseconds(outcome.token_interval)};
-  if (const std::optional<RouteLatency> limit = LimitOf(measured.route)) {
+  const std::optional<RouteLatency> measured = LatencyOf(outcome);
+  if (!measured) return counts;
+  if (const std::optional<RouteLatency> limit = LimitOf(measured->route)) {
     counts.with_latency_limit = 1;
-    const bool slow = IsSlow(limit->latency_us, measured.latency_us) ||
-                      IsSlow(limit->token_interval_us, measured.token_interval_us);
+    const bool slow = IsSlow(limit->latency_us, measured->latency_us) ||
+                      IsSlow(limit->token_interval_us, measured->token_interval_us);
     counts.slow = slow ? 1 : 0;
   }
   if (outcome.new_version) return counts;
-  m_local_latencies.Add(measured);
+  m_local_latencies.Add(*measured);
   std::vector<RouteLatency>& samples = m_outbox.Pending().old_latencies;
-  if (samples.size() < kMaxLatenciesPerReport) samples.push_back(measured);
+  if (samples.size() < kMaxLatenciesPerReport) samples.push_back(*measured);
   return counts;
 }
 
@@ -211,7 +219,17 @@
 
 void RolloutParticipant::OnTick(TimePoint now, std::vector<Action>& actions) {
   std::optional<RolloutReport> report = m_outbox.TakeDue(kReportInterval, now);
-  if (report) actions.emplace_back(SendReport{std::move(*report)});
+  if (!report) return;
+  if (!m_directive) AddLatenciesBefore(*report);
+  actions.emplace_back(SendReport{std::move(*report)});
+}
+
+/// The controller may not be elected yet, so every report has them until one is answered.
+void RolloutParticipant::AddLatenciesBefore(RolloutReport& report) const {
+  for (const RouteLatency& latency : m_latencies_before) {
+    if (report.old_latencies.size() >= kMaxLatenciesPerReport) return;
+    report.old_latencies.push_back(latency);
+  }
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/rollout_participant.h
+++ b/src/libs/coordination/rollout_participant.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,6 +36,9 @@
   Duration token_interval{};
 };
 
+/// The latest latencies of a service, oldest first.
+using RecentLatencies = std::deque<RouteLatency>;
+
 /// A daemon's part in the rollout of one service. Chooses the version for each request within the
 /// share that the controller allows, compares the versions on this daemon's own requests, and
 /// reports to the controller.
@@ -45,6 +50,8 @@
  public:
   static constexpr Duration kReportInterval = std::chrono::seconds(1);
   static constexpr Duration kDirectiveValidity = std::chrono::milliseconds(2500);
+  /// Number of latencies of the old version that one report can carry.
+  static constexpr std::size_t kMaxLatenciesPerReport = 16;
 
   struct OutcomeSeen {
     VersionOutcome outcome;
@@ -68,7 +75,13 @@
   };
   using Action = std::variant<SendReport, PublishGossip>;
 
-  RolloutParticipant(InstanceId self, ServiceName service, RolloutRequest rollout);
+  /// `latencies_before` are the latest latencies of the old version from before the rollout, oldest
+  /// first. With them the fleet has latency limits from the first reports on.
+  RolloutParticipant(InstanceId self, ServiceName service, RolloutRequest rollout,
+                     RecentLatencies latencies_before = {});
+
+  /// Returns the latency of a successful request; nothing if it failed or was not measured.
+  static std::optional<RouteLatency> LatencyOf(const VersionOutcome& outcome);
 
   void Handle(const Event& event, TimePoint now, std::vector<Action>& actions);
 
@@ -93,6 +106,7 @@
   void OnDirective(const RolloutDirective& directive, TimePoint now);
   void OnBadVersion(const BadVersionNotice& notice, std::vector<Action>& actions);
   void OnTick(TimePoint now, std::vector<Action>& actions);
+  void AddLatenciesBefore(RolloutReport& report) const;
   OutcomeCounts Classify(const VersionOutcome& outcome);
   std::optional<RouteLatency> LimitOf(std::uint32_t route) const;
   void AddToReport(const StratumCounts& stratum, const EndpointCounts& endpoint);
@@ -106,6 +120,8 @@
   /// Latency limits of the old version from the controller, by route, from the whole fleet.
   std::map<std::uint32_t, RouteLatency> m_fleet_limits;
   RolloutReportOutbox m_outbox;
+  /// Latencies of the old version from before the rollout.
+  RecentLatencies m_latencies_before;
   std::optional<RolloutDirective> m_directive;
   std::set<EndpointId> m_excluded_by_controller;
   TimePoint m_directive_until{};
--- a/src/libs/relay/relay_rollouts.cpp
+++ b/src/libs/relay/relay_rollouts.cpp
@@ -41,6 +41,7 @@
                                                      RolloutReport report);
   void OnDirective(const RolloutDirective& directive);
   void End(Rollout& rollout, RolloutPhase phase);
+  void KeepLatency(const ServiceName& service, const VersionOutcome& outcome);
   void NotifyAllPeers(const BadVersionNotice& notice);
   int CountNewEndpoints(const ServiceName& service, const VersionName& version) const;
   Rollout* Find(const std::string& id);
@@ -50,6 +51,8 @@
   PeerConnections& connections;
   RolloutControl control;
   std::map<ServiceName, Rollout> rollouts;
+  /// The latest latencies of each service on this daemon, except those from during a rollout.
+  std::map<ServiceName, RecentLatencies> recent_latencies;
   bool running = false;
   bool stopped = false;
 };
@@ -153,6 +156,14 @@
       {{"rollout", rollout.Request().id}, {"result", NameOf(kRolloutPhaseNames, phase)}});
 }
 
+void RelayRollouts::State::KeepLatency(const ServiceName& service, const VersionOutcome& outcome) {
+  const std::optional<RouteLatency> latency = RolloutParticipant::LatencyOf(outcome);
+  if (!latency) return;
+  RecentLatencies& latencies = recent_latencies[service];
+  latencies.push_back(*latency);
+  if (latencies.size() > RolloutParticipant::kMaxLatenciesPerReport) latencies.pop_front();
+}
+
 void RelayRollouts::State::NotifyAllPeers(const BadVersionNotice& notice) {
   const std::string bytes = EncodeDatagram(notice);
   for (const PeerRecord& peer : context.peers.AvailablePeers(SteadyNow())) {
@@ -199,7 +210,8 @@
       WallNow() + std::chrono::duration_cast<std::chrono::milliseconds>(order.time_limit).count();
   const InstanceId self{state.context.settings.name, state.context.incarnation};
   state.rollouts.emplace(order.service,
-                         State::Rollout{RolloutParticipant(self, order.service, request)});
+                         State::Rollout{RolloutParticipant(self, order.service, request,
+                                                           state.recent_latencies[order.service])});
   state.control.Add(order.service, request);
   Log(LogLevel::kInfo, "rollout_ordered", {{"rollout", request.id}, {"to", order.new_version}});
   if (std::exchange(state.running, true)) return;
@@ -240,8 +252,12 @@
   VersionChoice next = choice;
   if (outcome.error && choice.may_fall_back) next.use_new_version = false;
   const auto found = m_state->rollouts.find(service);
-  const bool is_compared = found != m_state->rollouts.end() && !found->second.end &&
-                           found->second.Request().to == choice.version;
+  const bool is_running = found != m_state->rollouts.end() && !found->second.end;
+  const bool is_rejected = found != m_state->rollouts.end() &&
+                           found->second.end == RolloutPhase::kRolledBack &&
+                           found->second.Request().to == version;
+  if (!is_running && !is_rejected) m_state->KeepLatency(service, outcome);
+  const bool is_compared = is_running && found->second.Request().to == choice.version;
   if (!is_compared) return next;
   outcome.new_version = version == choice.version;
   m_state->Handle(found->second, RolloutParticipant::OutcomeSeen{std::move(outcome)});
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -56,10 +56,10 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-/// Passes the outcome of an attempt to the service's rollout, if there is one.
+/// Passes the outcome of an attempt to the service's rollout, or, if there is none, to what the
+/// next rollout compares with.
 void CompareVersions(RelayContext& context, RelayedRequest& request, const EndpointRecord& endpoint,
                      bool error, Duration latency, Duration token_interval) {
-  if (request.version.version.empty()) return;
   VersionOutcome outcome;
   outcome.route = request.route->name;
   outcome.endpoint = endpoint.id;
