transport: linger after the last reply of a connection

What callers saw: the end of a long reply was missing. The daemon had passed the request on to a sound engine, had the whole answer, and the kept connection was reset before the caller had read it.

Cause: after a reply with `Connection: close` (the caller's wish, or any reply once the stop has begun) the socket was closed as soon as the kernel had accepted the reply. If the caller had already sent its next request on the connection, the socket had unread data or received some later, and the kernel resets such a connection and drops what it has not sent yet. Only the server's own rejections lingered.

Change: a connection that ends after a reply lingers like one that ends after a rejection. It goes on for as long as the client has not acknowledged the reply (at most the time limit of a write), and a second longer.

That this explains the users' reports is inferred from their description, not seen.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -1,7 +1,10 @@
 #include "transport/internal/http_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -28,8 +31,8 @@
 
 constexpr std::size_t kBufferSlackBytes = 4096;
 
-// Limits of the lingering close after a rejection. The peer may still be sending, and closing a
-// socket with unread data makes the kernel reset the connection before the peer has read the reply.
+// Limits of the lingering close. The peer may still be sending, and closing a socket with unread
+// data makes the kernel reset the connection before the peer has received the whole reply.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = std::size_t{256} * 1024;
 
@@ -103,6 +106,7 @@
     idle = true;
     if (shared->stopping || !co_await WaitForRequest()) break;
   }
+  if (socket.is_open() && !client_disconnected) co_await Linger();
   CloseSocket();
 }
 
@@ -233,18 +237,35 @@
   const std::string text =
       internal::FormatReplyHead(reply.status, reply.headers) + "\r\n" + reply.body;
   if (co_await Write(text)) co_return;
+  co_await Linger();
+  CloseSocket();
+}
+
+Task<void> HttpExchange::Connection::Linger() {
   boost::system::error_code error;
   socket.shutdown(tcp::socket::shutdown_send, error);
-  const internal::Deadline deadline(strand, kLingerTime, [this]() { CloseSocket(); });
+  const TimePoint limit = SteadyNow() + shared->Limits()->write_timeout;
+  TimePoint end = SteadyNow() + kLingerTime;
   std::string ignored(4096, '\0');
   std::size_t total = 0;
-  while (!error && total < kLingerBytes) {
+  while (!error && total < kLingerBytes && SteadyNow() < end) {
+    const Duration left = std::max(Duration::zero(), end - SteadyNow());
+    const internal::Deadline deadline(strand, left, [this]() {
+      boost::system::error_code already_closed;
+      socket.cancel(already_closed);
+    });
     const internal::IoResult read =
         co_await socket.async_read_some(asio::buffer(ignored), kCompletion);
     error = std::get<0>(read);
     total += std::get<1>(read);
+    if (HasUnacknowledgedBytes()) end = std::min(limit, SteadyNow() + kLingerTime);
+    if (error == asio::error::operation_aborted && deadline.Expired()) error.clear();
   }
-  CloseSocket();
+}
+
+bool HttpExchange::Connection::HasUnacknowledgedBytes() {
+  int bytes = 0;
+  return socket.is_open() && ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 Task<std::error_code> HttpExchange::Connection::Write(const std::string& data) {
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -99,6 +99,9 @@
   Task<boost::system::error_code> ReadBody(Parser& parser, internal::BodyReservation& reservation,
                                            std::optional<HttpRejection>& rejection);
   Task<void> Handle(HttpExchange& exchange);
+  /// Ends the sending side and discards what the client sends until it has received everything.
+  Task<void> Linger();
+  bool HasUnacknowledgedBytes();
   void WatchClient();
   void CheckClient(std::uint64_t watch_id);
   void StopWatching();
--- /dev/null
+++ b/tests/auto/platform/tst_kept_connections.cpp
@@ -0,0 +1,242 @@
+#include <criterion/criterion.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+
+#include "platform_world.h"
+#include "transport/address.h"
+#include "transport/internal/completion.h"
+
+using namespace fulmarpoint;
+namespace asio = boost::asio;
+
+namespace {
+
+// More than the socket buffers of both ends hold.
+constexpr std::size_t kLongBodyBytes = std::size_t{1} * 1024 * 1024;
+constexpr int kReceiveBufferBytes = 4096;
+constexpr Duration kSlowReadPause = std::chrono::milliseconds(5);
+constexpr std::size_t kSlowReadBytes = std::size_t{32} * 1024;
+
+/// An endpoint whose reply the test chooses.
+class ReplyingEndpoint {
+ public:
+  explicit ReplyingEndpoint(const Executor& executor)
+      : m_server(
+            executor, HttpServerLimits(),
+            [this](HttpExchange& exchange) { return Handle(exchange); },
+            [](HttpRejection) {
+              return HttpReply{400, {}, ""};
+            }) {
+    m_server.Listen("127.0.0.1:0");
+  }
+
+  std::string Row() const { return EndpointRow(m_server.Address(), "orders", "a"); }
+
+  int status = 200;
+  std::string body = "short";
+  Duration pause{};
+  std::vector<HttpRequest> seen;
+
+ private:
+  Task<void> Handle(HttpExchange& exchange) {
+    seen.push_back(exchange.Request());
+    HttpReply reply;
+    reply.status = status;
+    reply.headers.push_back(
+        {"Fulmarpoint-Request-Id",
+         std::string(
+             FindHeader(exchange.Request().headers, "Fulmarpoint-Request-Id").value_or(""))});
+    reply.headers.push_back({"Fulmarpoint-Server-Seal", "seal"});
+    reply.body = body;
+    co_await Sleep(pause);
+    co_await exchange.Respond(std::move(reply));
+  }
+
+  HttpServer m_server;
+};
+
+/// A caller that sends bytes as they are on one connection.
+class RawCaller {
+ public:
+  explicit RawCaller(const Executor& executor) : m_socket(executor) {}
+
+  Task<void> Connect(std::string address) {
+    const std::optional<SocketAddress> to = ParseSocketAddress(address);
+    m_socket.open(asio::ip::tcp::v4());
+    m_socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    co_await m_socket.async_connect({asio::ip::make_address(to->ip), to->port},
+                                    internal::kCompletion);
+  }
+
+  Task<void> Send(std::string bytes) {
+    co_await asio::async_write(m_socket, asio::buffer(bytes), internal::kCompletion);
+  }
+
+  /// Reads the head of a reply and returns it; empty if the connection ended before.
+  Task<std::string> ReadHead() {
+    const auto [error, size] =
+        co_await asio::async_read_until(m_socket, asio::dynamic_buffer(m_received), "\r\n\r\n",
+                                        asio::as_tuple(asio::use_awaitable));
+    if (error) co_return std::string();
+    std::string head = m_received.substr(0, size);
+    m_received.erase(0, size);
+    co_return head;
+  }
+
+  /// Reads a body slowly; returns fewer bytes if the connection ended within it.
+  Task<std::string> ReadBody(std::size_t size) {
+    boost::system::error_code error;
+    while (!error && m_received.size() < size) {
+      const std::size_t part = std::min(kSlowReadBytes, size - m_received.size());
+      const internal::IoResult read =
+          co_await asio::async_read(m_socket, asio::dynamic_buffer(m_received),
+                                    asio::transfer_exactly(part), internal::kCompletion);
+      error = std::get<0>(read);
+      co_await Sleep(kSlowReadPause);
+    }
+    std::string body = m_received.substr(0, size);
+    m_received.erase(0, size);
+    co_return body;
+  }
+
+ private:
+  asio::ip::tcp::socket m_socket;
+  std::string m_received;
+};
+
+std::string Request(const std::string& method, const std::string& id,
+                    const std::string& headers = "") {
+  return method + " /look/" + id +
+         " HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+         "Fulmarpoint-Request-Id: " +
+         id + "\r\nFulmarpoint-Deadline-Ms: 5000\r\n" + headers + "\r\n";
+}
+
+void RunTest(Task<void> (*test)(PlatformWorld&, ReplyingEndpoint&, RawCaller&)) {
+  PlatformWorld world;
+  ReplyingEndpoint endpoint(world.loop.GetExecutor());
+  RawCaller caller(world.loop.GetExecutor());
+  world.Run([&]() -> Task<void> {
+    world.store->Put("servers", "i-replying", endpoint.Row());
+    co_await world.Start();
+    co_await caller.Connect(world.daemon->CallerAddress());
+    co_await test(world, endpoint, caller);
+  });
+}
+
+/// Sends a short request and reads its reply, so that the connection is a kept one.
+Task<void> UseOnce(RawCaller& caller) {
+  co_await caller.Send(Request("GET", "first"));
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  const std::string body = co_await caller.ReadBody(5);
+  cr_assert(body == "short");
+}
+
+Task<void> LongReplyOfStoppingDaemon(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                     RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.body = std::string(kLongBodyBytes, 'x');
+  world.daemon->RequestStop([]() {});
+  co_await caller.Send(Request("GET", "long"));
+  const std::string head = co_await caller.ReadHead();
+  cr_assert_neq(head.find("Connection: close"), std::string::npos);
+  co_await caller.Send(Request("GET", "next"));
+  const std::string body = co_await caller.ReadBody(kLongBodyBytes);
+  cr_assert_eq(body.size(), kLongBodyBytes, "%zu bytes received", body.size());
+  cr_assert_eq(endpoint.seen.size(), 2u, "the request after the last reply is not passed on");
+}
+
+Task<void> LongReplyToClosingCaller(PlatformWorld&, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.body = std::string(kLongBodyBytes, 'x');
+  co_await caller.Send(Request("GET", "long", "Connection: close\r\n"));
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  co_await caller.Send(Request("GET", "next"));
+  const std::string body = co_await caller.ReadBody(kLongBodyBytes);
+  cr_assert_eq(body.size(), kLongBodyBytes, "%zu bytes received", body.size());
+}
+
+Task<void> PipelinedAroundStop(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                               RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.pause = std::chrono::milliseconds(50);
+  co_await caller.Send(Request("GET", "a") + Request("GET", "b") + Request("GET", "c"));
+  co_await PlatformWorld::WaitFor([&endpoint]() { return endpoint.seen.size() == 2; });
+  world.daemon->RequestStop([]() {});
+  std::size_t replies = 1;
+  while (true) {
+    const std::string head = co_await caller.ReadHead();
+    if (head.empty()) break;
+    ++replies;
+    const std::string body = co_await caller.ReadBody(5);
+    cr_assert(body == "short");
+  }
+  cr_assert_eq(replies, endpoint.seen.size());
+}
+
+Task<void> SlowBodies(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UseOnce(caller);
+  co_await caller.Send(Request("POST", "a", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  const std::string interim = co_await caller.ReadHead();
+  cr_assert_eq(interim.find("HTTP/1.1 100"), 0u);
+  std::string text = PlatformWorld::Configuration(2);
+  const std::string limit = R"("idleTimeoutMs":2000)";
+  text.replace(text.find(limit), limit.size(), R"("idleTimeoutMs":20)");
+  world.store->Put("op", "config", text);
+  for (const char* part : {"b", "o", "d", "y"}) {
+    co_await Sleep(std::chrono::milliseconds(100));
+    co_await caller.Send(part);
+  }
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  cr_assert(co_await caller.ReadBody(5) == "short");
+  co_await caller.Send(Request("POST", "b", "Transfer-Encoding: chunked\r\n"));
+  for (const char* part : {"2\r\nbo\r\n", "2\r\n", "dy\r\n", "0\r\n", "\r\n"}) {
+    co_await Sleep(std::chrono::milliseconds(100));
+    co_await caller.Send(part);
+  }
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  cr_assert(co_await caller.ReadBody(5) == "short");
+  cr_assert_eq(endpoint.seen.size(), 3u);
+  cr_assert(endpoint.seen[2].body == "body");
+}
+
+Task<void> RepliesWithoutBody(PlatformWorld&, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UseOnce(caller);
+  co_await caller.Send(Request("HEAD", "a") + Request("GET", "b"));
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  cr_assert(co_await caller.ReadBody(5) == "short");
+  for (const int status : {204, 304}) {
+    endpoint.status = status;
+    co_await caller.Send(Request("GET", "c" + std::to_string(status)) + Request("GET", "d"));
+    cr_assert_neq(co_await caller.ReadHead(), "");
+    cr_assert_neq(co_await caller.ReadHead(), "");
+  }
+  cr_assert_eq(endpoint.seen.size(), 7u);
+}
+
+}  // namespace
+
+// Guards against a reset that discards the rest of a long reply, because another request has
+// arrived on the connection that closes after it.
+Test(kept_connections, the_last_reply_of_a_stopping_daemon_is_whole) {
+  RunTest(LongReplyOfStoppingDaemon);
+}
+
+// The same for a caller that asks for the connection to be closed.
+Test(kept_connections, a_reply_to_a_closing_caller_is_whole) { RunTest(LongReplyToClosingCaller); }
+
+// Guards against a request that reaches an endpoint and gets no reply when the daemon stops.
+Test(kept_connections, pipelined_requests_passed_on_are_answered_around_a_stop) {
+  RunTest(PipelinedAroundStop);
+}
+
+// Guards against an idle limit that ends a request whose body is still being sent.
+Test(kept_connections, slow_bodies_outlast_a_shorter_idle_limit) { RunTest(SlowBodies); }
+
+// Guards against a reply without a body that leaves the next one unread.
+Test(kept_connections, replies_without_body_keep_the_connection) { RunTest(RepliesWithoutBody); }
