relay: stop only after callers have received their last replies

What callers saw: around a planned stop the end of a reply was missing, although the engine had answered and the daemon had finished the request.

Cause: the daemon reported its stop as soon as no request was in progress, which is when the kernel has accepted the last bytes of the last reply. The process then ended, with it the lingering of the connection: a request that the caller had sent meanwhile, or sent later, reset the connection and dropped what was still in the kernel. A request whose body was still arriving was cut as well.

Change: the stop is reported when the connections of callers have ended, or at the time at which streams would be handed off (`stop_grace` less its margin).

Not measured: how much longer a stop takes with callers that don't close their ends.

--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -36,6 +36,8 @@
 constexpr int kLookupLifetimeFactor = 3;
 // Remaining streams are closed this long before the process is killed.
 constexpr Duration kForcedStopMargin = std::chrono::milliseconds(1200);
+// Interval of the checks whether callers have received their last replies before the daemon stops.
+constexpr Duration kConnectionCheckInterval = std::chrono::milliseconds(5);
 constexpr std::size_t kMaxLookupAddresses = 64;
 
 HttpServerLimits LimitsOf(const RelaySettings& settings, const CallerLimits& callers) {
@@ -90,6 +92,7 @@
   Task<void> AnswerMetrics(HttpExchange& exchange);
   void HandleDrain(const Drain::Event& event);
   void Perform(const Drain::Action& action);
+  Task<void> FinishStop();
   void LogReadiness();
 
   RelayContext context;
@@ -110,6 +113,7 @@
   std::unique_ptr<HttpServer> metrics_server;
   std::unique_ptr<Drain> drain;
   std::function<void()> on_stopped;
+  TimePoint stop_requested{};
   bool was_ready = false;
   bool stopped = false;
 };
@@ -298,8 +302,8 @@
                    caller_server->Close();
                  },
                  [this](const Drain::Exit&) {
-                   Log(LogLevel::kInfo, "stopped", {{"requests", context.requests}});
-                   if (on_stopped) on_stopped();
+                   Spawn(context.executor,
+                         [self = shared_from_this()]() { return self->FinishStop(); });
                  },
                  [this](const Drain::SetTimer& timer) {
                    Spawn(context.executor, [self = shared_from_this(), timer]() -> Task<void> {
@@ -311,6 +315,19 @@
              action);
 }
 
+/// Reports the stop once all callers have received their last replies, or when the time for that
+/// has passed. If the process ended earlier, a request that a caller sends meanwhile would make the
+/// kernel reset the connection and drop the rest of the reply.
+Task<void> RelayDaemon::State::FinishStop() {
+  const TimePoint limit = stop_requested + context.settings.stop_grace - kForcedStopMargin;
+  while (caller_server->ConnectionCount() > 0 && SteadyNow() < limit && !stopped) {
+    co_await Sleep(kConnectionCheckInterval);
+  }
+  if (stopped) co_return;
+  Log(LogLevel::kInfo, "stopped", {{"requests", context.requests}});
+  if (on_stopped) on_stopped();
+}
+
 RelayDaemon::RelayDaemon(const Executor& executor, RelaySettings settings, RelayWire wire,
                          Store store, RelaySources sources, std::uint64_t seed)
     : m_state(std::make_shared<State>(executor, std::move(settings), std::move(wire),
@@ -342,6 +359,7 @@
   State& state = *m_state;
   if (state.drain) return;
   state.on_stopped = std::move(on_stopped);
+  state.stop_requested = SteadyNow();
   Log(LogLevel::kInfo, "stopping", {{"requests", state.context.requests}});
   state.drain = std::make_unique<Drain>(DrainOptionsOf(state.context.settings));
   state.HandleDrain(Drain::RequestsLeft{state.context.requests});
--- a/tests/auto/platform/tst_kept_connections.cpp
+++ b/tests/auto/platform/tst_kept_connections.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <optional>
 
 #include "platform_world.h"
 #include "transport/address.h"
@@ -18,8 +19,8 @@
 // More than the socket buffers of both ends hold.
 constexpr std::size_t kLongBodyBytes = std::size_t{1} * 1024 * 1024;
 constexpr int kReceiveBufferBytes = 4096;
-constexpr Duration kSlowReadPause = std::chrono::milliseconds(5);
-constexpr std::size_t kSlowReadBytes = std::size_t{32} * 1024;
+constexpr Duration kSlowReadPause = std::chrono::milliseconds(1);
+constexpr std::size_t kSlowReadBytes = std::size_t{2} * 1024;
 
 /// An endpoint whose reply the test chooses.
 class ReplyingEndpoint {
@@ -90,22 +91,26 @@
   /// Reads a body slowly; returns fewer bytes if the connection ended within it.
   Task<std::string> ReadBody(std::size_t size) {
     boost::system::error_code error;
+    std::string part(kSlowReadBytes, '\0');
     while (!error && m_received.size() < size) {
-      const std::size_t part = std::min(kSlowReadBytes, size - m_received.size());
-      const internal::IoResult read =
-          co_await asio::async_read(m_socket, asio::dynamic_buffer(m_received),
-                                    asio::transfer_exactly(part), internal::kCompletion);
-      error = std::get<0>(read);
-      co_await Sleep(kSlowReadPause);
+      co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, internal::kCompletion);
+      const std::size_t got = m_socket.read_some(asio::buffer(part), error);
+      m_received.append(part, 0, got);
+      m_body_bytes += got;
+      if (got == part.size()) co_await Sleep(kSlowReadPause);
     }
     std::string body = m_received.substr(0, size);
     m_received.erase(0, size);
     co_return body;
   }
 
+  /// Returns how many bytes of bodies have arrived, those that the caller has not read included.
+  std::size_t ReceivedBytes() const { return m_body_bytes + m_socket.available(); }
+
  private:
   asio::ip::tcp::socket m_socket;
   std::string m_received;
+  std::size_t m_body_bytes = 0;
 };
 
 std::string Request(const std::string& method, const std::string& id,
@@ -116,8 +121,10 @@
          id + "\r\nFulmarpoint-Deadline-Ms: 5000\r\n" + headers + "\r\n";
 }
 
-void RunTest(Task<void> (*test)(PlatformWorld&, ReplyingEndpoint&, RawCaller&)) {
+void RunTest(Task<void> (*test)(PlatformWorld&, ReplyingEndpoint&, RawCaller&),
+             const std::function<void(RelaySettings&)>& change_settings = {}) {
   PlatformWorld world;
+  if (change_settings) change_settings(world.settings);
   ReplyingEndpoint endpoint(world.loop.GetExecutor());
   RawCaller caller(world.loop.GetExecutor());
   world.Run([&]() -> Task<void> {
@@ -150,6 +157,21 @@
   cr_assert_eq(endpoint.seen.size(), 2u, "the request after the last reply is not passed on");
 }
 
+Task<void> LongReplyAtExit(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.body = std::string(kLongBodyBytes, 'x');
+  co_await caller.Send(Request("GET", "long"));
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  std::optional<std::size_t> bytes_at_exit;
+  world.daemon->RequestStop(
+      [&bytes_at_exit, &caller]() { bytes_at_exit = caller.ReceivedBytes(); });
+  const std::string body = co_await caller.ReadBody(kLongBodyBytes);
+  cr_assert_eq(body.size(), kLongBodyBytes, "%zu bytes received", body.size());
+  co_await PlatformWorld::WaitFor([&bytes_at_exit]() { return bytes_at_exit.has_value(); });
+  const std::size_t missing = caller.ReceivedBytes() - *bytes_at_exit;
+  cr_assert_eq(missing, 0u, "%zu bytes had not arrived at the exit", missing);
+}
+
 Task<void> LongReplyToClosingCaller(PlatformWorld&, ReplyingEndpoint& endpoint, RawCaller& caller) {
   co_await UseOnce(caller);
   endpoint.body = std::string(kLongBodyBytes, 'x');
@@ -230,6 +252,14 @@
 // The same for a caller that asks for the connection to be closed.
 Test(kept_connections, a_reply_to_a_closing_caller_is_whole) { RunTest(LongReplyToClosingCaller); }
 
+// Guards against a process that ends before its last reply has left the kernel.
+Test(kept_connections, a_daemon_stops_only_after_its_last_reply_is_received) {
+  RunTest(LongReplyAtExit, [](RelaySettings& settings) {
+    settings.lookup_ttl = Duration::zero();
+    settings.stop_grace = std::chrono::seconds(60);
+  });
+}
+
 // Guards against a request that reaches an endpoint and gets no reply when the daemon stops.
 Test(kept_connections, pipelined_requests_passed_on_are_answered_around_a_stop) {
   RunTest(PipelinedAroundStop);
