transport: keep unread replies when an idle connection ends

What callers saw: the end of a reply was missing after its connection had been closed as idle, by the begin of a stop or by the idle limit, while a slow caller was still reading.

Cause: a connection counts as idle once the kernel has accepted the reply. It was then closed at once, and the caller's next request made the kernel reset it and drop the rest of the reply.

Change: an idle connection whose client has not acknowledged the reply lingers; others are closed at once as before.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -113,7 +113,7 @@
 Task<bool> HttpExchange::Connection::WaitForRequest() {
   if (buffer.size() > 0) co_return true;
   const internal::Deadline deadline(strand, shared->Limits()->idle_timeout,
-                                    [this]() { CloseSocket(); });
+                                    [this]() { EndIdle(); });
   auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
   co_return !error && socket.is_open();
 }
@@ -280,7 +280,17 @@
 }
 
 void HttpExchange::Connection::CloseIfIdle() {
-  if (idle && buffer.size() == 0) CloseSocket();
+  if (idle && buffer.size() == 0) EndIdle();
+}
+
+void HttpExchange::Connection::EndIdle() {
+  if (!HasUnacknowledgedBytes()) {
+    CloseSocket();
+    return;
+  }
+  // Ends the wait for the next request, after which the connection lingers.
+  boost::system::error_code ignored;
+  socket.cancel(ignored);
 }
 
 void HttpExchange::Connection::Abort() {
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -102,6 +102,9 @@
   /// Ends the sending side and discards what the client sends until it has received everything.
   Task<void> Linger();
   bool HasUnacknowledgedBytes();
+  /// Ends a connection that waits for a request; it lingers if the client has not received the
+  /// previous reply.
+  void EndIdle();
   void WatchClient();
   void CheckClient(std::uint64_t watch_id);
   void StopWatching();
--- a/tests/auto/platform/tst_kept_connections.cpp
+++ b/tests/auto/platform/tst_kept_connections.cpp
@@ -18,6 +18,10 @@
 
 // More than the socket buffers of both ends hold.
 constexpr std::size_t kLongBodyBytes = std::size_t{1} * 1024 * 1024;
+// More than the caller's receive buffer and less than the daemon's send buffer holds.
+constexpr std::size_t kBufferedBodyBytes = std::size_t{40} * 1024;
+// Time in which the daemon handles what was sent.
+constexpr Duration kSettleTime = std::chrono::milliseconds(50);
 constexpr int kReceiveBufferBytes = 4096;
 constexpr Duration kSlowReadPause = std::chrono::milliseconds(1);
 constexpr std::size_t kSlowReadBytes = std::size_t{2} * 1024;
@@ -143,6 +147,13 @@
   cr_assert(body == "short");
 }
 
+void ShortenIdleLimit(PlatformWorld& world) {
+  std::string text = PlatformWorld::Configuration(2);
+  const std::string limit = R"("idleTimeoutMs":2000)";
+  text.replace(text.find(limit), limit.size(), R"("idleTimeoutMs":20)");
+  world.store->Put("op", "config", text);
+}
+
 Task<void> LongReplyOfStoppingDaemon(PlatformWorld& world, ReplyingEndpoint& endpoint,
                                      RawCaller& caller) {
   co_await UseOnce(caller);
@@ -172,6 +183,53 @@
   cr_assert_eq(missing, 0u, "%zu bytes had not arrived at the exit", missing);
 }
 
+Task<void> BodyArrivingAtStop(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UseOnce(caller);
+  co_await caller.Send(Request("POST", "slow", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
+  cr_assert_eq((co_await caller.ReadHead()).find("HTTP/1.1 100"), 0u);
+  co_await caller.Send("bo");
+  std::optional<std::size_t> seen_at_exit;
+  world.daemon->RequestStop([&seen_at_exit, &endpoint]() { seen_at_exit = endpoint.seen.size(); });
+  co_await Sleep(kSettleTime);
+  co_await caller.Send("dy");
+  cr_assert_eq((co_await caller.ReadHead()).find("HTTP/1.1 200"), 0u);
+  cr_assert(co_await caller.ReadBody(5) == "short");
+  co_await PlatformWorld::WaitFor([&seen_at_exit]() { return seen_at_exit.has_value(); });
+  cr_assert_eq(*seen_at_exit, 2u, "the request was passed on before the exit");
+}
+
+/// Sends a request whose reply stays in the kernel while `end_connection` makes the daemon end the
+/// idle connection, and another request after that.
+Task<void> UnreadReply(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller,
+                       void (*end_connection)(PlatformWorld&)) {
+  co_await UseOnce(caller);
+  endpoint.body = std::string(kBufferedBodyBytes, 'x');
+  endpoint.pause = kSettleTime;
+  co_await caller.Send(Request("GET", "buffered"));
+  end_connection(world);
+  cr_assert_neq(co_await caller.ReadHead(), "");
+  co_await Sleep(kSettleTime);
+  co_await caller.Send(Request("GET", "next"));
+  co_await Sleep(kSettleTime);
+  const std::string body = co_await caller.ReadBody(kBufferedBodyBytes);
+  cr_assert_eq(body.size(), kBufferedBodyBytes, "%zu bytes received", body.size());
+}
+
+Task<void> UnreadReplyAtStop(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UnreadReply(world, endpoint, caller, [](PlatformWorld& ending) {
+    // The stop begins once the connection is idle.
+    Spawn(ending.loop.GetExecutor(), [&ending]() -> Task<void> {
+      co_await Sleep(kSettleTime * 3 / 2);
+      ending.daemon->RequestStop([]() {});
+    });
+  });
+}
+
+Task<void> UnreadReplyAtIdleLimit(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                  RawCaller& caller) {
+  co_await UnreadReply(world, endpoint, caller, ShortenIdleLimit);
+}
+
 Task<void> LongReplyToClosingCaller(PlatformWorld&, ReplyingEndpoint& endpoint, RawCaller& caller) {
   co_await UseOnce(caller);
   endpoint.body = std::string(kLongBodyBytes, 'x');
@@ -205,10 +263,7 @@
   co_await caller.Send(Request("POST", "a", "Expect: 100-continue\r\nContent-Length: 4\r\n"));
   const std::string interim = co_await caller.ReadHead();
   cr_assert_eq(interim.find("HTTP/1.1 100"), 0u);
-  std::string text = PlatformWorld::Configuration(2);
-  const std::string limit = R"("idleTimeoutMs":2000)";
-  text.replace(text.find(limit), limit.size(), R"("idleTimeoutMs":20)");
-  world.store->Put("op", "config", text);
+  ShortenIdleLimit(world);
   for (const char* part : {"b", "o", "d", "y"}) {
     co_await Sleep(std::chrono::milliseconds(100));
     co_await caller.Send(part);
@@ -260,6 +315,25 @@
   });
 }
 
+// Guards against a process that ends while a request's body is arriving.
+Test(kept_connections, a_daemon_stops_only_after_an_arriving_request_is_answered) {
+  RunTest(BodyArrivingAtStop, [](RelaySettings& settings) {
+    settings.lookup_ttl = Duration::zero();
+    settings.stop_grace = std::chrono::seconds(60);
+  });
+}
+
+// Guards against a reset that discards a reply which a slow caller has not received when its idle
+// connection is closed.
+Test(kept_connections, a_stop_keeps_unread_replies_of_idle_connections) {
+  RunTest(UnreadReplyAtStop, [](RelaySettings& settings) {
+    settings.lookup_ttl = Duration::zero();
+    settings.stop_grace = std::chrono::seconds(60);
+  });
+}
+
+Test(kept_connections, the_idle_limit_keeps_unread_replies) { RunTest(UnreadReplyAtIdleLimit); }
+
 // Guards against a request that reaches an endpoint and gets no reply when the daemon stops.
 Test(kept_connections, pipelined_requests_passed_on_are_answered_around_a_stop) {
   RunTest(PipelinedAroundStop);
