transport: close a connection when its last reply has arrived, without reading on

The lingering close read and discarded what the client sent in the meantime for up to a second. A request that crosses the close would have been read and dropped; callers send a request that must not be repeated elsewhere only if it was not read, and around a planned stop a request that was read must be answered.

Change: after a reply the connection waits until the kernel has no unacknowledged bytes (at most the time limit of a write), reads nothing, and is closed. Only rejections linger as before.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -4,7 +4,6 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -31,10 +30,13 @@
 
 constexpr std::size_t kBufferSlackBytes = 4096;
 
-// Limits of the lingering close. The peer may still be sending, and closing a socket with unread
-// data makes the kernel reset the connection before the peer has received the whole reply.
+// Limits of the lingering close after a rejection. The peer may still be sending, and closing a
+// socket with unread data makes the kernel reset the connection before the peer has read the reply.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = std::size_t{256} * 1024;
+// Interval of the checks whether the client has received the last reply before the socket is
+// closed.
+constexpr Duration kReplyCheckInterval = std::chrono::milliseconds(5);
 
 HttpRejection RejectionOf(const boost::system::error_code& error) {
   if (error == http::error::header_limit) return HttpRejection::kHeadTooLarge;
@@ -106,7 +108,7 @@
     idle = true;
     if (shared->stopping || !co_await WaitForRequest()) break;
   }
-  if (socket.is_open() && !client_disconnected) co_await Linger();
+  if (!client_disconnected) co_await WaitUntilReplyReceived();
   CloseSocket();
 }
 
@@ -237,30 +239,23 @@
   const std::string text =
       internal::FormatReplyHead(reply.status, reply.headers) + "\r\n" + reply.body;
   if (co_await Write(text)) co_return;
-  co_await Linger();
-  CloseSocket();
-}
-
-Task<void> HttpExchange::Connection::Linger() {
   boost::system::error_code error;
   socket.shutdown(tcp::socket::shutdown_send, error);
-  const TimePoint limit = SteadyNow() + shared->Limits()->write_timeout;
-  TimePoint end = SteadyNow() + kLingerTime;
+  const internal::Deadline deadline(strand, kLingerTime, [this]() { CloseSocket(); });
   std::string ignored(4096, '\0');
   std::size_t total = 0;
-  while (!error && total < kLingerBytes && SteadyNow() < end) {
-    const Duration left = std::max(Duration::zero(), end - SteadyNow());
-    const internal::Deadline deadline(strand, left, [this]() {
-      boost::system::error_code already_closed;
-      socket.cancel(already_closed);
-    });
+  while (!error && total < kLingerBytes) {
     const internal::IoResult read =
         co_await socket.async_read_some(asio::buffer(ignored), kCompletion);
     error = std::get<0>(read);
     total += std::get<1>(read);
-    if (HasUnacknowledgedBytes()) end = std::min(limit, SteadyNow() + kLingerTime);
-    if (error == asio::error::operation_aborted && deadline.Expired()) error.clear();
   }
+  CloseSocket();
+}
+
+Task<void> HttpExchange::Connection::WaitUntilReplyReceived() {
+  const TimePoint limit = SteadyNow() + shared->Limits()->write_timeout;
+  while (HasUnacknowledgedBytes() && SteadyNow() < limit) co_await Sleep(kReplyCheckInterval);
 }
 
 bool HttpExchange::Connection::HasUnacknowledgedBytes() {
@@ -288,7 +283,7 @@
     CloseSocket();
     return;
   }
-  // Ends the wait for the next request, after which the connection lingers.
+  // Ends the wait for the next request. The socket is closed when the client has the reply.
   boost::system::error_code ignored;
   socket.cancel(ignored);
 }
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -99,11 +99,13 @@
   Task<boost::system::error_code> ReadBody(Parser& parser, internal::BodyReservation& reservation,
                                            std::optional<HttpRejection>& rejection);
   Task<void> Handle(HttpExchange& exchange);
-  /// Ends the sending side and discards what the client sends until it has received everything.
-  Task<void> Linger();
+  /// Waits, for at most the time limit of a write, until the client has received the last reply. If
+  /// the socket were closed before, a request that the client sends meanwhile would make the kernel
+  /// reset the connection and drop the rest. Such a request is not read, so that the client may
+  /// send it elsewhere.
+  Task<void> WaitUntilReplyReceived();
   bool HasUnacknowledgedBytes();
-  /// Ends a connection that waits for a request; it lingers if the client has not received the
-  /// previous reply.
+  /// Ends a connection that waits for a request, once the client has received the last reply.
   void EndIdle();
   void WatchClient();
   void CheckClient(std::uint64_t watch_id);
