tests: replies without length, closed engine connections and short reply memory

What callers saw: nothing new. These cases were tried for requests that are passed on and not answered, and held: an endpoint that closes idle connections while requests are sent, replies of unknown length to pipelined requests, and a reply that exceeds the memory for replies (answered with 502).

--- a/tests/auto/platform/tst_kept_connections.cpp
+++ b/tests/auto/platform/tst_kept_connections.cpp
@@ -43,9 +43,16 @@
 
   int status = 200;
   std::string body = "short";
+  bool has_length = true;
   Duration pause{};
   std::vector<HttpRequest> seen;
 
+  void SetIdleTimeout(Duration timeout) {
+    HttpServerLimits limits;
+    limits.idle_timeout = timeout;
+    m_server.SetLimits(limits);
+  }
+
  private:
   Task<void> Handle(HttpExchange& exchange) {
     seen.push_back(exchange.Request());
@@ -58,7 +65,13 @@
     reply.headers.push_back({"Fulmarpoint-Server-Seal", "seal"});
     reply.body = body;
     co_await Sleep(pause);
-    co_await exchange.Respond(std::move(reply));
+    if (has_length) {
+      co_await exchange.Respond(std::move(reply));
+      co_return;
+    }
+    co_await exchange.StartStream(reply.status, std::move(reply.headers));
+    co_await exchange.WriteChunk(std::move(reply.body));
+    co_await exchange.FinishStream();
   }
 
   HttpServer m_server;
@@ -296,6 +309,36 @@
   cr_assert_eq(endpoint.seen.size(), 7u);
 }
 
+Task<void> EndpointClosesIdleConnections(PlatformWorld&, ReplyingEndpoint& endpoint,
+                                         RawCaller& caller) {
+  constexpr std::size_t kRequests = 40;
+  endpoint.SetIdleTimeout(std::chrono::milliseconds(10));
+  for (std::size_t request = 0; request < kRequests; ++request) {
+    co_await caller.Send(Request("GET", std::to_string(request)));
+    cr_assert_eq((co_await caller.ReadHead()).find("HTTP/1.1 200"), 0u);
+    cr_assert(co_await caller.ReadBody(5) == "short");
+    // Some requests are sent just as the endpoint closes.
+    co_await Sleep(std::chrono::milliseconds(8 + request % 5));
+  }
+}
+
+Task<void> RepliesWithoutLength(PlatformWorld&, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  endpoint.has_length = false;
+  co_await caller.Send(Request("GET", "a") + Request("GET", "b"));
+  co_await caller.Send(Request("GET", "c"));
+  for (int reply = 0; reply < 3; ++reply) {
+    cr_assert_eq((co_await caller.ReadHead()).find("HTTP/1.1 200"), 0u);
+    cr_assert(co_await caller.ReadBody(5) == "short");
+  }
+}
+
+Task<void> ShortReplyMemory(PlatformWorld&, ReplyingEndpoint& endpoint, RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.body = std::string(kLongBodyBytes, 'x');
+  co_await caller.Send(Request("GET", "large"));
+  cr_assert_eq((co_await caller.ReadHead()).find("HTTP/1.1 502"), 0u);
+}
+
 }  // namespace
 
 // Guards against a reset that discards the rest of a long reply, because another request has
@@ -344,3 +387,18 @@
 
 // Guards against a reply without a body that leaves the next one unread.
 Test(kept_connections, replies_without_body_keep_the_connection) { RunTest(RepliesWithoutBody); }
+
+// Guards against a request that is lost with an endpoint's idle connection.
+Test(kept_connections, requests_survive_idle_connections_closed_by_the_endpoint) {
+  RunTest(EndpointClosesIdleConnections);
+}
+
+// Guards against a reply of unknown length that leaves the next one unread.
+Test(kept_connections, replies_without_length_keep_the_connection) {
+  RunTest(RepliesWithoutLength);
+}
+
+// Guards against a connection that ends without a reply when memory for replies is short.
+Test(kept_connections, a_reply_too_large_for_the_memory_is_replaced_by_an_error) {
+  RunTest(ShortReplyMemory, [](RelaySettings& settings) { settings.max_body_bytes = 65536; });
+}
