--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "transport/internal/http_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
@@ -32,6 +34,9 @@
 // socket with unread data makes the kernel reset the connection before the peer has read the reply.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 constexpr std::size_t kLingerBytes = std::size_t{256} * 1024;
+// Interval of the checks whether the client has received the last reply before the socket is
+// closed.
+constexpr Duration kReplyCheckInterval = std::chrono::milliseconds(5);
 
 HttpRejection RejectionOf(const boost::system::error_code& error) {
   if (error == http::error::header_limit) return HttpRejection::kHeadTooLarge;
@@ -103,13 +108,14 @@
     idle = true;
     if (shared->stopping || !co_await WaitForRequest()) break;
   }
+  if (!client_disconnected) co_await WaitUntilReplyReceived();
   CloseSocket();
 }
 
 Task<bool> HttpExchange::Connection::WaitForRequest() {
   if (buffer.size() > 0) co_return true;
   const internal::Deadline deadline(strand, shared->Limits()->idle_timeout,
-                                    [this]() { CloseSocket(); });
+                                    [this]() { EndIdle(); });
   auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
   co_return !error && socket.is_open();
 }
@@ -247,6 +253,16 @@
   CloseSocket();
 }
 
+Task<void> HttpExchange::Connection::WaitUntilReplyReceived() {
+  const TimePoint limit = SteadyNow() + shared->Limits()->write_timeout;
+  while (HasUnacknowledgedBytes() && SteadyNow() < limit) co_await Sleep(kReplyCheckInterval);
+}
+
+bool HttpExchange::Connection::HasUnacknowledgedBytes() {
+  int bytes = 0;
+  return socket.is_open() && ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 Task<std::error_code> HttpExchange::Connection::Write(const std::string& data) {
   if (client_disconnected) co_return make_error_code(std::errc::connection_reset);
   const internal::Deadline deadline(strand, shared->Limits()->write_timeout,
@@ -259,7 +275,17 @@
 }
 
 void HttpExchange::Connection::CloseIfIdle() {
-  if (idle && buffer.size() == 0) CloseSocket();
+  if (idle && buffer.size() == 0) EndIdle();
+}
+
+void HttpExchange::Connection::EndIdle() {
+  if (!HasUnacknowledgedBytes()) {
+    CloseSocket();
+    return;
+  }
+  // Ends the wait for the next request. The socket is closed when the client has the reply.
+  boost::system::error_code ignored;
+  socket.cancel(ignored);
 }
 
 void HttpExchange::Connection::Abort() {
