--- a/src/libs/coordination/lost_attempts.h
+++ b/src/libs/coordination/lost_attempts.h
@@ -41,9 +41,8 @@
   /// A poison request crashes its endpoint soon after its start. If an attempt that ran for longer
   /// is lost, the cause is another.
   static constexpr Duration kMaxCrashingAttemptDuration = std::chrono::seconds(5);
-  /// An endpoint crashes when it begins to run a poison request, with the first event. A stream
-  /// that has sent events for longer was lost for another reason.
-  /// After this time the request is known to be harmless.
+  /// An endpoint crashes when it begins to run a poison request, which is about the time of the
+  /// first event. A stream that has sent events for longer than this is known to be harmless.
   static constexpr Duration kMaxRunBeforeCrash = std::chrono::seconds(1);
   /// The store lists a crashed endpoint for a few more heartbeats. A loss that is detected later
   /// does not confirm that the endpoint crashed.
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -282,6 +282,8 @@
   if (co_await TryReplaceAttempt(reason, loss)) co_return;
   m_placement.Readmit(engine);
   m_continuation.OnNotReplaced(SteadyNow());
+  m_context.metrics.Count("relay_runs_kept",
+                          loss == AttemptLoss::kBroken ? "unreachable" : "silent");
   Log(LogLevel::kInfo, "run_kept",
       {{"request", m_request.fields.request_id}, {"endpoint", engine}, {"reason", reason}});
 }
--- a/tests/auto/coordination/tst_crash_tracker.cpp
+++ b/tests/auto/coordination/tst_crash_tracker.cpp
@@ -21,6 +21,24 @@
   return tracker.OnCrash({kRequest, endpoint, At(started_ms), At(ended_ms)}, At(ended_ms + 5));
 }
 
+constexpr Fingerprint kPoisonPart = 900;
+constexpr Fingerprint kSharedPart = 901;
+
+/// Counts a crash of `request`, whose prompt has `part` and `companions`. Its own part is
+/// `request`.
+CrashTracker::Finding PartCrash(CrashTracker& tracker, Fingerprint part, Fingerprint request,
+                                std::vector<Fingerprint> companions, int number) {
+  CrashedAttempt attempt;
+  attempt.fingerprint = part;
+  attempt.endpoint = "e-" + std::to_string(number);
+  attempt.started = At(number * 100);
+  attempt.ended = At(number * 100 + 50);
+  attempt.request = request;
+  attempt.companions = std::move(companions);
+  attempt.companions.push_back(request);
+  return tracker.OnCrash(attempt, At(number * 100 + 55));
+}
+
 }  // namespace
 
 // Guards against a poison request that continues to crash endpoints.
@@ -133,28 +151,6 @@
   cr_assert_eq(recent.Size(), 3);
 }
 
-namespace {
-
-constexpr Fingerprint kPoisonPart = 900;
-constexpr Fingerprint kSharedPart = 901;
-
-/// Counts a crash of `request`, whose prompt has `part` and `companions`. Its own part is
-/// `request`.
-CrashTracker::Finding PartCrash(CrashTracker& tracker, Fingerprint part, Fingerprint request,
-                                std::vector<Fingerprint> companions, int number) {
-  CrashedAttempt attempt;
-  attempt.fingerprint = part;
-  attempt.endpoint = "e-" + std::to_string(number);
-  attempt.started = At(number * 100);
-  attempt.ended = At(number * 100 + 50);
-  attempt.request = request;
-  attempt.companions = std::move(companions);
-  attempt.companions.push_back(request);
-  return tracker.OnCrash(attempt, At(number * 100 + 55));
-}
-
-}  // namespace
-
 // Guards against requests that differ as a whole and share a poison part.
 Test(crash_tracker, a_part_that_crashing_requests_have_in_common_is_quarantined) {
   CrashTracker tracker;
