relay: reject requests that a planned stop would cut

Cause: 'rejecting' was read at admission and set nowhere. The listener closes after the lookups' lifetime, but a connection whose request is still arriving stays open, and what arrives on it was taken until the end.

Ruled out by reading: idle kept connections (closed when the listener closes), new connections (no listener), connections between two requests (closed after the reply). fulmarpointd rejects by its own hook.

Change: in the last phase of a stop, a request whose deadline lies after the time of the cut gets 503 'draining', which says that it has not run. One that ends before is still served, so that the last requests of the grace need no second attempt.

Result: tst_kept_connections a_stopping_daemon_rejects_what_it_would_cut failed before (the request was passed on and answered 200 after the daemon had reported its stop) and passes; the other 12 tests of the file pass.

--- a/src/libs/relay/caller_request_handler.cpp
+++ b/src/libs/relay/caller_request_handler.cpp
@@ -91,10 +91,6 @@
     return admission;
   }
   request.fields = *fields;
-  if (m_context.rejecting) {
-    admission.rejection = Rejection{ResultCode::kDraining, "use another daemon", kRetryAfterStale};
-    return admission;
-  }
   if (!m_context.table) {
     admission.rejection =
         Rejection{ResultCode::kStale, "no configuration is known yet", kRetryAfterStale};
@@ -112,6 +108,10 @@
   const Duration wait =
       std::min(request.fields.deadline.value_or(request.route->timeout), request.route->timeout);
   request.deadline = request.arrived + wait;
+  if (m_context.cut_at && request.deadline > *m_context.cut_at) {
+    admission.rejection = Rejection{ResultCode::kDraining, "use another daemon", kRetryAfterStale};
+    return admission;
+  }
   request.method = received.method;
   request.target = received.target;
   request.host = *host;
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,8 +76,9 @@
   RelayRollouts* rollouts = nullptr;
   /// The process is about to stop, so callers are directed to other daemons.
   bool leaving = false;
-  /// New requests are rejected.
-  bool rejecting = false;
+  /// Set in the last phase of a planned stop, to the time at which requests in progress are cut:
+  /// new requests with a later deadline are rejected.
+  std::optional<TimePoint> cut_at;
   /// Limits the memory for replies that are being received.
   ByteBudget reply_memory;
   /// Requests in progress.
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -93,6 +93,10 @@
   void HandleDrain(const Drain::Event& event);
   void Perform(const Drain::Action& action);
   Task<void> FinishStop();
+  /// Returns when requests that are still in progress are cut.
+  TimePoint CutTime() const {
+    return stop_requested + context.settings.stop_grace - kForcedStopMargin;
+  }
   void LogReadiness();
 
   RelayContext context;
@@ -294,6 +298,7 @@
                    peer_exchange.SendHeartbeatSoon();
                  },
                  [this](const Drain::RejectNewWork&) {
+                   context.cut_at = CutTime();
                    caller_server->StopAccepting();
                    if (lookup_server) lookup_server->StopAccepting();
                  },
@@ -319,7 +324,7 @@
 /// has passed. If the process ended earlier, a request that a caller sends meanwhile would make the
 /// kernel reset the connection and drop the rest of the reply.
 Task<void> RelayDaemon::State::FinishStop() {
-  const TimePoint limit = stop_requested + context.settings.stop_grace - kForcedStopMargin;
+  const TimePoint limit = CutTime();
   while (caller_server->ConnectionCount() > 0 && SteadyNow() < limit && !stopped) {
     co_await Sleep(kConnectionCheckInterval);
   }
--- a/tests/auto/platform/tst_kept_connections.cpp
+++ b/tests/auto/platform/tst_kept_connections.cpp
@@ -211,6 +211,21 @@
   cr_assert_eq(*seen_at_exit, 2u, "the request was passed on before the exit");
 }
 
+Task<void> BodyArrivingBeforeExit(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                  RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.pause = std::chrono::seconds(2);
+  co_await caller.Send(Request("POST", "late", "Content-Length: 4\r\n") + "bo");
+  bool has_stopped = false;
+  world.daemon->RequestStop([&has_stopped]() { has_stopped = true; });
+  co_await Sleep(kSettleTime);
+  co_await caller.Send("dy");
+  const std::string head = co_await caller.ReadHead();
+  cr_assert_eq(head.find("HTTP/1.1 503"), 0u, "the reply is: %s", head.c_str());
+  cr_assert_eq(endpoint.seen.size(), 1u, "a request that would be cut is not passed on");
+  co_await PlatformWorld::WaitFor([&has_stopped]() { return has_stopped; });
+}
+
 /// Sends a request whose reply stays in the kernel while `end_connection` makes the daemon end the
 /// idle connection, and another request after that.
 Task<void> UnreadReply(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller,
@@ -366,6 +381,15 @@
   });
 }
 
+// Guards against a request that is passed on late in the grace of a planned stop and cut at its
+// end.
+Test(kept_connections, a_stopping_daemon_rejects_what_it_would_cut) {
+  RunTest(BodyArrivingBeforeExit, [](RelaySettings& settings) {
+    settings.lookup_ttl = Duration::zero();
+    settings.stop_grace = std::chrono::seconds(2);
+  });
+}
+
 // Guards against a reset that discards a reply which a slow caller has not received when its idle
 // connection is closed.
 Test(kept_connections, a_stop_keeps_unread_replies_of_idle_connections) {
