state: follow the store into a new epoch after it was restored from a copy

Cause: positions in the store were versions alone, and a restored store assigns versions again. A read of the copy counted as older than the replica and was repeated without a pause; rows counted as known until the store's version had passed the one from before; a watch from a version that exists again would go on from another write; replicas of peers from before and after the restore were taken for one history.

The second hypothesis, going back to the copy's configuration, was ruled out: 'configuration_ignored' was not logged, and older versions are ignored.

Change: a position is an epoch of the store and a version, in the watcher, in the replicas that daemons hand on, and in their requests; positions of different epochs are never compared by version. In a new epoch all rows are read anew and taken over whatever their versions; rows that the copy lacks are removed provisionally, because their writers write them again. A peer that is still in an earlier epoch is a stale source. New log line: store_restored.

--- a/src/libs/coordination/table_replica.cpp
+++ b/src/libs/coordination/table_replica.cpp
@@ -30,22 +30,23 @@
     m_rows[change.row.key] = change.row;
   }
   m_history.push_back(change);
-  // A change can carry a version that is not above `m_version`, such as a removal without a
-  // version. Raise it, because clients that are up to date request only later versions.
+  // A change can carry a version that is not above that of `m_position`, such as a removal without
+  // a version. Raise it, because clients that are up to date request only later versions.
   std::uint64_t& version = m_history.back().row.version;
-  version = std::max(version, m_version + 1);
+  version = std::max(version, m_position.version + 1);
   if (m_history.size() <= kHistoryLength) return;
   m_history_base = std::max(m_history_base, m_history.front().row.version);
   m_history.pop_front();
 }
 
-void TableReplica::Confirm(std::uint64_t version, TimePoint at) {
-  if (!m_confirmed) {
-    // The first read doesn't show which rows were removed earlier, so the history starts after it.
-    m_history_base = version;
+void TableReplica::Confirm(StorePosition position, TimePoint at) {
+  if (!m_confirmed || position.epoch != m_position.epoch) {
+    // The first read of an epoch doesn't show which rows were removed earlier, so the history
+    // starts after it.
+    m_history_base = position.version;
     m_history.clear();
   }
-  m_version = version;
+  m_position = position;
   m_confirmed = at;
 }
 
@@ -55,22 +56,24 @@
   TableReplicaReply reply;
   if (!m_confirmed && may_wait) return std::nullopt;
   if (!m_confirmed) return reply;
-  reply.version = m_version;
+  reply.position = m_position;
   const Duration age = boot_now - *m_confirmed;
   reply.age_ms = static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(age).count() + 1);
   reply.status = StoreStatus::kOk;
-  if (request.after == 0) {
+  if (request.after.version == 0) {
     reply.packed_rows = PackedRows();
     return reply;
   }
-  if (request.after < m_history_base) {
+  const bool has_history =
+      request.after.epoch == m_position.epoch && request.after.version >= m_history_base;
+  if (!has_history) {
     reply.status = StoreStatus::kHistoryGone;
     return reply;
   }
   std::vector<TableReplicaRow> rows;
   for (const TableWatcher::Change& change : m_history) {
-    if (change.row.version <= request.after) continue;
+    if (change.row.version <= request.after.version) continue;
     rows.push_back(ToPeerRow(change.row));
     if (change.provisional) rows.back().provisional_for_ms = MillisUntil(change.until, now);
   }
--- a/src/libs/coordination/table_replica.h
+++ b/src/libs/coordination/table_replica.h
@@ -13,7 +13,7 @@
 namespace fulmarpoint {
 
 /// The replica of one table that this daemon serves to its peers, with a bounded history of
-/// changes. Positions in the history are versions of the store, so that a client can switch between
+/// changes. Positions in the history are those of the store, so that a client can switch between
 /// peers and the store and fetch only the changes that it has missed. Not thread-safe.
 class TableReplica {
  public:
@@ -21,9 +21,9 @@
 
   /// Applies a change that a `TableWatcher` reported.
   void Apply(const TableWatcher::Change& change);
-  /// Records that the replica is complete up to the store's version `version` and was current at
+  /// Records that the replica is complete up to the store's position `position` and was current at
   /// `at`, on the clock `BootNow()`.
-  void Confirm(std::uint64_t version, TimePoint at);
+  void Confirm(StorePosition position, TimePoint at);
 
   /// Returns the reply to a request; nothing if there is no replica or no change yet and `may_wait`
   /// is set. `boot_now` is the time on the clock `BootNow()`.
@@ -37,9 +37,9 @@
   /// All of `m_rows` as `PackRows` encodes them; unset after a change.
   mutable std::optional<std::string> m_packed_rows;
   std::deque<TableWatcher::Change> m_history;
-  /// The history holds every change after this version.
+  /// The history holds every change of the current epoch after this version.
   std::uint64_t m_history_base = 0;
-  std::uint64_t m_version = 0;
+  StorePosition m_position;
   std::optional<TimePoint> m_confirmed;
 };
 
--- a/src/libs/coordination/table_replicator.cpp
+++ b/src/libs/coordination/table_replicator.cpp
@@ -41,12 +41,18 @@
     OnPeerFailure(status, now);
     return update;
   }
+  const bool is_outdated = is_answer && reply.position.epoch < m_watcher.Epoch();
+  if (!m_source.empty() && is_outdated) {
+    // The peer has not met the restored store yet.
+    m_source_selection.OnStaleReplica(m_source, now);
+    return update;
+  }
   if (!m_source.empty() && age > m_options.max_peer_age)
     m_source_selection.OnStaleReplica(m_source, now);
   update.changes = m_watcher.OnReply(std::move(reply), now);
   if (m_source.empty() && is_answer) m_source_selection.OnStoreAnswered(now);
   if (m_source.empty() && !is_answer) m_source_selection.OnStoreFailure(m_watcher.Failures(), now);
-  const bool is_current = status == StoreStatus::kOk && m_watcher.IsUpToDate();
+  const bool is_current = status == StoreStatus::kOk && !is_outdated && m_watcher.IsUpToDate();
   if (is_current) update.current_at = m_started - age;
   return update;
 }
--- a/src/libs/coordination/table_replicator.h
+++ b/src/libs/coordination/table_replicator.h
@@ -54,8 +54,10 @@
   const std::string& Source() const { return m_source; }
   /// Returns whether all rows have been read at least once.
   bool IsComplete() const { return m_watcher.IsComplete(); }
-  /// Returns the store's version up to which the replica is complete.
-  std::uint64_t Version() const { return m_watcher.Version(); }
+  /// Returns the store's position up to which the replica is complete.
+  StorePosition Position() const { return m_watcher.Position(); }
+  /// Returns the latest epoch of the store that a reply has shown.
+  std::uint64_t Epoch() const { return m_watcher.Epoch(); }
   /// Returns whether the last call to the store succeeded.
   bool IsConnected() const { return m_watcher.Failures() == 0; }
 
--- a/src/libs/coordination/table_watcher.cpp
+++ b/src/libs/coordination/table_watcher.cpp
@@ -33,7 +33,7 @@
     // After a failure or a change of source, an immediate reply shows how old the replica is.
     const bool is_urgent = m_failures > 0 || m_source_changed;
     const Duration wait = is_urgent ? Duration::zero() : m_options.watch_wait;
-    next.call = StoreWatch{m_options.table, m_version, wait};
+    next.call = StoreWatch{m_options.table, m_position, wait};
   }
   return next;
 }
@@ -53,6 +53,19 @@
 std::vector<TableWatcher::Change> TableWatcher::OnReply(StoreReply reply, TimePoint now) {
   std::vector<Change> changes;
   m_source_changed = false;
+  const bool is_answer =
+      reply.status == StoreStatus::kOk || reply.status == StoreStatus::kHistoryGone;
+  // A reply of an earlier epoch says nothing about the current rows.
+  if (is_answer && reply.position.epoch < m_epoch) {
+    OnFailure(now);
+    return changes;
+  }
+  if (is_answer && reply.position.epoch > m_epoch) {
+    const bool begins_read = m_reading && m_first_page;
+    BeginEpoch(reply.position.epoch, now);
+    // A later page or a change is useless without the rows of this epoch.
+    if (!begins_read) return changes;
+  }
   m_had_changes = !m_reading && reply.status == StoreStatus::kOk && !reply.rows.empty();
   if (reply.status == StoreStatus::kHistoryGone) {
     Restart();
@@ -72,6 +85,19 @@
   return changes;
 }
 
+/// The store was restored from a copy. Versions known before mean nothing in the new epoch, and
+/// rows that the copy lacks will be written again soon.
+void TableWatcher::BeginEpoch(std::uint64_t epoch, TimePoint now) {
+  m_epoch = epoch;
+  Restart();
+  if (!m_complete) return;
+  m_restored = true;
+  m_had_changes = false;
+  m_failures = 0;
+  m_last_unavailable_at = now;
+  for (auto& [key, version] : m_versions) version = 0;
+}
+
 void TableWatcher::OnFailure(TimePoint now) {
   ++m_failures;
   m_last_unavailable_at = now;
@@ -84,7 +110,7 @@
 void TableWatcher::OnPage(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
   // The watch continues from the version of the first page, so that it reports changes made during
   // the later pages.
-  if (std::exchange(m_first_page, false)) m_read_version = reply.version;
+  if (std::exchange(m_first_page, false)) m_read_version = reply.position.version;
   std::string last = m_from;
   for (StoreRow& row : reply.rows) {
     last = std::max(last, row.key);
@@ -101,8 +127,9 @@
 }
 
 void TableWatcher::FinishRead(TimePoint now, std::vector<Change>& changes) {
+  const StorePosition read_position{m_epoch, m_read_version};
   // A source that is behind would bring back removed rows.
-  if (m_read_version < m_version) {
+  if (read_position < m_position) {
     Restart();
     return;
   }
@@ -120,14 +147,18 @@
     std::uint64_t& known = m_versions[key];
     if (row.version <= known) continue;
     known = row.version;
-    changes.push_back({std::move(row)});
+    Change change;
+    change.row = std::move(row);
+    change.restored = m_restored;
+    changes.push_back(std::move(change));
   }
   m_pages.clear();
   m_from.clear();
   m_first_page = true;
   m_reading = false;
   m_complete = true;
-  m_version = m_read_version;
+  m_restored = false;
+  m_position = read_position;
 }
 
 void TableWatcher::OnChanges(StoreReply& reply, TimePoint now, std::vector<Change>& changes) {
@@ -142,7 +173,7 @@
     known = row.version;
     changes.push_back({std::move(row)});
   }
-  m_version = std::max(m_version, reply.version);
+  m_position = std::max(m_position, reply.position);
 }
 
 void TableWatcher::Remove(const StoreRow& gone, TimePoint now, std::vector<Change>& changes) {
@@ -156,6 +187,7 @@
   change.row.key = gone.key;
   change.row.version = gone.version;
   change.row.removed = true;
+  change.restored = m_restored;
   const Duration own_provisional_time =
       AreRemovalsProvisional(now) ? m_last_unavailable_at + m_options.row_rewrite_time - now
                                   : Duration::zero();
--- a/src/libs/coordination/table_watcher.h
+++ b/src/libs/coordination/table_watcher.h
@@ -13,8 +13,9 @@
 namespace fulmarpoint {
 
 /// List-and-watch client of one table of the store: reads all rows, then watches for changes, and
-/// reads all rows again when the history of changes is no longer available. Never replaces a row by
-/// an older version. Not thread-safe.
+/// reads all rows again when the history of changes is no longer available or the store has been
+/// restored from a copy. Within an epoch of the store, never replaces a row by an older version.
+/// Not thread-safe.
 class TableWatcher {
  public:
   struct Options {
@@ -37,6 +38,9 @@
     /// The row expired during an outage of the store; it counts as removed only from `until` on.
     bool provisional = false;
     TimePoint until{};
+    /// The row was read for the first time after the store was restored from a copy, so it may be
+    /// older than the one that was known before.
+    bool restored = false;
   };
 
   using Call = std::variant<StoreRead, StoreWatch>;
@@ -58,13 +62,16 @@
   bool IsComplete() const { return m_complete; }
   /// Returns whether no read is in progress, so that the replica was current at the last reply.
   bool IsUpToDate() const { return m_complete && !m_reading; }
-  /// Returns the store's version up to which the replica is complete.
-  std::uint64_t Version() const { return m_version; }
+  /// Returns the store's position up to which the replica is complete.
+  StorePosition Position() const { return m_position; }
+  /// Returns the latest epoch of the store that a reply has shown.
+  std::uint64_t Epoch() const { return m_epoch; }
   /// Returns the number of consecutive failed calls.
   int Failures() const { return m_failures; }
 
  private:
   void Restart();
+  void BeginEpoch(std::uint64_t epoch, TimePoint now);
   void OnFailure(TimePoint now);
   void OnPage(StoreReply& reply, TimePoint now, std::vector<Change>& changes);
   void FinishRead(TimePoint now, std::vector<Change>& changes);
@@ -83,9 +90,12 @@
   bool m_reading = true;
   bool m_first_page = true;
   bool m_complete = false;
-  /// The replica is complete up to this version; the watch continues after it.
-  std::uint64_t m_version = 0;
-  /// Version of the first page of the read in progress.
+  std::uint64_t m_epoch = 0;
+  /// The rows of the current epoch have not been read since the store was restored.
+  bool m_restored = false;
+  /// The replica is complete up to this position; the watch continues after it.
+  StorePosition m_position;
+  /// Version of the first page of the read in progress, which is of the current epoch.
   std::uint64_t m_read_version = 0;
   int m_failures = 0;
   /// The current source has not replied yet.
--- a/src/libs/protocol/store_messages.h
+++ b/src/libs/protocol/store_messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -8,13 +9,22 @@
 
 namespace fulmarpoint {
 
+/// A point in the history of the store. When the store is restored from a copy, a new epoch begins,
+/// in which versions are assigned again; versions of different epochs cannot be compared.
+struct StorePosition {
+  std::uint64_t epoch = 0;
+  std::uint64_t version = 0;
+
+  auto operator<=>(const StorePosition&) const = default;
+};
+
 /// A row of the platform's store.
 struct StoreRow {
   std::string table;
   std::string partition;
   std::string key;
   std::string value;
-  /// Increases with each transaction of the store.
+  /// Increases with each transaction of the store within an epoch.
   std::uint64_t version = 0;
   /// The row no longer exists; `value` is empty.
   bool removed = false;
@@ -40,8 +50,9 @@
 struct StoreReply {
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<StoreRow> rows;
-  /// Version of the store up to which `rows` is complete; a watch continues after it.
-  std::uint64_t version = 0;
+  /// Position of the store up to which `rows` is complete; a watch continues after it. The epoch is
+  /// valid in every reply except `kUnknown`.
+  StorePosition position;
   bool has_more = false;
   /// Time since the rows were known to be current; zero if they come from the store itself.
   Duration age{};
@@ -54,10 +65,11 @@
   std::string from;
 };
 
-/// Waits up to `wait` for changes of a table after the store's version `after`.
+/// Waits up to `wait` for changes of a table after the store's position `after`. The store itself
+/// compares only the version; the epoch of its reply shows whether that was meaningful.
 struct StoreWatch {
   std::string table;
-  std::uint64_t after = 0;
+  StorePosition after;
   Duration wait{};
 };
 
--- a/src/libs/protocol/table_replica_messages.h
+++ b/src/libs/protocol/table_replica_messages.h
@@ -8,27 +8,27 @@
 
 namespace fulmarpoint {
 
-/// Requests a peer's replica of a table of the store: all rows, or the changes after a version of
+/// Requests a peer's replica of a table of the store: all rows, or the changes after a position of
 /// the store.
 struct TableReplicaRequest {
   std::string table;
-  /// Version of the store; 0 for all rows.
-  std::uint64_t after = 0;
+  /// Position of the store; its version is 0 for all rows.
+  StorePosition after;
   /// How long the peer may wait for a change before it replies.
   std::uint32_t wait_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive) {
     internal::SerializeText(archive, table);
-    archive(after, wait_ms);
+    archive(after.epoch, after.version, wait_ms);
   }
 };
 
 struct TableReplicaReply {
   /// `kOk`, `kHistoryGone`, or `kRefused` if the peer has no replica of the table.
   StoreStatus status = StoreStatus::kRefused;
-  /// Version of the store up to which the replica is complete.
-  std::uint64_t version = 0;
+  /// Position of the store up to which the replica is complete.
+  StorePosition position;
   /// Time since the replica was last known to be current.
   std::uint32_t age_ms = 0;
   /// Output of `PackRows`.
@@ -36,7 +36,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(status, version, age_ms);
+    archive(status, position.epoch, position.version, age_ms);
     internal::SerializeText<std::uint32_t>(archive, packed_rows);
   }
 };
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -58,8 +58,8 @@
     m_replicas.Apply(table, changes);
     on_changes(changes);
   };
-  handlers.on_confirmed = [this, table](std::uint64_t version, TimePoint at) {
-    OnConfirmed(table, version, at);
+  handlers.on_confirmed = [this, table](StorePosition position, TimePoint at) {
+    OnConfirmed(table, position, at);
   };
   handlers.self = [this]() -> const PeerRecord& { return m_self; };
   handlers.peers = [this](TimePoint now) { return m_context.peers.AvailablePeers(now); };
@@ -69,8 +69,8 @@
   return *m_replications.back();
 }
 
-void RelayTables::OnConfirmed(const std::string& table, std::uint64_t version, TimePoint at) {
-  m_replicas.Confirm(table, version, at);
+void RelayTables::OnConfirmed(const std::string& table, StorePosition position, TimePoint at) {
+  m_replicas.Confirm(table, position, at);
   if (table == m_sources.configuration_table) m_context.freshness.Confirm(at);
   if (table != kPeerTable || m_endpoint_replication == nullptr) return;
   std::exchange(m_endpoint_replication, nullptr)->Start();
--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -46,7 +46,7 @@
   TableReplication& AddReplication(
       TableReplicator::Options options,
       std::function<void(const std::vector<TableWatcher::Change>&)> on_changes);
-  void OnConfirmed(const std::string& table, std::uint64_t version, TimePoint at);
+  void OnConfirmed(const std::string& table, StorePosition position, TimePoint at);
   void OnConfigurationRows(const std::vector<TableWatcher::Change>& changes);
   void OnOrderRow(const StoreRow& row);
   void Apply(RelayConfiguration configuration);
--- a/src/libs/relay/replica_client.cpp
+++ b/src/libs/relay/replica_client.cpp
@@ -18,7 +18,7 @@
   std::optional<std::vector<TableReplicaRow>> rows = UnpackRows(replica.packed_rows);
   if (!rows) return reply;
   reply.status = replica.status;
-  reply.version = replica.version;
+  reply.position = replica.position;
   reply.age = std::chrono::milliseconds(replica.age_ms);
   for (TableReplicaRow& replica_row : *rows) {
     StoreRow row;
@@ -36,7 +36,7 @@
 }  // namespace
 
 Task<StoreReply> ReplicaClient::FetchChanges(std::string address, std::string table,
-                                             std::uint64_t after, Duration wait) {
+                                             StorePosition after, Duration wait) {
   TableReplicaRequest request;
   request.table = table;
   request.after = after;
--- a/src/libs/relay/replica_client.h
+++ b/src/libs/relay/replica_client.h
@@ -14,10 +14,10 @@
   /// `connections` must outlive this.
   explicit ReplicaClient(PeerConnections& connections) : m_connections(connections) {}
 
-  /// Requests from the peer at `address` the changes of `table` after the store's version `after`
-  /// (0 for all rows). The peer waits up to `wait` for a change. The reply's status is `kUnknown`
-  /// if there is no valid reply in time.
-  Task<StoreReply> FetchChanges(std::string address, std::string table, std::uint64_t after,
+  /// Requests from the peer at `address` the changes of `table` after the store's position `after`
+  /// (version 0 for all rows). The peer waits up to `wait` for a change. The reply's status is
+  /// `kUnknown` if there is no valid reply in time.
+  Task<StoreReply> FetchChanges(std::string address, std::string table, StorePosition after,
                                 Duration wait);
   /// Closes the connection to a peer that does not reply.
   void Drop(const std::string& address) { m_connections.Drop(address); }
--- a/src/libs/relay/replica_service.cpp
+++ b/src/libs/relay/replica_service.cpp
@@ -18,8 +18,8 @@
   for (const TableWatcher::Change& change : changes) replica.Apply(change);
 }
 
-void ReplicaService::Confirm(const std::string& table, std::uint64_t version, TimePoint at) {
-  m_replicas[table].Confirm(version, at);
+void ReplicaService::Confirm(const std::string& table, StorePosition position, TimePoint at) {
+  m_replicas[table].Confirm(position, at);
   const std::vector<std::weak_ptr<Notification>> waiting = std::exchange(m_waiting, {});
   for (const std::weak_ptr<Notification>& weak : waiting) {
     if (const std::shared_ptr<Notification> notification = weak.lock()) notification->Notify();
--- a/src/libs/relay/replica_service.h
+++ b/src/libs/relay/replica_service.h
@@ -20,8 +20,8 @@
   void AddTable(const std::string& table) { m_replicas.try_emplace(table); }
   /// Applies changes of `table` to its replica.
   void Apply(const std::string& table, const std::vector<TableWatcher::Change>& changes);
-  /// The replica of `table` was current up to `version` at `at` on the clock `BootNow()`.
-  void Confirm(const std::string& table, std::uint64_t version, TimePoint at);
+  /// The replica of `table` was current up to `position` at `at` on the clock `BootNow()`.
+  void Confirm(const std::string& table, StorePosition position, TimePoint at);
   /// Replies to a peer's request, which may wait for a change. For a table that was not added
   /// the reply's status is `kRefused`.
   Task<TableReplicaReply> Answer(TableReplicaRequest request);
--- a/src/libs/relay/rollout_control.cpp
+++ b/src/libs/relay/rollout_control.cpp
@@ -245,7 +245,7 @@
   transaction.puts.push_back(std::move(row));
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
   if (stopped) co_return;
-  DriveLease(host, Lease::WriteDone{write.token, OutcomeOf(reply.status), reply.version});
+  DriveLease(host, Lease::WriteDone{write.token, OutcomeOf(reply.status), reply.position.version});
 }
 
 Task<void> RolloutControl::State::ReadRow(Host host) {
@@ -282,7 +282,7 @@
           {{"rollout", write.row.rollout},
            {"phase", NameOf(kRolloutPhaseNames, write.row.phase)},
            {"reason", write.row.reason}});
-      DriveController(host, RolloutController::RowWritten{reply.version});
+      DriveController(host, RolloutController::RowWritten{reply.position.version});
       co_return;
     case StoreStatus::kConflict:
       DriveController(host, RowReadOf(reply, host->Rollout().id));
--- a/src/libs/relay/table_replication.cpp
+++ b/src/libs/relay/table_replication.cpp
@@ -58,7 +58,7 @@
 Task<StoreReply> TableReplication::State::Perform(TableReplicator::SourceCall request) {
   const StoreWatch* watch = std::get_if<StoreWatch>(&request.call);
   if (!request.source.empty()) {
-    const std::uint64_t after = watch == nullptr ? 0 : watch->after;
+    const StorePosition after = watch == nullptr ? StorePosition() : watch->after;
     co_return co_await replica_client.FetchChanges(request.source, table, after, request.peer_wait);
   }
   if (watch != nullptr) co_return co_await store.watch(*watch);
@@ -67,14 +67,19 @@
 
 void TableReplication::State::OnReply(StoreReply reply, TimePoint sent_at) {
   const StoreStatus status = reply.status;
+  const std::uint64_t epoch_before = replicator.Epoch();
   // The connection may be dead although it looks open.
   if (status == StoreStatus::kUnknown) replica_client.Drop(replicator.Source());
   const TableReplicator::ReplicationUpdate update =
       replicator.OnReply(std::move(reply), sent_at, SteadyNow());
   LogReply(status);
+  if (replicator.IsComplete() && replicator.Epoch() != epoch_before) {
+    Log(LogLevel::kWarning, "store_restored",
+        {{"table", table}, {"epoch", replicator.Epoch()}, {"epoch_before", epoch_before}});
+  }
   if (!replicator.IsComplete()) return;
   if (!update.changes.empty()) handlers.on_changes(update.changes);
-  if (update.current_at) handlers.on_confirmed(replicator.Version(), *update.current_at);
+  if (update.current_at) handlers.on_confirmed(replicator.Position(), *update.current_at);
 }
 
 void TableReplication::State::LogReply(StoreStatus status) {
--- a/src/libs/relay/table_replication.h
+++ b/src/libs/relay/table_replication.h
@@ -24,9 +24,9 @@
     std::function<std::vector<PeerRecord>(TimePoint now)> peers;
     /// Called with the rows that have changed.
     std::function<void(const std::vector<TableWatcher::Change>&)> on_changes;
-    /// Called after `on_changes`: the replica, complete up to the store's version `version`, was
+    /// Called after `on_changes`: the replica, complete up to the store's position `position`, was
     /// current at `at` on the clock `BootNow()`.
-    std::function<void(std::uint64_t version, TimePoint at)> on_confirmed;
+    std::function<void(StorePosition position, TimePoint at)> on_confirmed;
   };
 
   /// `replica_client` and `source_selection` must outlive this.
--- a/tests/auto/coordination/replication_fleet.cpp
+++ b/tests/auto/coordination/replication_fleet.cpp
@@ -49,6 +49,12 @@
     }
   }
 
+  /// Takes over a configuration that is not older than the one in effect, as `RelayTables` does.
+  void OnConfigurationRow(const TableWatcher::Change& change) {
+    const std::uint64_t version = change.row.removed ? 0 : std::stoull(change.row.value);
+    configuration_version = std::max(configuration_version, version);
+  }
+
   ReplicationSourceSelection source_selection;
   std::vector<std::unique_ptr<TableReplicator>> tables;
   std::array<TableReplica, kTables> replicas;
@@ -120,14 +126,26 @@
 }
 
 void ReplicationFleet::ChangeConfiguration() {
-  m_configuration_version = ++m_version;
+  ++m_configuration_version;
+  WriteConfiguration();
+}
+
+void ReplicationFleet::WriteConfiguration() {
   StoreRow row;
   row.key = "config";
-  row.version = m_version;
+  row.value = std::to_string(m_configuration_version);
+  row.version = ++m_version;
   m_tables[kConfiguration][row.key] = row;
   for (const PendingCall& pending : std::exchange(m_pending_watches, {})) pending.retry();
 }
 
+void ReplicationFleet::Restore(const Copy& copy) {
+  ++m_epoch;
+  m_tables = copy.tables;
+  m_version = copy.version;
+  for (const PendingCall& pending : std::exchange(m_pending_watches, {})) pending.retry();
+}
+
 void ReplicationFleet::StallWatches(bool stall) {
   m_stalls_watches = stall;
   if (stall) return;
@@ -233,8 +251,11 @@
 void ReplicationFleet::AnswerWatch(std::size_t index, std::size_t table, std::uint64_t call_id,
                                    const StoreWatch& watch, TimePoint end) {
   if (!IsOpen(index, table, call_id)) return;
-  StoreReply reply = Rows(table, watch.after);
-  if (watch.after < m_history_start) reply = StoreReply{StoreStatus::kHistoryGone, {}};
+  StoreReply reply = Rows(table, watch.after.version);
+  const bool has_history =
+      watch.after.version >= m_history_start && watch.after.version <= m_version;
+  if (!has_history) reply.status = StoreStatus::kHistoryGone;
+  if (!has_history) reply.rows.clear();
   const bool is_ready = reply.status != StoreStatus::kOk || !reply.rows.empty() || m_now >= end;
   if (is_ready && !(m_stalls_watches && watch.wait > Duration::zero())) {
     m_rows_sent += reply.rows.size();
@@ -257,12 +278,12 @@
     return;
   }
   const StoreWatch* watch = std::get_if<StoreWatch>(&call.call);
-  const std::uint64_t after = watch == nullptr ? 0 : watch->after;
+  const StorePosition after = watch == nullptr ? StorePosition() : watch->after;
   AnswerPeer(index, table, call_id, peer, after, m_now + call.peer_wait);
 }
 
 void ReplicationFleet::AnswerPeer(std::size_t index, std::size_t table, std::uint64_t call_id,
-                                  std::size_t peer, std::uint64_t after, TimePoint end) {
+                                  std::size_t peer, StorePosition after, TimePoint end) {
   if (!IsOpen(index, table, call_id)) return;
   Process* source = m_daemons[peer]->process.get();
   if (source == nullptr) {
@@ -281,12 +302,13 @@
   }
   StoreReply reply;
   reply.status = answer->status;
-  reply.version = answer->version;
+  reply.position = answer->position;
   reply.age = milliseconds(answer->age_ms);
   const std::optional<std::vector<TableReplicaRow>> rows = UnpackRows(answer->packed_rows);
   for (const TableReplicaRow& row : rows.value_or(std::vector<TableReplicaRow>())) {
     StoreRow entry;
     entry.key = row.key;
+    entry.value = row.value;
     entry.version = row.version;
     entry.removed = row.removed;
     reply.rows.push_back(std::move(entry));
@@ -310,10 +332,10 @@
       replicator.OnReply(reply, process.sent_at.at(table), m_now);
   for (const TableWatcher::Change& change : update.changes) {
     process.replicas.at(table).Apply(change);
-    if (table == kConfiguration) process.configuration_version = change.row.version;
+    if (table == kConfiguration) process.OnConfigurationRow(change);
   }
   if (update.current_at)
-    process.replicas.at(table).Confirm(replicator.Version(), *update.current_at);
+    process.replicas.at(table).Confirm(replicator.Position(), *update.current_at);
   if (update.current_at && table == kConfiguration) process.freshness.Confirm(*update.current_at);
   for (const PendingCall& pending : std::exchange(process.pending_calls, {})) pending.retry();
   // The endpoints are read once the table of daemons is complete.
@@ -324,7 +346,7 @@
 StoreReply ReplicationFleet::Rows(std::size_t table, std::uint64_t after) const {
   StoreReply reply;
   reply.status = StoreStatus::kOk;
-  reply.version = m_version;
+  reply.position = {m_epoch, m_version};
   for (const auto& [key, row] : m_tables[table]) {
     if (row.version > after) reply.rows.push_back(row);
   }
--- a/tests/auto/coordination/replication_fleet.h
+++ b/tests/auto/coordination/replication_fleet.h
@@ -33,8 +33,19 @@
   void RunUntil(TimePoint end);
   /// Calls `action` at `at`.
   void At(TimePoint at, std::function<void()> action);
-  /// Changes a row of the configuration.
+  /// The store's rows at one time.
+  struct Copy {
+    std::vector<std::map<std::string, StoreRow>> tables;
+    std::uint64_t version = 0;
+  };
+
+  /// Changes the configuration.
   void ChangeConfiguration();
+  /// Writes the latest configuration again.
+  void WriteConfiguration();
+  Copy TakeCopy() const { return {m_tables, m_version}; }
+  /// The store loses all that it acknowledged since `copy` and begins a new epoch.
+  void Restore(const Copy& copy);
 
   /// Returns the number of calls to the store, and of rows in its replies.
   std::size_t Calls() const { return m_calls; }
@@ -87,7 +98,7 @@
                    const StoreWatch& watch, TimePoint end);
   void CallPeer(std::size_t daemon, std::size_t table, const TableReplicator::SourceCall& call);
   void AnswerPeer(std::size_t daemon, std::size_t table, std::uint64_t call_id, std::size_t peer,
-                  std::uint64_t after, TimePoint end);
+                  StorePosition after, TimePoint end);
   void Reply(std::size_t daemon, std::size_t table, std::uint64_t call_id, StoreReply reply,
              Duration delay);
   void OnReply(std::size_t daemon, std::size_t table, const StoreReply& reply);
@@ -100,6 +111,7 @@
   std::map<std::string, std::size_t> m_by_address;
   std::size_t m_domains;
   std::vector<std::map<std::string, StoreRow>> m_tables;
+  std::uint64_t m_epoch = 1;
   std::uint64_t m_version = 1;
   std::uint64_t m_history_start = 0;
   std::uint64_t m_configuration_version = 0;
--- a/tests/auto/coordination/tst_replication_fleet.cpp
+++ b/tests/auto/coordination/tst_replication_fleet.cpp
@@ -226,3 +226,50 @@
   // Each time the history is dropped, each direct reader reads its tables once.
   cr_assert_leq(scenario.rows, kDirectReaders * (kEndpoints + 1) * 6, "%zu rows", scenario.rows);
 }
+
+/// Restores the store after an outage of two seconds from a copy that lacks the last changes of the
+/// configuration; the operator writes it again `rewrite_delay` later. Checks that no daemon follows
+/// the copy, that later changes take effect, and that the store is not called more often.
+void RestoreStore(std::size_t daemons, std::size_t domains, Duration rewrite_delay) {
+  ReplicationFleet fleet(daemons, domains, kEndpoints);
+  bool is_down = false;
+  fleet.store_answers = [&is_down](std::size_t) { return !is_down; };
+  fleet.RunUntil(After(seconds(6)));
+  const ReplicationFleet::Copy copy = fleet.TakeCopy();
+  fleet.At(After(seconds(9)), [&fleet]() { fleet.ChangeConfiguration(); });
+  fleet.At(After(seconds(12)), [&fleet]() { fleet.ChangeConfiguration(); });
+  fleet.RunUntil(After(seconds(15)));
+  cr_assert_eq(fleet.CountBehind(), 0u);
+  is_down = true;
+  fleet.RunUntil(After(seconds(17)));
+  is_down = false;
+  fleet.Restore(copy);
+  const std::size_t calls_before = fleet.Calls();
+  fleet.RunUntil(After(seconds(17)) + rewrite_delay);
+  cr_assert_eq(fleet.CountBehind(), 0u, "the copy's older configuration has no effect");
+  fleet.WriteConfiguration();
+  fleet.RunUntil(After(milliseconds(21500)));
+  cr_assert_eq(fleet.CountExpired(), 0u, "%zu", fleet.CountExpired());
+  fleet.ChangeConfiguration();
+  fleet.RunUntil(After(milliseconds(23500)));
+  cr_assert_eq(fleet.CountBehind(), 0u, "%zu have not the latest", fleet.CountBehind());
+  fleet.RunUntil(After(seconds(27)));
+  cr_assert_eq(fleet.CountExpired(), 0u);
+  constexpr double kSeconds = 10.0;
+  const double readers = daemons < 12 ? static_cast<double>(daemons) : kDirectReaders;
+  // Each daemon may read each of the three tables once more.
+  const double limit = readers * (kCallsPerSecondOfDirectReader * kSeconds + 2 + 3) +
+                       3.0 * static_cast<double>(daemons);
+  const std::size_t calls = fleet.Calls() - calls_before;
+  cr_assert_leq(calls, limit, "%zu calls", calls);
+}
+
+// Guards against daemons that stop following a store that was restored from a copy, or that go back
+// to the copy's configuration.
+Test(replication_fleet, a_store_restored_from_a_copy) {
+  for (const Duration delay : {milliseconds(20), milliseconds(400), milliseconds(1500)}) {
+    RestoreStore(6, 4, delay);
+    RestoreStore(65, 5, delay);
+    RestoreStore(kDaemons, kDomains, delay);
+  }
+}
--- a/tests/auto/coordination/tst_table_replica.cpp
+++ b/tests/auto/coordination/tst_table_replica.cpp
@@ -26,7 +26,8 @@
 }
 
 TableReplicaReply Ask(const TableReplica& replica, std::uint64_t after, TimePoint now = kStart) {
-  const std::optional<TableReplicaReply> reply = replica.Answer({"t", after, 0}, false, now, now);
+  const std::optional<TableReplicaReply> reply =
+      replica.Answer({"t", StorePosition{0, after}, 0}, false, now, now);
   cr_assert(reply.has_value());
   return *reply;
 }
@@ -54,7 +55,7 @@
   TableReplica replica;
   replica.Apply(Change("a", 1));
   cr_assert_eq(Ask(replica, 0).status, StoreStatus::kRefused);
-  cr_assert_not(replica.Answer({"t", 0, 0}, true, kStart, kStart).has_value(),
+  cr_assert_not(replica.Answer({"t", StorePosition(), 0}, true, kStart, kStart).has_value(),
                 "the replica may be complete soon");
 }
 
@@ -63,20 +64,20 @@
   TableReplica replica;
   replica.Apply(Change("a", 1));
   replica.Apply(Change("b", 2));
-  replica.Confirm(2, kStart);
+  replica.Confirm(StorePosition{0, 2}, kStart);
   const TableReplicaReply all = Ask(replica, 0);
   cr_assert_eq(RowsOf(all).size(), 2u);
-  cr_assert_not(replica.Answer({"t", all.version, 0}, true, kStart, kStart).has_value());
+  cr_assert_not(replica.Answer({"t", all.position, 0}, true, kStart, kStart).has_value());
   replica.Apply(Change("a", 5, true));
   replica.Apply(Change("c", 6));
-  replica.Confirm(6, kStart);
+  replica.Confirm(StorePosition{0, 6}, kStart);
   const std::optional<TableReplicaReply> next =
-      replica.Answer({"t", all.version, 0}, true, kStart, kStart);
+      replica.Answer({"t", all.position, 0}, true, kStart, kStart);
   cr_assert(next.has_value());
   cr_assert_eq(RowsOf(*next).size(), 2u);
   cr_assert(RowsOf(*next)[0].removed && RowsOf(*next)[0].key == "a" &&
             RowsOf(*next)[0].version == 5);
-  cr_assert_eq(next->version, 6u);
+  cr_assert_eq(next->position.version, 6u);
   cr_assert_eq(RowsOf(Ask(replica, 0)).size(), 2u, "b and c are left");
 }
 
@@ -84,7 +85,7 @@
 // than it is.
 Test(table_replica, the_age_of_the_replica_is_reported) {
   TableReplica replica;
-  replica.Confirm(2, kStart);
+  replica.Confirm(StorePosition{0, 2}, kStart);
   cr_assert_geq(Ask(replica, 0, At(1200)).age_ms, 1200u);
 }
 
@@ -92,17 +93,17 @@
 Test(table_replica, gaps_in_the_history_lead_to_a_new_read) {
   TableReplica replica;
   replica.Apply(Change("a", 3));
-  replica.Confirm(10, kStart);
+  replica.Confirm(StorePosition{0, 10}, kStart);
   cr_assert_eq(Ask(replica, 9).status, StoreStatus::kHistoryGone, "removals before 10 are unknown");
   cr_assert_eq(Ask(replica, 10).status, StoreStatus::kOk);
   for (std::uint64_t change = 0; change <= TableReplica::kHistoryLength; ++change) {
     replica.Apply(Change("a", change + 11));
   }
-  replica.Confirm(1000, kStart);
+  replica.Confirm(StorePosition{0, 1000}, kStart);
   cr_assert_eq(Ask(replica, 10).status, StoreStatus::kHistoryGone);
   cr_assert_eq(RowsOf(Ask(replica, 11)).size(), TableReplica::kHistoryLength);
   TableReplica restarted;
-  restarted.Confirm(1001, kStart);
+  restarted.Confirm(StorePosition{0, 1001}, kStart);
   cr_assert_eq(Ask(restarted, 1000).status, StoreStatus::kHistoryGone);
 }
 
@@ -110,14 +111,14 @@
 // change because its version is older than those that the peer has already sent.
 Test(table_replica, positions_are_versions_of_the_store) {
   TableReplica behind;
-  behind.Confirm(5, kStart);
+  behind.Confirm(StorePosition{0, 5}, kStart);
   behind.Apply(Change("a", 7));
-  behind.Confirm(7, kStart);
+  behind.Confirm(StorePosition{0, 7}, kStart);
   cr_assert_eq(RowsOf(Ask(behind, 9)).size(), 0u);
-  cr_assert_eq(Ask(behind, 9).version, 7u);
+  cr_assert_eq(Ask(behind, 9).position.version, 7u);
   // The platform gives no version for some removals.
   behind.Apply(Change("a", 0, true));
-  behind.Confirm(12, kStart);
+  behind.Confirm(StorePosition{0, 12}, kStart);
   cr_assert_eq(RowsOf(Ask(behind, 7)).size(), 1u);
 }
 
@@ -126,12 +127,12 @@
 Test(table_replica, clients_wait_for_rows_that_may_come_back) {
   TableReplica replica;
   replica.Apply(Change("a", 1));
-  replica.Confirm(5, kStart);
+  replica.Confirm(StorePosition{0, 5}, kStart);
   TableWatcher::Change lapsed = Change("a", 6, true);
   lapsed.provisional = true;
   lapsed.until = At(1700);
   replica.Apply(lapsed);
-  replica.Confirm(6, kStart);
+  replica.Confirm(StorePosition{0, 6}, kStart);
   const TableReplicaReply reply = Ask(replica, 5, At(500));
   cr_assert_eq(RowsOf(reply).size(), 1u);
   cr_assert_eq(RowsOf(reply)[0].provisional_for_ms, 1200u);
@@ -139,28 +140,50 @@
   StoreRow row;
   row.key = "a";
   row.version = 1;
-  watcher.OnReply({StoreStatus::kOk, {row}, 5}, At(0));
+  watcher.OnReply({StoreStatus::kOk, {row}, StorePosition{0, 5}}, At(0));
   row.version = 6;
   row.removed = true;
   row.provisional_for = std::chrono::milliseconds(RowsOf(reply)[0].provisional_for_ms);
   const std::vector<TableWatcher::Change> changes =
-      watcher.OnReply({StoreStatus::kOk, {row}, 6}, At(501));
+      watcher.OnReply({StoreStatus::kOk, {row}, StorePosition{0, 6}}, At(501));
   cr_assert_eq(changes.size(), 1u);
   cr_assert(changes[0].provisional && changes[0].until == At(1701));
 }
 
+// Guards against a peer that continues from a version of before the store was restored, which means
+// another change since.
+Test(table_replica, positions_of_another_epoch_lead_to_a_new_read) {
+  TableReplica replica;
+  replica.Apply(Change("a", 7));
+  replica.Confirm(StorePosition{1, 9}, kStart);
+  replica.Apply(Change("a", 3));
+  replica.Confirm(StorePosition{2, 5}, kStart);
+  const auto status_after = [&replica](StorePosition after) {
+    return replica.Answer({"t", after, 0}, false, kStart, kStart)->status;
+  };
+  cr_assert_eq(status_after({1, 9}), StoreStatus::kHistoryGone);
+  cr_assert_eq(status_after({1, 5}), StoreStatus::kHistoryGone);
+  cr_assert_eq(status_after({3, 5}), StoreStatus::kHistoryGone, "the peer has not met it yet");
+  cr_assert_eq(status_after({2, 5}), StoreStatus::kOk);
+  replica.Apply(Change("a", 6));
+  replica.Confirm(StorePosition{2, 6}, kStart);
+  const TableReplicaReply next = *replica.Answer({"t", {2, 5}, 0}, false, kStart, kStart);
+  cr_assert_eq(RowsOf(next).size(), 1u);
+  cr_assert_eq(RowsOf(next)[0].version, 6u);
+}
+
 // Guards against replies that change when they are encoded and decoded.
 Test(table_replica, messages_round_trip) {
   TableReplica replica;
   TableWatcher::Change large = Change("a", 1);
   large.row.value.assign(300000, 'x');
   replica.Apply(large);
-  replica.Confirm(9, kStart);
+  replica.Confirm(StorePosition{0, 9}, kStart);
   const std::string bytes = Encode(Ask(replica, 0, At(70)));
   const std::optional<TableReplicaReply> decoded = DecodeTableReplicaReply(bytes);
   cr_assert(decoded.has_value());
   cr_assert_eq(RowsOf(*decoded)[0].value.size(), 300000u);
-  cr_assert_eq(decoded->version, 9u);
+  cr_assert_eq(decoded->position.version, 9u);
   cr_assert_not(DecodeTableReplicaReply(bytes.substr(0, bytes.size() - 1)).has_value());
   cr_assert_not(DecodeRelayPeerRequest("x").has_value());
 }
@@ -179,7 +202,7 @@
     bytes += change.row.value.size();
     replica.Apply(change);
   }
-  replica.Confirm(kRows, kStart);
+  replica.Confirm(StorePosition{0, kRows}, kStart);
   const TableReplicaReply reply = Ask(replica, 0);
   cr_assert_eq(RowsOf(reply).size(), kRows);
   cr_assert_leq(reply.packed_rows.size(), bytes / 4, "%zu of %zu", reply.packed_rows.size(), bytes);
--- a/tests/auto/coordination/tst_table_watcher.cpp
+++ b/tests/auto/coordination/tst_table_watcher.cpp
@@ -25,7 +25,11 @@
 }
 
 StoreReply Reply(std::vector<StoreRow> rows, std::uint64_t version, bool has_more = false) {
-  return {StoreStatus::kOk, std::move(rows), version, has_more};
+  return {StoreStatus::kOk, std::move(rows), StorePosition{0, version}, has_more};
+}
+
+StoreReply ReplyOfEpoch(std::uint64_t epoch, std::vector<StoreRow> rows, std::uint64_t version) {
+  return {StoreStatus::kOk, std::move(rows), StorePosition{epoch, version}};
 }
 
 StoreReply Failure(StoreStatus status) {
@@ -61,7 +65,7 @@
   cr_assert(NextRead(watcher).from == "a");
   cr_assert_eq(watcher.OnReply(Reply({Row("a", 3), Row("b", 12)}, 12), kStart).size(), 2u);
   cr_assert(watcher.IsComplete());
-  cr_assert_eq(NextWatch(watcher).after, 10u);
+  cr_assert_eq(NextWatch(watcher).after.version, 10u);
 }
 
 // Guards against a replica that goes back to an older row, and against duplicate changes.
@@ -135,7 +139,7 @@
   cr_assert_eq(watcher.OnReply(Reply({Row("a", 1), Row("c", 2)}, 5), kStart).size(), 0u);
   cr_assert_not(watcher.IsUpToDate());
   cr_assert(NextRead(watcher).from.empty(), "all rows are read again");
-  cr_assert_eq(watcher.Version(), 10u);
+  cr_assert_eq(watcher.Position().version, 10u);
   const std::vector<TableWatcher::Change> changes =
       watcher.OnReply(Reply({Row("a", 1)}, 12), kStart);
   cr_assert_eq(changes.size(), 1u, "a newer source has the removal");
@@ -148,11 +152,11 @@
   TableWatcher watcher(Options(), kSeed);
   watcher.OnReply(Reply({Row("a", 1)}, 7), kStart);
   watcher.OnSourceChanged();
-  cr_assert_eq(NextWatch(watcher).after, 7u);
+  cr_assert_eq(NextWatch(watcher).after.version, 7u);
   cr_assert_eq(NextWatch(watcher).wait.count(), 0, "the age of its copy is needed at once");
   watcher.OnReply(Reply({}, 5), kStart);
   cr_assert_gt(NextWatch(watcher).wait.count(), 0);
-  cr_assert_eq(NextWatch(watcher).after, 7u, "the source is behind");
+  cr_assert_eq(NextWatch(watcher).after.version, 7u, "the source is behind");
 }
 
 // Guards against a replica that combines pages of different ages.
@@ -164,7 +168,7 @@
   const std::vector<TableWatcher::Change> changes =
       watcher.OnReply(Reply({Row("b", 12)}, 12), kStart);
   cr_assert_eq(changes.size(), 1u);
-  cr_assert_eq(NextWatch(watcher).after, 12u);
+  cr_assert_eq(NextWatch(watcher).after.version, 12u);
 }
 
 // Guards against a call to the store for each row when many endpoints change in quick succession.
@@ -193,3 +197,55 @@
   watcher.OnReply(Reply({}, seen), now);
   cr_assert_eq(watcher.Next().delay.count(), 0, "the next watch waits at the store");
 }
+
+// Guards against a replica that waits until the versions of a restored store have caught up with
+// those from before, and against endpoints that vanish because the copy lacks their rows.
+Test(table_watcher, a_restored_store_is_read_again_whatever_its_version) {
+  TableWatcher watcher(Options(), kSeed);
+  watcher.OnReply(ReplyOfEpoch(1, {Row("a", 3), Row("b", 9)}, 9), kStart);
+  cr_assert(watcher.IsComplete());
+  StoreReply gone = Failure(StoreStatus::kHistoryGone);
+  gone.position.epoch = 2;
+  watcher.OnReply(gone, kStart);
+  cr_assert_not(watcher.IsUpToDate());
+  cr_assert(NextRead(watcher).from.empty());
+  const std::vector<TableWatcher::Change> changes =
+      watcher.OnReply(ReplyOfEpoch(2, {Row("a", 2)}, 4), kStart);
+  cr_assert(watcher.IsUpToDate());
+  cr_assert_eq(changes.size(), 2u);
+  cr_assert(changes[0].row.key == "b" && changes[0].row.removed);
+  cr_assert(changes[0].provisional, "its writer may write it again");
+  cr_assert(changes[1].row.key == "a" && changes[1].row.version == 2 && changes[1].restored);
+  cr_assert(NextWatch(watcher).after == StorePosition(2, 4));
+  const std::vector<TableWatcher::Change> written =
+      watcher.OnReply(ReplyOfEpoch(2, {Row("b", 5)}, 5), kStart);
+  cr_assert_eq(written.size(), 1u);
+  cr_assert_not(written[0].restored, "it was written in this epoch");
+}
+
+// Guards against changes of a restored store that are taken for the continuation of those before,
+// because the version to continue from exists again.
+Test(table_watcher, a_version_that_exists_again_is_not_continued_from) {
+  TableWatcher watcher(Options(), kSeed);
+  watcher.OnReply(ReplyOfEpoch(1, {Row("a", 3), Row("b", 9)}, 9), kStart);
+  cr_assert_eq(watcher.OnReply(ReplyOfEpoch(2, {Row("c", 10)}, 10), kStart).size(), 0u);
+  cr_assert_not(watcher.IsUpToDate());
+  cr_assert(NextRead(watcher).from.empty());
+  const std::vector<TableWatcher::Change> changes =
+      watcher.OnReply(ReplyOfEpoch(2, {Row("a", 9), Row("c", 10)}, 10), kStart);
+  cr_assert_eq(changes.size(), 3u, "a has changed, b is gone, c is new");
+}
+
+// Guards against a replica that combines rows from before and after a restore, and against a late
+// reply that takes it back.
+Test(table_watcher, replies_of_different_epochs_are_not_combined) {
+  TableWatcher watcher(Options(), kSeed);
+  StoreReply first_page = ReplyOfEpoch(1, {Row("a", 3)}, 9);
+  first_page.has_more = true;
+  watcher.OnReply(first_page, kStart);
+  cr_assert_eq(watcher.OnReply(ReplyOfEpoch(2, {Row("b", 4)}, 4), kStart).size(), 0u);
+  cr_assert(NextRead(watcher).from.empty());
+  cr_assert_eq(watcher.OnReply(ReplyOfEpoch(2, {Row("b", 4)}, 4), kStart).size(), 1u);
+  cr_assert_eq(watcher.OnReply(ReplyOfEpoch(1, {Row("c", 10)}, 10), kStart).size(), 0u);
+  cr_assert(NextWatch(watcher).after == StorePosition(2, 4));
+}
--- a/tests/auto/platform/store_standin.cpp
+++ b/tests/auto/platform/store_standin.cpp
@@ -41,6 +41,12 @@
   m_tables[table][key] = {"", ++m_version, true};
 }
 
+void StoreStandin::Restore() {
+  m_tables = m_copy.tables;
+  m_version = m_copy.version;
+  ++m_epoch;
+}
+
 bool StoreStandin::Has(const std::string& table, const std::string& key) const {
   const auto found = m_tables.find(table);
   if (found == m_tables.end()) return false;
@@ -57,21 +63,21 @@
   const HttpRequest& request = exchange.Request();
   while (m_hang && !exchange.ClientDisconnected()) co_await Sleep(kPollInterval);
   if (exchange.ClientDisconnected()) co_return;
+  HttpReply reply = co_await Answer(request);
+  reply.headers.push_back({"Store-Era", std::to_string(m_epoch)});
+  co_await exchange.Respond(std::move(reply));
+}
+
+Task<HttpReply> StoreStandin::Answer(HttpRequest request) {
   if (m_failure != 0) {
     HttpReply failure;
     failure.status = m_failure;
-    co_await exchange.Respond(std::move(failure));
-    co_return;
+    co_return failure;
   }
   const std::string_view path = PathOf(request.target);
-  if (path == "/fulmarpoint/rows-get") {
-    co_await exchange.Respond(Read(request.target));
-  } else if (path == "/fulmarpoint/rows-feed") {
-    HttpReply reply = co_await Watch(request.target);
-    co_await exchange.Respond(std::move(reply));
-  } else {
-    co_await exchange.Respond(Commit(request.body));
-  }
+  if (path == "/fulmarpoint/rows-get") co_return Read(request.target);
+  if (path == "/fulmarpoint/rows-feed") co_return co_await Watch(request.target);
+  co_return Commit(request.body);
 }
 
 HttpReply StoreStandin::Read(const std::string& target) {
@@ -108,7 +114,7 @@
 
 std::optional<HttpReply> StoreStandin::Changes(const std::string& table, std::uint64_t after,
                                                bool even_if_none) {
-  if (after < m_history_start) return HttpReply{410, {}, ""};
+  if (after < m_history_start || after > m_version) return HttpReply{410, {}, ""};
   std::map<std::uint64_t, Json> changes;
   for (const auto& [key, row] : m_tables[table]) {
     if (row.version <= after) continue;
--- a/tests/auto/platform/store_standin.h
+++ b/tests/auto/platform/store_standin.h
@@ -27,6 +27,10 @@
   void FailWith(int status) { m_failure = status; }
   /// Leaves calls without a reply until reset.
   void Hang(bool hang) { m_hang = hang; }
+  /// Keeps a copy of all rows.
+  void TakeCopy() { m_copy = {m_tables, m_version}; }
+  /// Loses everything since the last copy was taken and begins a new epoch.
+  void Restore();
   bool Has(const std::string& table, const std::string& key) const;
   /// Returns the value of a row; empty if there is none.
   std::string Value(const std::string& table, const std::string& key) const;
@@ -40,7 +44,13 @@
   };
   using Table = std::map<std::string, Row>;
 
+  struct Copy {
+    std::map<std::string, Table> tables;
+    std::uint64_t version = 0;
+  };
+
   Task<void> Handle(HttpExchange& exchange);
+  Task<HttpReply> Answer(HttpRequest request);
   HttpReply Read(const std::string& target);
   Task<HttpReply> Watch(std::string target);
   /// Returns the reply to a watch; nothing if there is no change and `even_if_none` is false.
@@ -50,6 +60,8 @@
 
   std::map<std::string, Table> m_tables;
   std::uint64_t m_version = 1;
+  std::uint64_t m_epoch = 1;
+  Copy m_copy;
   std::uint64_t m_history_start = 0;
   int m_failure = 0;
   bool m_hang = false;
--- a/tests/auto/platform/tst_configuration.cpp
+++ b/tests/auto/platform/tst_configuration.cpp
@@ -55,6 +55,23 @@
   cr_assert_eq(co_await StatusOf(world, "/look/x", second), 401, "an older version never returns");
 }
 
+Task<void> RestoredStoreIsFollowed(PlatformWorld& world) {
+  world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  const HttpHeaders second = OneHeader("Authorization", "Bearer key-2");
+  world.store->TakeCopy();
+  for (int version = 2; version < 12; ++version) {
+    world.store->Put("op", "config", PlatformWorld::Configuration(version, R"(["key-1"])"));
+  }
+  co_await WaitForStatus(world, "/look/x", second, 401);
+  world.store->Restore();
+  co_await Sleep(std::chrono::milliseconds(300));
+  cr_assert_eq(co_await StatusOf(world, "/look/x", second), 401, "a removed key never returns");
+  // The versions of the restored store are still below those from before.
+  world.store->Put("op", "config", PlatformWorld::Configuration(12));
+  co_await WaitForStatus(world, "/look/x", second, 200);
+}
+
 Task<void> KeysNeedRecentConfirmation(PlatformWorld& world) {
   EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
   // Longer than two watches, so that the confirmation stays valid while the store replies.
@@ -243,6 +260,10 @@
 // up.
 Test(configuration, neighbours_lend_retry_quota) { RunTest(&NeighboursLendRetryQuota); }
 
+// Guards against a daemon that goes back to the configuration of a copy from which the store was
+// restored, or takes over no later one.
+Test(configuration, a_store_restored_from_a_copy_is_followed) { RunTest(&RestoredStoreIsFollowed); }
+
 // Guards against a removed key that still works on a daemon that cannot reach the store.
 Test(configuration, keys_need_a_recent_confirmation) { RunTest(&KeysNeedRecentConfirmation); }
 
