coordination: take no confirmation of the configuration from a copy that may lack the latest one

What could happen: the operator removes a key, the store acknowledges it and is restored from a copy that lacks the change before this daemon has seen it. The next read of the copy confirms the daemon's configuration, and the key works beyond its revocation time until the operator has written again.

Cause: each complete read confirmed the configuration. That holds only while the store keeps what it acknowledges.

Change: after a restore, reads confirm the configuration only if its row shows that the operator has written it again (the copy keeps the versions of its rows), or after the time in which the operator writes; never while it is older than the one in effect. Meanwhile the last confirmation ages as in an outage. New log lines: configuration_unconfirmed, configuration_current.

--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -71,11 +71,21 @@
 
 void RelayTables::OnConfirmed(const std::string& table, StorePosition position, TimePoint at) {
   m_replicas.Confirm(table, position, at);
-  if (table == m_sources.configuration_table) m_context.freshness.Confirm(at);
+  if (table == m_sources.configuration_table) OnConfigurationConfirmed(at);
   if (table != kPeerTable || m_endpoint_replication == nullptr) return;
   std::exchange(m_endpoint_replication, nullptr)->Start();
 }
 
+void RelayTables::OnConfigurationConfirmed(TimePoint at) {
+  const bool is_current = m_restored_check.IsCurrent(SteadyNow());
+  if (is_current) m_context.freshness.Confirm(at);
+  if (is_current == m_is_configuration_current) return;
+  m_is_configuration_current = is_current;
+  Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
+      is_current ? "configuration_current" : "configuration_unconfirmed",
+      {{"in_effect", m_context.table ? m_context.table->Version() : 0}});
+}
+
 Task<TableReplicaReply> RelayTables::AnswerPeer(TableReplicaRequest request) {
   return m_replicas.Answer(std::move(request));
 }
@@ -93,8 +103,11 @@
       OnOrderRow(change.row);
       continue;
     }
+    std::optional<RelayConfiguration> parsed;
+    if (!change.row.removed) parsed = m_sources.parse_configuration(change.row.value);
+    m_restored_check.OnRow(parsed ? parsed->version : 0, change.row.version, change.restored,
+                           SteadyNow());
     if (change.row.removed) continue;
-    std::optional<RelayConfiguration> parsed = m_sources.parse_configuration(change.row.value);
     if (!parsed) {
       Log(LogLevel::kError, "configuration_rejected", {{"row_version", change.row.version}});
       continue;
--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "coordination/replication_source_selection.h"
+#include "coordination/restored_configuration.h"
 #include "relay/relay_context.h"
 #include "relay/relay_sources.h"
 #include "relay/replica_client.h"
@@ -47,6 +48,7 @@
       TableReplicator::Options options,
       std::function<void(const std::vector<TableWatcher::Change>&)> on_changes);
   void OnConfirmed(const std::string& table, StorePosition position, TimePoint at);
+  void OnConfigurationConfirmed(TimePoint at);
   void OnConfigurationRows(const std::vector<TableWatcher::Change>& changes);
   void OnOrderRow(const StoreRow& row);
   void Apply(RelayConfiguration configuration);
@@ -64,6 +66,8 @@
   std::vector<std::unique_ptr<TableReplication>> m_replications;
   /// The replication of the endpoints until it is started, then null.
   TableReplication* m_endpoint_replication = nullptr;
+  RestoredConfigurationCheck m_restored_check;
+  bool m_is_configuration_current = true;
   /// Services with a rollout order, by the order's key.
   std::map<std::string, ServiceName> m_orders;
 };
--- a/tests/auto/coordination/replication_fleet.cpp
+++ b/tests/auto/coordination/replication_fleet.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "coordination/configuration_freshness.h"
+#include "coordination/restored_configuration.h"
 #include "coordination/table_replication_options.h"
 #include "protocol/table_replica_rows.h"
 
@@ -50,8 +51,10 @@
   }
 
   /// Takes over a configuration that is not older than the one in effect, as `RelayTables` does.
-  void OnConfigurationRow(const TableWatcher::Change& change) {
+  void OnConfigurationRow(const TableWatcher::Change& change, TimePoint now) {
     const std::uint64_t version = change.row.removed ? 0 : std::stoull(change.row.value);
+    restored_check.OnRow(static_cast<std::int64_t>(version), change.row.version, change.restored,
+                         now);
     configuration_version = std::max(configuration_version, version);
   }
 
@@ -63,6 +66,7 @@
   std::array<TimePoint, kTables> sent_at{};
   std::vector<PendingCall> pending_calls;
   ConfigurationFreshness freshness{kConfirmationValidity};
+  RestoredConfigurationCheck restored_check;
   std::uint64_t configuration_version = 0;
 };
 
@@ -332,11 +336,13 @@
       replicator.OnReply(reply, process.sent_at.at(table), m_now);
   for (const TableWatcher::Change& change : update.changes) {
     process.replicas.at(table).Apply(change);
-    if (table == kConfiguration) process.OnConfigurationRow(change);
+    if (table == kConfiguration) process.OnConfigurationRow(change, m_now);
   }
   if (update.current_at)
     process.replicas.at(table).Confirm(replicator.Position(), *update.current_at);
-  if (update.current_at && table == kConfiguration) process.freshness.Confirm(*update.current_at);
+  const bool is_confirmed =
+      update.current_at && table == kConfiguration && process.restored_check.IsCurrent(m_now);
+  if (is_confirmed) process.freshness.Confirm(*update.current_at);
   for (const PendingCall& pending : std::exchange(process.pending_calls, {})) pending.retry();
   // The endpoints are read once the table of daemons is complete.
   if (table == kPeers && replicator.IsComplete() && !was_complete) StartCall(index, kEndpoints);
--- a/tests/auto/coordination/tst_replication_fleet.cpp
+++ b/tests/auto/coordination/tst_replication_fleet.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coordination/configuration_freshness.h"
+#include "coordination/restored_configuration.h"
 #include "replication_fleet.h"
 
 using namespace fulmarpoint;
@@ -273,3 +274,23 @@
     RestoreStore(kDaemons, kDomains, delay);
   }
 }
+
+// Guards against a removed key that works again: the operator had written a configuration that no
+// daemon has seen, and the copy lacks it.
+Test(replication_fleet, a_copy_confirms_nothing_until_the_operator_has_written_again) {
+  RestoredConfigurationCheck check;
+  const TimePoint start = After(Duration::zero());
+  check.OnRow(12, 40, false, start);
+  cr_assert(check.IsCurrent(start));
+  check.OnRow(12, 40, true, start);
+  cr_assert_not(check.IsCurrent(start), "the row is the copy's");
+  cr_assert(check.IsCurrent(start + RestoredConfigurationCheck::kRewriteTime));
+  check.OnRow(12, 55, true, start);
+  cr_assert(check.IsCurrent(start), "the operator has written it again");
+  check.OnRow(9, 30, true, start);
+  cr_assert_not(check.IsCurrent(start + seconds(60)), "it is older than the one in effect");
+  check.OnRow(9, 31, false, start);
+  cr_assert_not(check.IsCurrent(start + seconds(60)));
+  check.OnRow(13, 32, false, start);
+  cr_assert(check.IsCurrent(start));
+}
