coordination: keep leaving endpoints out after the store was restored from a copy

What could happen: the copy lists an endpoint as ready that was draining, or whose row was removed, after the copy was taken. Found by reading.

Cause: the directory took each row as the latest word on a process.

Change: the directory remembers what the rows have shown of each process. A restored row of a draining process stays draining; one of a process that was gone is used only once it is written again, or if it is still listed after the time in which the platform removes rows of ended processes.

Result: tst_endpoint_directory a_copy_brings_no_leaving_endpoint_back (new method; the rows went through Put before, which uses both endpoints) and a_restored_row_that_stays_is_used_again pass.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr int kMaxCoolDownDoublings = 5;
-// A process that is no longer listed has ended after this time.
+// What is known of a process that is no longer listed is kept for this time.
 constexpr Duration kStatementLifetime = std::chrono::minutes(10);
 // Short, because a full endpoint has room again when the next request there ends.
 constexpr Duration kRejectionCoolDown = std::chrono::milliseconds(100);
@@ -48,6 +48,8 @@
   const EndpointRecord before = std::exchange(endpoint.record, record);
   AddToIndexes(endpoint);
   endpoint.gone_at.reset();
+  endpoint.doubted_until = TimePoint{};
+  m_listed[record.id] = {record.incarnation, record.draining, std::nullopt};
   ApplyStatement(endpoint);
   const bool is_same_process =
       before.incarnation == record.incarnation && before.address == record.address;
@@ -65,6 +67,18 @@
   endpoint.load = EndpointLoad{};
 }
 
+void EndpointDirectory::PutRestored(EndpointRecord record, TimePoint now) {
+  ListedProcess before;
+  const auto found = m_listed.find(record.id);
+  if (found != m_listed.end() && found->second.incarnation == record.incarnation) {
+    before = found->second;
+  }
+  record.draining = record.draining || before.is_draining;
+  Put(record, now);
+  if (!before.gone_at || *before.gone_at > now) return;
+  m_endpoints[record.id].doubted_until = now + m_options.restored_row_doubt;
+}
+
 void EndpointDirectory::SetServices(std::set<ServiceName> services, TimePoint now) {
   if (m_services == services) return;
   m_services = std::move(services);
@@ -95,6 +109,7 @@
   const auto found = m_endpoints.find(id);
   if (found == m_endpoints.end()) return;
   found->second.gone_at = at;
+  m_listed[id].gone_at = at;
 }
 
 void EndpointDirectory::OnFailure(const EndpointId& id, TimePoint now) {
@@ -312,6 +327,10 @@
 }
 
 void EndpointDirectory::Forget(TimePoint now) {
+  std::erase_if(m_listed, [now](const auto& entry) {
+    const std::optional<TimePoint>& gone_at = entry.second.gone_at;
+    return gone_at && now - *gone_at > kStatementLifetime;
+  });
   std::erase_if(m_statements, [&](const auto& entry) {
     const ProcessStatement& statement = entry.second;
     return m_endpoints.count(entry.first) == 0 &&
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -71,12 +71,17 @@
   bool is_leaving = false;
   /// The process has stated that it wants no request from this daemon before.
   TimePoint wanted_from{};
+  /// The row came back with a copy of the store although the process had ended; it may be used if
+  /// the row is still there then.
+  TimePoint doubted_until{};
 
   /// Returns whether the process has ended as far as is known.
   bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
   bool IsDraining() const { return record.draining || is_leaving; }
   /// Returns when the endpoint may receive requests if nothing else prevents it.
-  TimePoint NextRequestAt() const { return std::max(cool_down_until, wanted_from); }
+  TimePoint NextRequestAt() const {
+    return std::max({cool_down_until, wanted_from, doubted_until});
+  }
   std::int64_t PendingPrefillTokens() const {
     return own.pending_prefill_tokens + peers.pending_prefill_tokens;
   }
@@ -103,6 +108,8 @@
     /// `domain_failure_window`, all others of the service there are suspected too.
     std::size_t domain_failures = 2;
     Duration domain_failure_window = std::chrono::milliseconds(800);
+    /// The platform removes the row of an ended process within this time after it was restored.
+    Duration restored_row_doubt = std::chrono::seconds(5);
   };
 
   EndpointDirectory() = default;
@@ -116,6 +123,9 @@
   /// The store lists a new or changed endpoint. If two endpoints have the same address, the process
   /// that started earlier has exited; its row remains for some heartbeats after that.
   void Put(const EndpointRecord& record, TimePoint now);
+  /// The store, restored from a copy, lists the endpoint. The row may be older than what is known
+  /// of the process: one that was draining still is, and one that had ended is doubted.
+  void PutRestored(EndpointRecord record, TimePoint now);
   /// The store no longer lists the endpoint; it counts as gone from `at` on. Endpoints that it
   /// displaced are used again at the next `Forget` after that.
   void Remove(const EndpointId& id, TimePoint at);
@@ -183,6 +193,12 @@
     TimePoint wanted_from{};
     TimePoint stated_at{};
   };
+  /// The last process of an identifier as the store's rows have shown it.
+  struct ListedProcess {
+    std::int64_t incarnation = 0;
+    bool is_draining = false;
+    std::optional<TimePoint> gone_at;
+  };
 
   using Index = std::map<std::string, std::map<EndpointId, DirectoryEndpoint*>>;
 
@@ -199,6 +215,8 @@
   std::optional<std::set<ServiceName>> m_services;
   /// Also kept for endpoints that are no longer listed, because their rows may come back.
   std::map<EndpointId, ProcessStatement> m_statements;
+  /// Also kept for endpoints that are no longer listed, because a restored store may list them.
+  std::map<EndpointId, ListedProcess> m_listed;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
   Index m_by_address;
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -176,7 +176,11 @@
     m_context.endpoints.Remove(id, now);
     return;
   }
-  m_context.endpoints.Put(*record, now);
+  if (change.restored) {
+    m_context.endpoints.PutRestored(*record, now);
+  } else {
+    m_context.endpoints.Put(*record, now);
+  }
   // Draining endpoints are always logged, because they explain why requests went elsewhere.
   if (!is_logged && !record->draining) return;
   Log(LogLevel::kInfo, record->draining ? "endpoint_draining" : "endpoint_listed",
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -204,3 +204,32 @@
   directory.Remove("e", kStart);
   cr_assert_not(directory.IsIntact(Record("e"), kStart + std::chrono::milliseconds(1)));
 }
+
+// Guards against requests to an endpoint that was draining or gone before the store was restored
+// from a copy in which it is ready.
+Test(endpoint_directory, a_copy_brings_no_leaving_endpoint_back) {
+  EndpointDirectory directory;
+  EndpointRecord draining = Record("draining", "10.0.0.1:80");
+  draining.draining = true;
+  directory.Put(draining, kStart);
+  directory.Put(Record("gone", "10.0.0.2:80"), kStart);
+  directory.Remove("gone", kStart);
+  directory.Forget(kStart);
+  directory.PutRestored(Record("draining", "10.0.0.1:80"), kStart);
+  directory.PutRestored(Record("gone", "10.0.0.2:80"), kStart);
+  cr_assert_eq(UsableCount(directory, kStart), 0u);
+  directory.Put(Record("gone", "10.0.0.2:80"), kStart);
+  cr_assert_eq(UsableCount(directory, kStart), 1u, "it has written its row again");
+}
+
+// Guards against an endpoint that stays unused because its row had expired before the restore.
+Test(endpoint_directory, a_restored_row_that_stays_is_used_again) {
+  EndpointDirectory directory;
+  directory.Put(Record("lapsed"), kStart);
+  directory.Remove("lapsed", kStart);
+  directory.PutRestored(Record("lapsed"), kStart);
+  const TimePoint later = kStart + EndpointDirectory::Options().restored_row_doubt;
+  cr_assert_eq(UsableCount(directory, later), 1u);
+  directory.PutRestored(Record("lapsed", "10.0.0.1:80", 2), kStart);
+  cr_assert_eq(UsableCount(directory, kStart), 1u, "a later process has not ended");
+}
