relay: keep the fleet's list of daemons through a restore of the store

What could happen: the copy from which the store is restored lacks the row of a daemon that registered later, or has that of an earlier process, or that of a daemon that has left. A daemon whose row was replaced by that of its earlier process never wrote it again; one whose row was missing vanished from lookups until it had; one that had left was named by lookups of daemons that are not its neighbours until its row was removed after 30 s. Found by reading.

Cause: the rows of daemons were believed as they came; a daemon only noticed that its row was removed.

Change: a daemon writes its row again whenever the store has another one that is not of a later process. Rows that the copy lacks count as removed only after the time in which they are written again. A row that the copy brings back although its process had ended is not used, and the ring neighbours remove it at their next check.

Result: tst_configuration the_row_of_an_earlier_process_is_replaced failed before (no row of the later process within 20 s) and passes; tst_peer_directory a_copy_brings_no_ended_daemon_back passes (new method). tst_configuration daemons_register_again_after_a_restore passes before and after: with two daemons the gap is shorter than its 5 ms interval; it stays as a guard.

--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -56,6 +56,12 @@
   peer.has_sent_heartbeat = false;
   peer.ready = false;
   peer.leaving = false;
+  peer.ended = false;
+}
+
+void PeerDirectory::MarkEnded(const std::string& name) {
+  const auto found = m_peers.find(name);
+  if (found != m_peers.end()) found->second.ended = true;
 }
 
 void PeerDirectory::Remove(const std::string& name) {
@@ -75,6 +81,7 @@
   peer.sequence = heartbeat.sequence;
   peer.last_heartbeat = now;
   peer.has_sent_heartbeat = true;
+  peer.ended = false;
   peer.ready = heartbeat.ready;
   peer.leaving = heartbeat.leaving;
   if (heartbeat.payload) peer.record.caller_address = heartbeat.payload->caller_address;
@@ -93,7 +100,7 @@
   }
   std::vector<PeerRecord> listed;
   for (const auto& [name, peer] : m_peers) {
-    if (unavailable.count(name) == 0) listed.push_back(peer.record);
+    if (unavailable.count(name) == 0 && !peer.ended) listed.push_back(peer.record);
   }
   return listed;
 }
@@ -110,6 +117,7 @@
   std::vector<std::string> addresses;
   for (const auto& [name, peer] : m_peers) {
     // Daemons that are not neighbours are known only by their rows.
+    if (peer.ended) continue;
     const bool is_neighbour = neighbours.count(name) > 0;
     const bool answers = now - peer.last_heartbeat < m_options.heartbeat_timeout;
     if (is_neighbour && !(peer.has_sent_heartbeat && answers && peer.ready && !peer.leaving))
@@ -122,7 +130,8 @@
 std::vector<std::string> PeerDirectory::LostNeighbours(TimePoint now) const {
   std::vector<std::string> lost;
   for (const Peer* peer : RingNeighbours()) {
-    if (now - peer->last_heartbeat >= m_options.removal_timeout) lost.push_back(peer->record.name);
+    const bool is_silent = now - peer->last_heartbeat >= m_options.removal_timeout;
+    if (is_silent || peer->ended) lost.push_back(peer->record.name);
   }
   return lost;
 }
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -51,6 +51,9 @@
   /// Adds or updates a daemon that the store lists.
   void Put(const PeerRecord& record, TimePoint now);
   void Remove(const std::string& name);
+  /// The daemon's process has ended although the store, restored from a copy, lists it. Lookups do
+  /// not return it, and its neighbours may remove its row at once.
+  void MarkEnded(const std::string& name);
   /// Records a heartbeat and returns its sender; null if the sender is unknown or has sent a newer
   /// heartbeat. The pointer is valid until the next call of a non-const function.
   const PeerRecord* OnHeartbeat(const RelayHeartbeat& heartbeat, TimePoint now);
@@ -84,6 +87,8 @@
     bool has_sent_heartbeat = false;
     bool ready = false;
     bool leaving = false;
+    /// Set until the daemon sends a heartbeat or a later process registers.
+    bool ended = false;
   };
 
   std::vector<const Peer*> RingNeighbours() const;
--- a/src/libs/relay/peer_registration.cpp
+++ b/src/libs/relay/peer_registration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "transport/notification.h"
@@ -31,6 +32,9 @@
   Task<void> Run();
   Task<bool> Write();
   Task<void> RemoveLostPeers();
+  void OnOwnRow(const StoreRow& row);
+  void Remove(const std::string& name);
+  Task<void> RemoveUnlessWritten(std::string name, TimePoint until);
 
   RelayContext& context;
   const PeerRecord self;
@@ -38,6 +42,11 @@
   Notification wake;
   /// Row versions of the other daemons, by name.
   std::map<std::string, std::uint64_t> versions;
+  /// Incarnations of the other daemons that are listed, and of those whose rows were removed.
+  std::map<std::string, std::uint64_t> incarnations;
+  std::map<std::string, std::uint64_t> ended;
+  /// Daemons whose rows a restored store lacks, and when they count as removed.
+  std::map<std::string, TimePoint> missing;
   bool deregistering = false;
   bool written = false;
   bool stopped = false;
@@ -108,24 +117,64 @@
   m_state->wake.Notify();
 }
 
-void PeerRegistration::OnRow(const StoreRow& row) {
-  if (row.key == m_state->self.name) {
-    // Another daemon removed the row because it considered this one lost; write it again.
-    if (row.removed && !m_state->deregistering) {
-      m_state->written = false;
-      m_state->wake.Notify();
-    }
+/// Another daemon removed the row because it considered this one lost, or the store was restored
+/// from a copy that lacks the row or has that of an earlier process.
+void PeerRegistration::State::OnOwnRow(const StoreRow& row) {
+  const std::optional<PeerRecord> record = ParsePeerRecord(row.value);
+  const bool is_of_later_process = record && record->incarnation > self.incarnation;
+  if (deregistering || row.value == value || is_of_later_process) return;
+  written = false;
+  wake.Notify();
+}
+
+void PeerRegistration::State::Remove(const std::string& name) {
+  const auto incarnation = incarnations.find(name);
+  if (incarnation != incarnations.end()) ended[name] = incarnation->second;
+  versions.erase(name);
+  incarnations.erase(name);
+  context.peers.Remove(name);
+}
+
+/// Removes the peer if its row has not been written again by `until`.
+Task<void> PeerRegistration::State::RemoveUnlessWritten(std::string name, TimePoint until) {
+  const std::shared_ptr<State> keep = shared_from_this();
+  missing[name] = until;
+  co_await Sleep(std::max(Duration::zero(), until - SteadyNow()));
+  const auto found = missing.find(name);
+  if (stopped || found == missing.end() || found->second != until) co_return;
+  missing.erase(found);
+  Remove(name);
+}
+
+void PeerRegistration::OnChange(const TableWatcher::Change& change) {
+  State& state = *m_state;
+  const StoreRow& row = change.row;
+  if (row.key == state.self.name) {
+    state.OnOwnRow(row);
     return;
   }
-  if (row.removed) {
-    m_state->versions.erase(row.key);
-    m_state->context.peers.Remove(row.key);
+  if (change.provisional) {
+    Spawn(state.context.executor, [shared = m_state, name = row.key, until = change.until]() {
+      return shared->RemoveUnlessWritten(name, until);
+    });
     return;
   }
-  m_state->versions[row.key] = row.version;
-  if (const std::optional<PeerRecord> record = ParsePeerRecord(row.value)) {
-    m_state->context.peers.Put(*record, SteadyNow());
+  state.missing.erase(row.key);
+  if (row.removed) {
+    state.Remove(row.key);
+    return;
   }
+  state.versions[row.key] = row.version;
+  const std::optional<PeerRecord> record = ParsePeerRecord(row.value);
+  if (!record) return;
+  state.context.peers.Put(*record, SteadyNow());
+  state.incarnations[row.key] = record->incarnation;
+  if (!change.restored) state.ended.erase(row.key);
+  const auto ended = state.ended.find(row.key);
+  const bool has_ended = ended != state.ended.end() && record->incarnation <= ended->second;
+  if (!has_ended) return;
+  Log(LogLevel::kInfo, "peer_row_restored", {{"peer", row.key}});
+  state.context.peers.MarkEnded(row.key);
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/peer_registration.h
+++ b/src/libs/relay/peer_registration.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "coordination/peer_directory.h"
+#include "coordination/table_watcher.h"
 #include "relay/relay_context.h"
 
 namespace fulmarpoint {
@@ -25,7 +26,7 @@
   /// Removes this daemon's row for good.
   void Deregister();
   /// Handles a change of a row of `kPeerTable`.
-  void OnRow(const StoreRow& row);
+  void OnChange(const TableWatcher::Change& change);
 
  private:
   struct State;
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -186,7 +186,7 @@
     caller_server->SetLimits(LimitsOf(context.settings, context.table->Limits()));
   };
   handlers.on_peers = [this](const std::vector<TableWatcher::Change>& changes) {
-    for (const TableWatcher::Change& change : changes) registration->OnRow(change.row);
+    for (const TableWatcher::Change& change : changes) registration->OnChange(change);
     peer_exchange.SendHeartbeatSoon();
   };
   return handlers;
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -165,6 +165,29 @@
   cr_assert(lost[0] == "q");
 }
 
+// Guards against lookups that name a daemon that had ended before the store was restored from a
+// copy with its row, and against its row staying there.
+Test(peer_directory, a_copy_brings_no_ended_daemon_back) {
+  constexpr int kFleetSize = 40;
+  PeerDirectory peers("self", {});
+  for (int peer = 0; peer < kFleetSize; ++peer) {
+    peers.Put(Record("d" + std::to_string(peer)), kStart);
+  }
+  const auto is_named = [&peers](const std::string& name) {
+    const std::vector<std::string> addresses = peers.CallerAddresses(kStart);
+    return std::count(addresses.begin(), addresses.end(), name + ":8740") > 0;
+  };
+  for (int peer = 0; peer < kFleetSize; ++peer) peers.MarkEnded("d" + std::to_string(peer));
+  cr_assert_eq(peers.CallerAddresses(kStart).size(), 0u);
+  cr_assert_eq(peers.AvailablePeers(kStart).size(), 0u);
+  cr_assert_eq(peers.LostNeighbours(kStart).size(), PeerDirectory::Options().max_neighbours);
+  peers.OnHeartbeat(Heartbeat("d1", 1), kStart);
+  peers.Put(Record("d2", 2), kStart);
+  peers.OnHeartbeat(Heartbeat("d2", 1, 2), kStart);
+  cr_assert(is_named("d1"), "it lives");
+  cr_assert(is_named("d2"), "a later process has started");
+}
+
 // Guards against a row that a later version or a later process of the daemon cannot read.
 Test(peer_directory, records_round_trip) {
   const PeerRecord record = Record("p", 123456789012345);
--- a/tests/auto/platform/tst_configuration.cpp
+++ b/tests/auto/platform/tst_configuration.cpp
@@ -72,6 +72,46 @@
   co_await WaitForStatus(world, "/look/x", second, 200);
 }
 
+Task<std::size_t> CountLookupAddresses(PlatformWorld& world) {
+  const HttpResult lookup = co_await world.Lookup();
+  if (lookup.error || lookup.reply.status != 200) co_return 0;
+  co_return nlohmann::json::parse(lookup.reply.body).at("addrs").size();
+}
+
+Task<void> RestoredStoreLacksDaemons(PlatformWorld& world) {
+  world.AddEndpoint("orders", "a");
+  world.store->Put("op", "config", PlatformWorld::Configuration(1));
+  world.store->TakeCopy();
+  co_await world.Start();
+  world.peer = world.StartPeer("daemon-2");
+  while (co_await CountLookupAddresses(world) < 2) co_await Sleep(std::chrono::milliseconds(5));
+  world.store->Restore();
+  const auto are_registered = [&world]() {
+    return world.store->Has("fulmarpoint-daemons", "daemon-1") &&
+           world.store->Has("fulmarpoint-daemons", "daemon-2");
+  };
+  cr_assert_not(are_registered());
+  std::size_t fewest = 2;
+  const TimePoint end = SteadyNow() + std::chrono::seconds(1);
+  while (SteadyNow() < end || !are_registered()) {
+    fewest = std::min(fewest, co_await CountLookupAddresses(world));
+    co_await Sleep(std::chrono::milliseconds(5));
+  }
+  cr_assert_eq(fewest, 2u, "both daemons live all the time");
+}
+
+Task<void> RestoredStoreHasEarlierProcess(PlatformWorld& world) {
+  world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  const auto own_row = [&world]() { return world.store->Value("fulmarpoint-daemons", "daemon-1"); };
+  co_await PlatformWorld::WaitFor([&own_row]() { return !own_row().empty(); });
+  const std::string latest = own_row();
+  nlohmann::json earlier = nlohmann::json::parse(latest);
+  earlier["incarnation"] = 1;
+  world.store->Put("fulmarpoint-daemons", "daemon-1", earlier.dump());
+  co_await PlatformWorld::WaitFor([&]() { return own_row() == latest; });
+}
+
 Task<void> KeysNeedRecentConfirmation(PlatformWorld& world) {
   EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
   // Longer than two watches, so that the confirmation stays valid while the store replies.
@@ -264,6 +304,15 @@
 // restored, or takes over no later one.
 Test(configuration, a_store_restored_from_a_copy_is_followed) { RunTest(&RestoredStoreIsFollowed); }
 
+// Guards against daemons that lookups no longer name because a copy from which the store was
+// restored lacks their rows.
+Test(configuration, daemons_register_again_after_a_restore) { RunTest(&RestoredStoreLacksDaemons); }
+
+// Guards against a row of an earlier process of the daemon that stays after a restore.
+Test(configuration, the_row_of_an_earlier_process_is_replaced) {
+  RunTest(&RestoredStoreHasEarlierProcess);
+}
+
 // Guards against a removed key that still works on a daemon that cannot reach the store.
 Test(configuration, keys_need_a_recent_confirmation) { RunTest(&KeysNeedRecentConfirmation); }
 
