coordination: believe no earlier process of an endpoint that a copy of the store lists

A reviewer who had not seen the work found two ways in which a restored row still led requests to a process that had ended: the copy lists an earlier process of an endpoint at another address, which replaced the later one in the directory; and a second restore within seconds took the doubt of the first for a sign of life.

Change: a restored row of an earlier process replaces nothing; the later process counts as gone only if it does not write its row again.

Result: tst_endpoint_directory a_copy_brings_no_earlier_process_back and the second restore in a_copy_brings_no_leaving_endpoint_back pass; both are certain failures of the code before by reading, not played there.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -68,14 +68,20 @@
 }
 
 void EndpointDirectory::PutRestored(EndpointRecord record, TimePoint now) {
-  ListedProcess before;
   const auto found = m_listed.find(record.id);
-  if (found != m_listed.end() && found->second.incarnation == record.incarnation) {
-    before = found->second;
+  const ListedProcess before = found == m_listed.end() ? ListedProcess() : found->second;
+  const bool is_known = found != m_listed.end();
+  if (is_known && record.incarnation < before.incarnation) {
+    // The later process writes its row again if it lives.
+    if (m_endpoints.contains(record.id)) Remove(record.id, now + m_options.restored_row_doubt);
+    return;
   }
-  record.draining = record.draining || before.is_draining;
+  const bool is_same_process = is_known && record.incarnation == before.incarnation;
+  if (is_same_process) record.draining = record.draining || before.is_draining;
   Put(record, now);
-  if (!before.gone_at || *before.gone_at > now) return;
+  const bool has_ended = is_same_process && before.gone_at && *before.gone_at <= now;
+  if (!has_ended) return;
+  m_listed[record.id].gone_at = before.gone_at;
   m_endpoints[record.id].doubted_until = now + m_options.restored_row_doubt;
 }
 
--- a/tests/auto/coordination/tst_endpoint_directory.cpp
+++ b/tests/auto/coordination/tst_endpoint_directory.cpp
@@ -218,6 +218,8 @@
   directory.PutRestored(Record("draining", "10.0.0.1:80"), kStart);
   directory.PutRestored(Record("gone", "10.0.0.2:80"), kStart);
   cr_assert_eq(UsableCount(directory, kStart), 0u);
+  directory.PutRestored(Record("gone", "10.0.0.2:80"), kStart);
+  cr_assert_eq(UsableCount(directory, kStart), 0u, "the store was restored once more");
   directory.Put(Record("gone", "10.0.0.2:80"), kStart);
   cr_assert_eq(UsableCount(directory, kStart), 1u, "it has written its row again");
 }
@@ -233,3 +235,20 @@
   directory.PutRestored(Record("lapsed", "10.0.0.1:80", 2), kStart);
   cr_assert_eq(UsableCount(directory, kStart), 1u, "a later process has not ended");
 }
+
+// Guards against requests to the address of an earlier process of an endpoint, which the copy
+// lists.
+Test(endpoint_directory, a_copy_brings_no_earlier_process_back) {
+  EndpointDirectory directory;
+  directory.Put(Record("e", "10.0.0.2:80", 2), kStart);
+  directory.PutRestored(Record("e", "10.0.0.1:80", 1), kStart);
+  cr_assert_eq(UsableCount(directory, kStart), 1u);
+  cr_assert(directory.Find("e")->record.address == "10.0.0.2:80");
+  directory.Put(Record("e", "10.0.0.2:80", 2), kStart);
+  const TimePoint later = kStart + EndpointDirectory::Options().restored_row_doubt;
+  cr_assert_eq(UsableCount(directory, later), 1u, "it has written its row again");
+  directory.Remove("e", later);
+  directory.Forget(later);
+  directory.PutRestored(Record("e", "10.0.0.1:80", 1), later);
+  cr_assert_eq(UsableCount(directory, later), 0u);
+}
