coordination: pause between calls to a peer of an earlier epoch of the store

A peer that has not met the restored store answers a request of a later epoch at once, because it has no history of it. If no other source was left, a daemon called it again without a pause. Found by review. The replicator now waits 100 ms after such a reply; the peer counts as stale as before.

No test brings about a fleet in which only peers of an earlier epoch are left.

--- a/src/libs/coordination/table_replicator.cpp
+++ b/src/libs/coordination/table_replicator.cpp
@@ -4,6 +4,13 @@
 
 namespace fulmarpoint {
 
+namespace {
+
+// Such a peer answers at once, because it has no history of the later epoch.
+constexpr Duration kOutdatedPeerPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
 TableReplicator::TableReplicator(Options options, ReplicationSourceSelection& source_selection,
                                  std::uint64_t seed)
     : m_options(std::move(options)),
@@ -25,6 +32,7 @@
   SourceCall source_call;
   source_call.source = m_source;
   if (m_source.empty()) source_call.delay = next.delay;
+  if (std::exchange(m_was_outdated, false)) source_call.delay = kOutdatedPeerPause;
   source_call.call = std::move(next.call);
   source_call.peer_wait = m_options.peer_wait;
   return source_call;
@@ -44,6 +52,7 @@
   const bool is_outdated = is_answer && reply.position.epoch < m_watcher.Epoch();
   if (!m_source.empty() && is_outdated) {
     // The peer has not met the restored store yet.
+    m_was_outdated = true;
     m_source_selection.OnStaleReplica(m_source, now);
     return update;
   }
--- a/src/libs/coordination/table_replicator.h
+++ b/src/libs/coordination/table_replicator.h
@@ -71,6 +71,8 @@
   /// Start of the read in progress, or of the last call.
   TimePoint m_started{};
   bool m_starts_read = true;
+  /// The last reply was a peer's of an earlier epoch of the store.
+  bool m_was_outdated = false;
 };
 
 }  // namespace fulmarpoint
