relay: check a daemon's own row once the table is read in a new epoch

Found by review: a daemon that registered just before the store was lost, and had not read its own row yet, saw no removal of it after the restore and never registered again; one that was leaving did not remove a row that the copy brought back. The mark of an ended daemon never left a daemon that was alive after all, at those that get no heartbeats from it.

Change: when the table of daemons is complete in a later epoch than that of the last acknowledged write, the daemon compares its row with what it should be, seen before or not. The mark of an ended daemon ends when its row is still there after its neighbours could have removed it, or is written again.

The first case has no test of its own: it needs a store that is lost between a write and the watch that shows it.

--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -48,6 +48,7 @@
   m_names_by_hash[StableHash(record.name)] = record.name;
   const bool is_new = peer.record.name.empty() || peer.record.incarnation != record.incarnation;
   peer.record = record;
+  peer.ended_until = TimePoint{};
   if (!is_new || record.incarnation <= peer.incarnation) return;
   // A daemon that has just written its row counts as alive until it has had time for a heartbeat.
   peer.incarnation = record.incarnation;
@@ -56,12 +57,11 @@
   peer.has_sent_heartbeat = false;
   peer.ready = false;
   peer.leaving = false;
-  peer.ended = false;
 }
 
-void PeerDirectory::MarkEnded(const std::string& name) {
+void PeerDirectory::MarkEnded(const std::string& name, TimePoint until) {
   const auto found = m_peers.find(name);
-  if (found != m_peers.end()) found->second.ended = true;
+  if (found != m_peers.end()) found->second.ended_until = until;
 }
 
 void PeerDirectory::Remove(const std::string& name) {
@@ -81,7 +81,7 @@
   peer.sequence = heartbeat.sequence;
   peer.last_heartbeat = now;
   peer.has_sent_heartbeat = true;
-  peer.ended = false;
+  peer.ended_until = TimePoint{};
   peer.ready = heartbeat.ready;
   peer.leaving = heartbeat.leaving;
   if (heartbeat.payload) peer.record.caller_address = heartbeat.payload->caller_address;
@@ -100,7 +100,7 @@
   }
   std::vector<PeerRecord> listed;
   for (const auto& [name, peer] : m_peers) {
-    if (unavailable.count(name) == 0 && !peer.ended) listed.push_back(peer.record);
+    if (unavailable.count(name) == 0 && !peer.HasEnded(now)) listed.push_back(peer.record);
   }
   return listed;
 }
@@ -117,7 +117,7 @@
   std::vector<std::string> addresses;
   for (const auto& [name, peer] : m_peers) {
     // Daemons that are not neighbours are known only by their rows.
-    if (peer.ended) continue;
+    if (peer.HasEnded(now)) continue;
     const bool is_neighbour = neighbours.count(name) > 0;
     const bool answers = now - peer.last_heartbeat < m_options.heartbeat_timeout;
     if (is_neighbour && !(peer.has_sent_heartbeat && answers && peer.ready && !peer.leaving))
@@ -131,7 +131,7 @@
   std::vector<std::string> lost;
   for (const Peer* peer : RingNeighbours()) {
     const bool is_silent = now - peer->last_heartbeat >= m_options.removal_timeout;
-    if (is_silent || peer->ended) lost.push_back(peer->record.name);
+    if (is_silent || peer->HasEnded(now)) lost.push_back(peer->record.name);
   }
   return lost;
 }
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -53,7 +53,8 @@
   void Remove(const std::string& name);
   /// The daemon's process has ended although the store, restored from a copy, lists it. Lookups do
   /// not return it, and its neighbours may remove its row at once.
-  void MarkEnded(const std::string& name);
+  /// It is believed to live if its row is still there at `until`.
+  void MarkEnded(const std::string& name, TimePoint until);
   /// Records a heartbeat and returns its sender; null if the sender is unknown or has sent a newer
   /// heartbeat. The pointer is valid until the next call of a non-const function.
   const PeerRecord* OnHeartbeat(const RelayHeartbeat& heartbeat, TimePoint now);
@@ -87,8 +88,10 @@
     bool has_sent_heartbeat = false;
     bool ready = false;
     bool leaving = false;
-    /// Set until the daemon sends a heartbeat or a later process registers.
-    bool ended = false;
+    /// The process counts as ended until then.
+    TimePoint ended_until{};
+
+    bool HasEnded(TimePoint now) const { return now < ended_until; }
   };
 
   std::vector<const Peer*> RingNeighbours() const;
--- a/src/libs/relay/peer_registration.cpp
+++ b/src/libs/relay/peer_registration.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr Duration kCheckInterval = std::chrono::seconds(5);
+// A row that is still there after this time, in which the neighbours of its daemon may remove it,
+// is that of a daemon that lives.
+constexpr Duration kEndedTime = 2 * kCheckInterval + std::chrono::seconds(2);
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::seconds(2);
 
@@ -49,6 +52,10 @@
   std::map<std::string, TimePoint> missing;
   bool deregistering = false;
   bool written = false;
+  /// Epoch of the store in which this daemon's row was last written or found as it should be.
+  std::uint64_t written_epoch = 0;
+  /// Value of this daemon's row in the store as last read; empty if there was none.
+  std::string listed_value;
   bool stopped = false;
 };
 
@@ -84,6 +91,7 @@
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
   const bool ok = reply.status == StoreStatus::kOk;
   if (ok) written = !removes;
+  if (ok) written_epoch = reply.position.epoch;
   Log(LogLevel::kInfo, "registration", {{"action", removes ? "remove" : "write"}, {"ok", ok}});
   co_return ok;
 }
@@ -120,6 +128,7 @@
 /// Another daemon removed the row because it considered this one lost, or the store was restored
 /// from a copy that lacks the row or has that of an earlier process.
 void PeerRegistration::State::OnOwnRow(const StoreRow& row) {
+  listed_value = row.value;
   const std::optional<PeerRecord> record = ParsePeerRecord(row.value);
   const bool is_of_later_process = record && record->incarnation > self.incarnation;
   if (deregistering || row.value == value || is_of_later_process) return;
@@ -146,6 +155,17 @@
   Remove(name);
 }
 
+void PeerRegistration::OnConfirmed(std::uint64_t epoch) {
+  State& state = *m_state;
+  if (epoch <= state.written_epoch) return;
+  // What was acknowledged in an earlier epoch may be lost, seen in the table before or not.
+  const std::string wanted = state.deregistering ? std::string() : state.value;
+  state.written_epoch = epoch;
+  if (state.listed_value == wanted) return;
+  state.written = state.deregistering;
+  state.wake.Notify();
+}
+
 void PeerRegistration::OnChange(const TableWatcher::Change& change) {
   State& state = *m_state;
   const StoreRow& row = change.row;
@@ -174,7 +194,7 @@
   const bool has_ended = ended != state.ended.end() && record->incarnation <= ended->second;
   if (!has_ended) return;
   Log(LogLevel::kInfo, "peer_row_restored", {{"peer", row.key}});
-  state.context.peers.MarkEnded(row.key);
+  state.context.peers.MarkEnded(row.key, SteadyNow() + kEndedTime);
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/peer_registration.h
+++ b/src/libs/relay/peer_registration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,8 @@
   void Deregister();
   /// Handles a change of a row of `kPeerTable`.
   void OnChange(const TableWatcher::Change& change);
+  /// All changes of `kPeerTable` up to a position in the store's `epoch` have been handled.
+  void OnConfirmed(std::uint64_t epoch);
 
  private:
   struct State;
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -189,6 +189,7 @@
     for (const TableWatcher::Change& change : changes) registration->OnChange(change);
     peer_exchange.SendHeartbeatSoon();
   };
+  handlers.on_peers_confirmed = [this](std::uint64_t epoch) { registration->OnConfirmed(epoch); };
   return handlers;
 }
 
--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -26,6 +26,8 @@
     std::function<void()> on_configuration;
     /// Called with the rows of daemons that have changed.
     std::function<void(const std::vector<TableWatcher::Change>&)> on_peers;
+    /// Called after them, when the table of daemons is complete in the store's `epoch`.
+    std::function<void(std::uint64_t epoch)> on_peers_confirmed;
   };
 
   /// `context` and `connections` must outlive this.
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -177,7 +177,8 @@
     const std::vector<std::string> addresses = peers.CallerAddresses(kStart);
     return std::count(addresses.begin(), addresses.end(), name + ":8740") > 0;
   };
-  for (int peer = 0; peer < kFleetSize; ++peer) peers.MarkEnded("d" + std::to_string(peer));
+  for (int peer = 0; peer < kFleetSize; ++peer)
+    peers.MarkEnded("d" + std::to_string(peer), At(10000));
   cr_assert_eq(peers.CallerAddresses(kStart).size(), 0u);
   cr_assert_eq(peers.AvailablePeers(kStart).size(), 0u);
   cr_assert_eq(peers.LostNeighbours(kStart).size(), PeerDirectory::Options().max_neighbours);
@@ -186,6 +187,8 @@
   peers.OnHeartbeat(Heartbeat("d2", 1, 2), kStart);
   cr_assert(is_named("d1"), "it lives");
   cr_assert(is_named("d2"), "a later process has started");
+  cr_assert_geq(peers.CallerAddresses(At(10000)).size(), kFleetSize - 10u,
+                "their rows are still there");
 }
 
 // Guards against a row that a later version or a later process of the daemon cannot read.
