coordination: shorten the doubt about a restored configuration, and do not pass it on

A row that this daemon had not read before the restore counted as written again, though it may be the copy's. A direct reader in doubt confirmed its replica to a peer that had just started.

Change: while the doubt lasts the watch waits 200 ms at most. A restored row proves a later write only if all rows up to its version were known before the restore. A replica in doubt is handed on with the age of its last confirmation.

--- a/src/libs/coordination/restored_configuration.cpp
+++ b/src/libs/coordination/restored_configuration.cpp
@@ -4,13 +4,14 @@
 
 void RestoredConfigurationCheck::OnRow(std::int64_t version, std::uint64_t row_version,
                                        bool restored, TimePoint now) {
-  // The copy keeps the versions of its rows, so the row has another one if it was written since.
-  const bool is_row_of_copy = version == m_latest_version && row_version == m_latest_row_version;
+  // The copy keeps the versions of its rows, and all of them up to `m_complete_version` were known.
+  const bool may_be_of_copy =
+      restored && (row_version == m_latest_row_version || row_version > m_complete_version);
   const bool is_older = version < m_latest_version;
   if (restored) m_is_outdated = is_older;
-  if (restored && (is_older || is_row_of_copy)) m_unwritten_until = now + kRewriteTime;
+  if (restored && (is_older || may_be_of_copy)) m_unwritten_until = now + kRewriteTime;
   if (is_older) return;
-  if (!is_row_of_copy) m_unwritten_until.reset();
+  if (!may_be_of_copy) m_unwritten_until.reset();
   m_is_outdated = false;
   m_latest_version = version;
   m_latest_row_version = row_version;
--- a/src/libs/coordination/restored_configuration.h
+++ b/src/libs/coordination/restored_configuration.h
@@ -20,6 +20,9 @@
   /// after a restore.
   void OnRow(std::int64_t version, std::uint64_t row_version, bool restored, TimePoint now);
 
+  /// All rows up to the store's version `version` of the current epoch have been read.
+  void OnComplete(std::uint64_t version) { m_complete_version = version; }
+
   /// Returns whether the store's configuration is the operator's latest one.
   bool IsCurrent(TimePoint now) const;
 
@@ -27,6 +30,8 @@
   /// Highest configuration version seen, and the row version that it had last.
   std::int64_t m_latest_version = 0;
   std::uint64_t m_latest_row_version = 0;
+  /// Version of the store up to which the rows were known before the restore.
+  std::uint64_t m_complete_version = 0;
   /// The restored store holds an older configuration than the latest one seen.
   bool m_is_outdated = false;
   /// The operator may not have written its configuration again before this time.
--- a/src/libs/coordination/table_replication_options.cpp
+++ b/src/libs/coordination/table_replication_options.cpp
@@ -1,5 +1,6 @@
 #include "coordination/table_replication_options.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "coordination/configuration_freshness.h"
@@ -13,6 +14,8 @@
 
 // Watches of a peer's replica cost no call to the store, but add to the age of the confirmation.
 constexpr Duration kConfigurationPeerWait = milliseconds(300);
+// Short, because the confirmation is withheld meanwhile and ages.
+constexpr Duration kConfigurationWaitAfterRestore = milliseconds(200);
 constexpr Duration kEndpointWatchWait = milliseconds(2000);
 constexpr Duration kEndpointBatchDelay = milliseconds(150);
 constexpr Duration kEndpointPeerWait = milliseconds(1000);
@@ -27,6 +30,8 @@
   TableReplicator::Options options;
   options.watcher.table = std::move(table);
   options.watcher.watch_wait = ConfigurationWatchWait(key_validity, kConfigurationPeerWait);
+  options.watcher.watch_wait_after_restore =
+      std::min(options.watcher.watch_wait, kConfigurationWaitAfterRestore);
   options.peer_wait = kConfigurationPeerWait;
   options.max_peer_age = StaleConfirmationAge(key_validity);
   return options;
--- a/src/libs/coordination/table_watcher.cpp
+++ b/src/libs/coordination/table_watcher.cpp
@@ -32,12 +32,18 @@
   } else {
     // After a failure or a change of source, an immediate reply shows how old the replica is.
     const bool is_urgent = m_failures > 0 || m_source_changed;
-    const Duration wait = is_urgent ? Duration::zero() : m_options.watch_wait;
+    const Duration wait = is_urgent ? Duration::zero() : WatchWait();
     next.call = StoreWatch{m_options.table, m_position, wait};
   }
   return next;
 }
 
+Duration TableWatcher::WatchWait() const {
+  const bool was_restored = m_restored_at != TimePoint::min() &&
+                            m_replied_at < m_restored_at + m_options.row_rewrite_time;
+  return was_restored ? m_options.watch_wait_after_restore : m_options.watch_wait;
+}
+
 void TableWatcher::OnSourceChanged() {
   m_source_changed = true;
   if (m_reading) Restart();
@@ -52,6 +58,7 @@
 
 std::vector<TableWatcher::Change> TableWatcher::OnReply(StoreReply reply, TimePoint now) {
   std::vector<Change> changes;
+  m_replied_at = now;
   m_source_changed = false;
   const bool is_answer =
       reply.status == StoreStatus::kOk || reply.status == StoreStatus::kHistoryGone;
@@ -95,6 +102,7 @@
   m_had_changes = false;
   m_failures = 0;
   m_last_unavailable_at = now;
+  m_restored_at = now;
   for (auto& [key, version] : m_versions) version = 0;
 }
 
--- a/src/libs/coordination/table_watcher.h
+++ b/src/libs/coordination/table_watcher.h
@@ -23,6 +23,8 @@
     /// Longest time that a watch waits for a change. Each empty reply is a call that is paid for,
     /// and confirms that nothing has changed.
     Duration watch_wait = std::chrono::milliseconds(1500);
+    /// The same within `row_rewrite_time` after the store was restored from a copy.
+    Duration watch_wait_after_restore = std::chrono::milliseconds(1500);
     /// Pause after a watch that returned changes, so that changes in quick succession share a call.
     Duration batch_delay{};
     Duration first_backoff = std::chrono::milliseconds(50);
@@ -77,6 +79,7 @@
   void FinishRead(TimePoint now, std::vector<Change>& changes);
   void OnChanges(StoreReply& reply, TimePoint now, std::vector<Change>& changes);
   void Remove(const StoreRow& gone, TimePoint now, std::vector<Change>& changes);
+  Duration WatchWait() const;
   /// Returns whether a row removed now may still be written again after an outage of the store.
   bool AreRemovalsProvisional(TimePoint now) const;
 
@@ -93,6 +96,9 @@
   std::uint64_t m_epoch = 0;
   /// The rows of the current epoch have not been read since the store was restored.
   bool m_restored = false;
+  /// Time of the latest restore, and of the last reply.
+  TimePoint m_restored_at = TimePoint::min();
+  TimePoint m_replied_at{};
   /// The replica is complete up to this position; the watch continues after it.
   StorePosition m_position;
   /// Version of the first page of the read in progress, which is of the current epoch.
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -70,16 +70,21 @@
 }
 
 void RelayTables::OnConfirmed(const std::string& table, StorePosition position, TimePoint at) {
-  m_replicas.Confirm(table, position, at);
-  if (table == m_sources.configuration_table) OnConfigurationConfirmed(at);
+  const bool is_configuration = table == m_sources.configuration_table;
+  if (is_configuration) OnConfigurationConfirmed(position, at);
+  // A replica whose configuration is not confirmed must not confirm that of a peer.
+  const bool is_confirmed = !is_configuration || m_is_configuration_current;
+  m_replicas.Confirm(table, position, is_confirmed ? at : m_configuration_confirmed_at);
   if (table == kPeerTable) m_handlers.on_peers_confirmed(position.epoch);
   if (table != kPeerTable || m_endpoint_replication == nullptr) return;
   std::exchange(m_endpoint_replication, nullptr)->Start();
 }
 
-void RelayTables::OnConfigurationConfirmed(TimePoint at) {
+void RelayTables::OnConfigurationConfirmed(StorePosition position, TimePoint at) {
+  m_restored_check.OnComplete(position.version);
   const bool is_current = m_restored_check.IsCurrent(SteadyNow());
   if (is_current) m_context.freshness.Confirm(at);
+  if (is_current) m_configuration_confirmed_at = at;
   if (is_current == m_is_configuration_current) return;
   m_is_configuration_current = is_current;
   Log(is_current ? LogLevel::kInfo : LogLevel::kWarning,
--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -50,7 +50,7 @@
       TableReplicator::Options options,
       std::function<void(const std::vector<TableWatcher::Change>&)> on_changes);
   void OnConfirmed(const std::string& table, StorePosition position, TimePoint at);
-  void OnConfigurationConfirmed(TimePoint at);
+  void OnConfigurationConfirmed(StorePosition position, TimePoint at);
   void OnConfigurationRows(const std::vector<TableWatcher::Change>& changes);
   void OnOrderRow(const StoreRow& row);
   void Apply(RelayConfiguration configuration);
@@ -70,6 +70,8 @@
   TableReplication* m_endpoint_replication = nullptr;
   RestoredConfigurationCheck m_restored_check;
   bool m_is_configuration_current = true;
+  /// On the clock `BootNow()`.
+  TimePoint m_configuration_confirmed_at{};
   /// Services with a rollout order, by the order's key.
   std::map<std::string, ServiceName> m_orders;
 };
--- a/tests/auto/coordination/replication_fleet.cpp
+++ b/tests/auto/coordination/replication_fleet.cpp
@@ -154,6 +154,10 @@
   m_stalls_watches = stall;
   if (stall) return;
   m_history_start = ++m_version;
+  CutWatches();
+}
+
+void ReplicationFleet::CutWatches() {
   const std::vector<PendingCall> cut = std::exchange(m_pending_watches, {});
   for (const std::unique_ptr<Daemon>& daemon : m_daemons) {
     for (std::size_t table = 0; daemon->process && table < kTables; ++table) {
@@ -340,6 +344,9 @@
   }
   if (update.current_at)
     process.replicas.at(table).Confirm(replicator.Position(), *update.current_at);
+  if (update.current_at && table == kConfiguration) {
+    process.restored_check.OnComplete(replicator.Position().version);
+  }
   const bool is_confirmed =
       update.current_at && table == kConfiguration && process.restored_check.IsCurrent(m_now);
   if (is_confirmed) process.freshness.Confirm(*update.current_at);
--- a/tests/auto/coordination/replication_fleet.h
+++ b/tests/auto/coordination/replication_fleet.h
@@ -73,6 +73,8 @@
   /// While `stall` is set, watches get no answer. When it is cleared, the waiting ones fail and the
   /// history of changes is dropped.
   void StallWatches(bool stall);
+  /// The watches in progress fail.
+  void CutWatches();
 
  private:
   struct Process;
