platform: label a late reply of the store with its own epoch

Found by review: a reply that arrived late lowered the epoch that replies without the header are taken to belong to, so that those of other tables counted as outdated. The latest epoch is kept, and each reply keeps the one that it names. tst_store_client checks both.

--- a/tests/auto/platform/tst_store_client.cpp
+++ b/tests/auto/platform/tst_store_client.cpp
@@ -83,7 +83,8 @@
   const std::vector<EpochCase> cases = {
       {"", 200, 0},   {"1", 200, 1},  {"", 200, 1},   {"x", 200, 1},
       {"-1", 200, 1}, {"2 ", 200, 2}, {"2x", 200, 2}, {"99999999999999999999", 200, 2},
-      {"3", 410, 3},  {"", 410, 3},   {"4", 503, 4}};
+      {"3", 410, 3},  {"", 410, 3},   {"4", 503, 4},  {"2", 200, 2},
+      {"", 200, 4}};
   std::size_t next = 0;
   const std::vector<StoreReply> replies = ReadFrom(
       [&](HttpExchange& exchange) { return SendEpoch(cases[next++], exchange); }, cases.size());
