tests: change the configuration around raw requests

Callers report that beside a change of the configuration a whole request got neither a reply nor a rejection. The tests send a request in parts, or two at once, and change the configuration between them: smaller limits, a shorter head timeout or route timeout, a route or key that is dropped, a route that moves to a service without endpoints; besides, a stop while a request is unread.

--- /dev/null
+++ b/tests/auto/platform/tst_configuration_changes.cpp
@@ -0,0 +1,159 @@
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "platform_world.h"
+#include "raw_caller.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+// Time in which the daemon applies a configuration.
+constexpr Duration kApplyTime = std::chrono::milliseconds(150);
+
+/// Writes version `version` of the configuration with `from` replaced by `to`, and waits until it
+/// is applied.
+Task<void> Change(PlatformWorld& world, int version, std::string from, std::string to) {
+  std::string text = PlatformWorld::Configuration(version);
+  for (std::size_t at = text.find(from); at != std::string::npos; at = text.find(from, at)) {
+    text.replace(at, from.size(), to);
+    at += to.size();
+  }
+  world.store->Put("op", "config", text);
+  co_await Sleep(kApplyTime);
+}
+
+Task<void> ExpectReply(RawCaller& caller, std::string status) {
+  const std::string head = co_await caller.ReadHead();
+  cr_assert_eq(head.find("HTTP/1.1 " + status), 0u, "the reply is: %s", head.c_str());
+}
+
+Task<void> UnreadAtStop(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await UseOnce(caller);
+  co_await Sleep(kApplyTime);
+  caller.SendNow(Request("GET", "next"));
+  world.daemon->RequestStop([]() {});
+  const std::string head = co_await caller.ReadHead();
+  cr_assert_neq(head, "", "the connection ended without a reply");
+}
+
+/// Sends one request in two parts and behind it a second one, with a change of the configuration
+/// between the parts.
+Task<void> ChangeWithin(PlatformWorld& world, RawCaller& caller, std::string from, std::string to,
+                        std::string status) {
+  co_await UseOnce(caller);
+  const std::string request =
+      Request("POST", "arriving", "Content-Length: 4\r\n") + "body" + Request("GET", "behind");
+  co_await caller.Send(request.substr(0, 40));
+  co_await Change(world, 2, std::move(from), std::move(to));
+  co_await caller.Send(request.substr(40));
+  co_await ExpectReply(caller, status);
+}
+
+Task<void> SmallerHeadLimit(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await ChangeWithin(world, caller, R"("maxHeaderBytes":4096)", R"("maxHeaderBytes":1024)",
+                        "200");
+}
+
+Task<void> SmallerBodyLimit(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await ChangeWithin(world, caller, R"("maxBodyBytes":65536)", R"("maxBodyBytes":1024)", "200");
+}
+
+Task<void> ShorterHeadTimeout(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await ChangeWithin(world, caller, R"("headerTimeoutMs":2000)", R"("headerTimeoutMs":100)",
+                        "200");
+}
+
+Task<void> DroppedRoute(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await ChangeWithin(world, caller, R"("/look/")", R"("/gone/")", "404");
+}
+
+Task<void> DroppedKey(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await ChangeWithin(world, caller, R"("key-1")", R"("key-9")", "401");
+}
+
+Task<void> MovedRoute(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await ChangeWithin(world, caller, R"("service":"orders")", R"("service":"drafts")", "503");
+}
+
+/// Changes the configuration while the endpoint works on a request with another one behind it.
+Task<void> ChangeDuringCall(PlatformWorld& world, ReplyingEndpoint& endpoint, RawCaller& caller,
+                            std::string from, std::string to, std::string second_status) {
+  co_await UseOnce(caller);
+  endpoint.pause = kApplyTime * 2;
+  co_await caller.Send(Request("GET", "a") + Request("GET", "b"));
+  co_await PlatformWorld::WaitFor([&endpoint]() { return endpoint.seen.size() == 2; });
+  co_await Change(world, 2, std::move(from), std::move(to));
+  co_await ExpectReply(caller, "200");
+  cr_assert(co_await caller.ReadBody(5) == "short");
+  co_await ExpectReply(caller, std::move(second_status));
+}
+
+Task<void> RouteDroppedDuringCall(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                  RawCaller& caller) {
+  co_await ChangeDuringCall(world, endpoint, caller, R"("/look/")", R"("/gone/")", "404");
+}
+
+Task<void> RouteMovedDuringCall(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                RawCaller& caller) {
+  co_await ChangeDuringCall(world, endpoint, caller, R"("service":"orders")",
+                            R"("service":"drafts")", "503");
+}
+
+Task<void> ShorterTimeoutDuringCall(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                    RawCaller& caller) {
+  co_await ChangeDuringCall(world, endpoint, caller, R"("timeoutMs":3000)", R"("timeoutMs":100)",
+                            "502");
+}
+
+void StopAtOnce(RelaySettings& settings) {
+  settings.lookup_ttl = Duration::zero();
+  settings.stop_grace = std::chrono::seconds(60);
+}
+
+}  // namespace
+
+// Guards against a stop that closes a connection on which a request has arrived.
+Test(configuration_changes, an_unread_request_is_answered_at_a_stop) {
+  RunTest(UnreadAtStop, StopAtOnce);
+}
+
+// Guards against a change of limits that ends a connection on which a request is arriving.
+Test(configuration_changes, an_arriving_request_outlasts_a_smaller_head_limit) {
+  RunTest(SmallerHeadLimit);
+}
+
+Test(configuration_changes, an_arriving_request_outlasts_a_smaller_body_limit) {
+  RunTest(SmallerBodyLimit);
+}
+
+Test(configuration_changes, an_arriving_request_outlasts_a_shorter_head_timeout) {
+  RunTest(ShorterHeadTimeout);
+}
+
+// Guards against an arriving request that gets no reply because its route, key or service is gone.
+Test(configuration_changes, an_arriving_request_for_a_dropped_route_is_rejected) {
+  RunTest(DroppedRoute);
+}
+
+Test(configuration_changes, an_arriving_request_with_a_dropped_key_is_rejected) {
+  RunTest(DroppedKey);
+}
+
+Test(configuration_changes, an_arriving_request_for_a_service_without_endpoints_is_rejected) {
+  RunTest(MovedRoute);
+}
+
+// Guards against a change that cuts a request in progress or loses the one behind it.
+Test(configuration_changes, a_call_in_progress_outlasts_its_route) {
+  RunTest(RouteDroppedDuringCall);
+}
+
+Test(configuration_changes, a_call_in_progress_outlasts_a_move_of_its_route) {
+  RunTest(RouteMovedDuringCall);
+}
+
+Test(configuration_changes, a_call_in_progress_keeps_its_timeout) {
+  RunTest(ShorterTimeoutDuringCall);
+}
