transport: hold idle connections for a limit that has grown meanwhile

Callers saw: beside a change of the configuration that raises idleTimeoutMs, a request on a connection that they may still reuse ends without a reply or a rejection: the connection was closed after the limit of the earlier configuration.

Cause: a connection took the limit when its wait for the next request began. A configuration applied during the wait did not count for it.

Ruled out: limits of head and body, the head timeout, dropped routes and keys, moved routes (tst_configuration_changes).

Change: when the limit that was known at the begin has passed, the connection looks at the present one and waits on if it has grown. A limit that has shrunk holds from the next wait on, as before.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -12,7 +12,6 @@
 #include <exception>
 #include <utility>
 
-#include "transport/internal/deadline.h"
 #include "transport/internal/endpoint.h"
 #include "transport/internal/http_format.h"
 #include "utils/logging.h"
@@ -114,12 +113,21 @@
 
 Task<bool> HttpExchange::Connection::WaitForRequest() {
   if (buffer.size() > 0) co_return true;
-  const internal::Deadline deadline(strand, shared->Limits()->idle_timeout,
-                                    [this]() { EndIdle(); });
+  EnforceIdleTimeout(SteadyNow());
   auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
+  m_idle_deadline.reset();
   co_return !error && socket.is_open();
 }
 
+void HttpExchange::Connection::EnforceIdleTimeout(TimePoint idle_since) {
+  const Duration left = shared->Limits()->idle_timeout - (SteadyNow() - idle_since);
+  if (left <= Duration::zero()) {
+    EndIdle();
+    return;
+  }
+  m_idle_deadline.emplace(strand, left, [this, idle_since]() { EnforceIdleTimeout(idle_since); });
+}
+
 Task<bool> HttpExchange::Connection::ServeOne(bool first) {
   const std::shared_ptr<const HttpServerLimits> limits = shared->Limits();
   internal::BodyReservation reservation(*shared);
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -13,6 +13,7 @@
 
 #include "transport/http_server.h"
 #include "transport/internal/completion.h"
+#include "transport/internal/deadline.h"
 
 namespace fulmarpoint {
 
@@ -94,6 +95,8 @@
 
  private:
   Task<bool> WaitForRequest();
+  /// Ends the connection once it has been idle for the server's limit, which may grow meanwhile.
+  void EnforceIdleTimeout(TimePoint idle_since);
   Task<bool> ServeOne(bool first);
   Task<boost::system::error_code> ReadHead(Parser& parser, std::optional<HttpRejection>& rejection);
   Task<boost::system::error_code> ReadBody(Parser& parser, internal::BodyReservation& reservation,
@@ -114,6 +117,7 @@
   void CloseSocket();
 
   std::uint64_t m_watch_id = 0;
+  std::optional<internal::Deadline> m_idle_deadline;
 };
 
 }  // namespace fulmarpoint
--- a/tests/auto/platform/tst_configuration_changes.cpp
+++ b/tests/auto/platform/tst_configuration_changes.cpp
@@ -11,6 +11,8 @@
 
 // Time in which the daemon applies a configuration.
 constexpr Duration kApplyTime = std::chrono::milliseconds(150);
+constexpr Duration kShortIdleLimit = std::chrono::milliseconds(300);
+const char kIdleLimit[] = R"("idleTimeoutMs":2000)";
 
 /// Writes version `version` of the configuration with `from` replaced by `to`, and waits until it
 /// is applied.
@@ -24,11 +26,25 @@
   co_await Sleep(kApplyTime);
 }
 
+Task<void> SetIdleLimit(PlatformWorld& world, int version, Duration limit) {
+  const std::int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+  co_await Change(world, version, kIdleLimit, R"("idleTimeoutMs":)" + std::to_string(ms));
+}
+
 Task<void> ExpectReply(RawCaller& caller, std::string status) {
   const std::string head = co_await caller.ReadHead();
   cr_assert_eq(head.find("HTTP/1.1 " + status), 0u, "the reply is: %s", head.c_str());
 }
 
+Task<void> LongerIdleLimit(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  co_await SetIdleLimit(world, 2, kShortIdleLimit);
+  co_await UseOnce(caller);
+  co_await Change(world, 3, kIdleLimit, kIdleLimit);
+  co_await Sleep(kShortIdleLimit);
+  co_await caller.Send(Request("GET", "later"));
+  co_await ExpectReply(caller, "200");
+}
+
 Task<void> UnreadAtStop(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
   co_await UseOnce(caller);
   co_await Sleep(kApplyTime);
@@ -114,6 +130,11 @@
 
 }  // namespace
 
+// Guards against a connection that is closed after the idle limit of an earlier configuration.
+Test(configuration_changes, a_longer_idle_limit_holds_for_idle_connections) {
+  RunTest(LongerIdleLimit);
+}
+
 // Guards against a stop that closes a connection on which a request has arrived.
 Test(configuration_changes, an_unread_request_is_answered_at_a_stop) {
   RunTest(UnreadAtStop, StopAtOnce);
