transport: keep idle connections on which a request has arrived

Callers saw: a whole request that arrives before the idle limit has passed ends without a reply or a rejection, when the daemon is busy until after the limit, for example with a large configuration.

Cause: the event loop learns of at most 128 ready sockets at once, but of all timers that have expired. The limit of a connection further down the list ended before its request was seen, and the close discarded the request. A stop closes idle connections in the same way.

Change: a connection is idle only if the kernel holds no unread bytes of it.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -286,7 +286,14 @@
   if (idle && buffer.size() == 0) EndIdle();
 }
 
+bool HttpExchange::Connection::HasUnreadBytes() const {
+  boost::system::error_code ignored;
+  return buffer.size() > 0 || socket.available(ignored) > 0;
+}
+
 void HttpExchange::Connection::EndIdle() {
+  // A request has arrived in time, but the event loop has not yet learnt of it.
+  if (HasUnreadBytes()) return;
   if (!HasUnacknowledgedBytes()) {
     CloseSocket();
     return;
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -108,7 +108,10 @@
   /// send it elsewhere.
   Task<void> WaitUntilReplyReceived();
   bool HasUnacknowledgedBytes();
-  /// Ends a connection that waits for a request, once the client has received the last reply.
+  /// Returns whether the client has sent bytes of a request that is not handled yet.
+  bool HasUnreadBytes() const;
+  /// Ends a connection that waits for a request and has received none, once the client has received
+  /// the last reply.
   void EndIdle();
   void WatchClient();
   void CheckClient(std::uint64_t watch_id);
--- a/tests/auto/platform/tst_configuration_changes.cpp
+++ b/tests/auto/platform/tst_configuration_changes.cpp
@@ -1,6 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "platform_world.h"
 #include "raw_caller.h"
@@ -11,6 +14,9 @@
 
 // Time in which the daemon applies a configuration.
 constexpr Duration kApplyTime = std::chrono::milliseconds(150);
+constexpr Duration kEarlyTimer = std::chrono::milliseconds(6);
+// Longer than all callers of a test need for a first request.
+constexpr Duration kIdleLimitOfMany = std::chrono::milliseconds(1000);
 constexpr Duration kShortIdleLimit = std::chrono::milliseconds(300);
 const char kIdleLimit[] = R"("idleTimeoutMs":2000)";
 
@@ -45,6 +51,33 @@
   co_await ExpectReply(caller, "200");
 }
 
+Task<void> BusyAtIdleLimit(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
+  // More than the daemon's event loop learns of at once.
+  constexpr std::size_t kCallers = 300;
+  co_await UseOnce(caller);
+  co_await SetIdleLimit(world, 2, kIdleLimitOfMany);
+  const TimePoint start = SteadyNow();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (std::size_t count = 0; count < kCallers; ++count) {
+    callers.push_back(std::make_unique<RawCaller>(world.loop.GetExecutor()));
+    co_await callers.back()->Connect(world.daemon->CallerAddress());
+    co_await UseOnce(*callers.back());
+  }
+  // A timer that expires before the requests arrive makes the loop look at all timers first.
+  Spawn(world.loop.GetExecutor(), []() -> Task<void> { co_await Sleep(kEarlyTimer); });
+  co_await Sleep(kEarlyTimer / 2);
+  std::this_thread::sleep_for(kEarlyTimer);
+  for (const std::unique_ptr<RawCaller>& sender : callers) sender->SendNow(Request("GET", "next"));
+  cr_assert_lt((SteadyNow() - start).count(), kIdleLimitOfMany.count(), "the test is too slow");
+  // The daemon shares the thread, so it reads nothing until the limit has passed.
+  std::this_thread::sleep_for(kIdleLimitOfMany);
+  std::size_t cut = 0;
+  for (const std::unique_ptr<RawCaller>& sender : callers) {
+    if ((co_await sender->ReadHead()).empty()) ++cut;
+  }
+  cr_assert_eq(cut, 0u, "%zu connections ended without a reply", cut);
+}
+
 Task<void> UnreadAtStop(PlatformWorld& world, ReplyingEndpoint&, RawCaller& caller) {
   co_await UseOnce(caller);
   co_await Sleep(kApplyTime);
@@ -135,6 +168,11 @@
   RunTest(LongerIdleLimit);
 }
 
+// Guards against a busy daemon that closes connections on which requests have arrived in time.
+Test(configuration_changes, requests_that_arrived_before_the_idle_limit_are_answered) {
+  RunTest(BusyAtIdleLimit);
+}
+
 // Guards against a stop that closes a connection on which a request has arrived.
 Test(configuration_changes, an_unread_request_is_answered_at_a_stop) {
   RunTest(UnreadAtStop, StopAtOnce);
