transport: answer a request that waits behind another one when a stop closes the listener

Callers saw: in a planned stop, the second of two requests on one connection ends without a reply, although it was read long before and the reply to the first did not announce the close.

Cause: a connection ended after its reply once the listener had closed. The reply's Connection header was chosen when the first request began, before that.

Ruled out: requests before the listener closes (pipelined_requests_passed_on_are_answered_around_a_stop passed before); a request that crosses an announced close stays unread, as it should.

Change: a connection whose last reply did not announce the close handles what has arrived by then.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -105,7 +105,9 @@
   while (co_await ServeOne(first)) {
     first = false;
     idle = true;
-    if (shared->stopping || !co_await WaitForRequest()) break;
+    // A client that was not told of the close may have sent its next request already.
+    if (shared->stopping && !HasUnreadBytes()) break;
+    if (!co_await WaitForRequest()) break;
   }
   if (!client_disconnected) co_await WaitUntilReplyReceived();
   CloseSocket();
@@ -156,7 +158,7 @@
   parser.reset();
   close_after_reply = !keep_alive || shared->stopping || shared->closing_after_replies;
   co_await Handle(exchange);
-  co_return !close_after_reply && !client_disconnected && !shared->stopping;
+  co_return !close_after_reply && !client_disconnected;
 }
 
 Task<boost::system::error_code> HttpExchange::Connection::ReadHead(
--- a/tests/auto/platform/tst_configuration_changes.cpp
+++ b/tests/auto/platform/tst_configuration_changes.cpp
@@ -87,6 +87,19 @@
   cr_assert_neq(head, "", "the connection ended without a reply");
 }
 
+Task<void> PipelinedAtListenerClose(PlatformWorld& world, ReplyingEndpoint& endpoint,
+                                    RawCaller& caller) {
+  co_await UseOnce(caller);
+  endpoint.pause = kApplyTime * 2;
+  co_await caller.Send(Request("GET", "a") + Request("GET", "b"));
+  co_await PlatformWorld::WaitFor([&endpoint]() { return endpoint.seen.size() == 2; });
+  world.daemon->RequestStop([]() {});
+  co_await ExpectReply(caller, "200");
+  cr_assert(co_await caller.ReadBody(5) == "short");
+  const std::string head = co_await caller.ReadHead();
+  cr_assert_neq(head, "", "a request that was read got no reply");
+}
+
 /// Sends one request in two parts and behind it a second one, with a change of the configuration
 /// between the parts.
 Task<void> ChangeWithin(PlatformWorld& world, RawCaller& caller, std::string from, std::string to,
@@ -178,6 +191,11 @@
   RunTest(UnreadAtStop, StopAtOnce);
 }
 
+// Guards against a stop that drops a request which was read behind another one.
+Test(configuration_changes, a_pipelined_request_is_answered_at_a_stop) {
+  RunTest(PipelinedAtListenerClose, StopAtOnce);
+}
+
 // Guards against a change of limits that ends a connection on which a request is arriving.
 Test(configuration_changes, an_arriving_request_outlasts_a_smaller_head_limit) {
   RunTest(SmallerHeadLimit);
