--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -114,7 +114,8 @@
   /// Returns "ip:port" of the open socket, or an empty string.
   std::string Address() const;
   std::size_t ConnectionCount() const;
-  /// Replaces the limits. Open connections use the new limits from their next request on.
+  /// Replaces the limits. Open connections use the new limits from their next request on; a longer
+  /// idle timeout holds for connections that are idle now.
   void SetLimits(HttpServerLimits limits);
   /// Makes each connection close after its next reply, which carries `Connection: close`. New
   /// connections are still accepted and treated alike.
