--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -12,7 +12,6 @@
 #include <exception>
 #include <utility>
 
-#include "transport/internal/deadline.h"
 #include "transport/internal/endpoint.h"
 #include "transport/internal/http_format.h"
 #include "utils/logging.h"
@@ -106,7 +105,9 @@
   while (co_await ServeOne(first)) {
     first = false;
     idle = true;
-    if (shared->stopping || !co_await WaitForRequest()) break;
+    // A client that was not told of the close may have sent its next request already.
+    if (shared->stopping && !HasUnreadBytes()) break;
+    if (!co_await WaitForRequest()) break;
   }
   if (!client_disconnected) co_await WaitUntilReplyReceived();
   CloseSocket();
@@ -114,12 +115,21 @@
 
 Task<bool> HttpExchange::Connection::WaitForRequest() {
   if (buffer.size() > 0) co_return true;
-  const internal::Deadline deadline(strand, shared->Limits()->idle_timeout,
-                                    [this]() { EndIdle(); });
+  EnforceIdleTimeout(SteadyNow());
   auto [error] = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
+  m_idle_deadline.reset();
   co_return !error && socket.is_open();
 }
 
+void HttpExchange::Connection::EnforceIdleTimeout(TimePoint idle_since) {
+  const Duration left = shared->Limits()->idle_timeout - (SteadyNow() - idle_since);
+  if (left <= Duration::zero()) {
+    EndIdle();
+    return;
+  }
+  m_idle_deadline.emplace(strand, left, [this, idle_since]() { EnforceIdleTimeout(idle_since); });
+}
+
 Task<bool> HttpExchange::Connection::ServeOne(bool first) {
   const std::shared_ptr<const HttpServerLimits> limits = shared->Limits();
   internal::BodyReservation reservation(*shared);
@@ -148,7 +158,7 @@
   parser.reset();
   close_after_reply = !keep_alive || shared->stopping || shared->closing_after_replies;
   co_await Handle(exchange);
-  co_return !close_after_reply && !client_disconnected && !shared->stopping;
+  co_return !close_after_reply && !client_disconnected;
 }
 
 Task<boost::system::error_code> HttpExchange::Connection::ReadHead(
@@ -278,7 +288,14 @@
   if (idle && buffer.size() == 0) EndIdle();
 }
 
+bool HttpExchange::Connection::HasUnreadBytes() const {
+  boost::system::error_code ignored;
+  return buffer.size() > 0 || socket.available(ignored) > 0;
+}
+
 void HttpExchange::Connection::EndIdle() {
+  // A request has arrived in time, but the event loop has not yet learnt of it.
+  if (HasUnreadBytes()) return;
   if (!HasUnacknowledgedBytes()) {
     CloseSocket();
     return;
