transport: reset the connection of an unfinished stream to an HTTP/1.0 client

Callers with HTTP/1.0 took a stream that had broken off for a whole one: they got some events and a clean end of the connection, which is how such a reply ends when it is complete.

Cause: a stream without chunks is finished by closing the connection, and an unfinished one was closed in the same way.

Ruled out by the same tests: bytes of the next engine's failure in a stream (500 with and without a seal, 503, 404, 421, 200 that is no stream, heads cut or reset, no protocol), chunked streams that look whole, and successes for heads cut at each position, bodies shorter than their length and chunks without the last one; for streams, idempotent and non-idempotent calls.

Change: from its start until it is finished, a stream without chunks has a socket that resets the connection when it is closed, whoever closes it.

--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -568,8 +568,8 @@
   LogEnd(outcome, status);
 }
 
-/// Ends the request without a successful reply. A stream that has started is closed without its end
-/// marker, so that the caller does not take it for complete.
+/// Ends the request without a successful reply. A stream that has started is not finished, so that
+/// the caller does not take it for complete.
 Task<void> StreamSession::AnswerFailure() {
   if (m_attempt) AbandonAttempt("deadline", AttemptLoss::kNone);
   if (m_head_sent) {
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -327,6 +327,12 @@
   if (notify) notify();
 }
 
+void HttpExchange::Connection::SetResetOnClose(bool reset) {
+  // The option is set past Asio, which would remove it again when the socket is destroyed.
+  const struct linger option = {reset ? 1 : 0, 0};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 void HttpExchange::Connection::CloseSocket() {
   boost::system::error_code ignored;
   socket.close(ignored);
@@ -351,7 +357,11 @@
   m_started = true;
   m_streaming = true;
   if (m_chunked) headers.push_back({"Transfer-Encoding", "chunked"});
-  if (!m_chunked) m_connection.close_after_reply = true;
+  if (!m_chunked) {
+    m_connection.close_after_reply = true;
+    // Nothing but the end of the connection tells the client that the reply is complete.
+    m_connection.SetResetOnClose(true);
+  }
   if (m_connection.close_after_reply) headers.push_back({"Connection", "close"});
   const std::string text = internal::FormatReplyHead(status, headers) + "\r\n";
   co_return co_await m_connection.Write(text);
@@ -372,7 +382,10 @@
 Task<std::error_code> HttpExchange::FinishStream() {
   if (!m_streaming) co_return std::make_error_code(std::errc::operation_not_permitted);
   m_streaming = false;
-  if (!m_chunked) co_return std::error_code();
+  if (!m_chunked) {
+    m_connection.SetResetOnClose(false);
+    co_return std::error_code();
+  }
   const std::string text = "0\r\n\r\n";
   co_return co_await m_connection.Write(text);
 }
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -62,7 +62,9 @@
 
   /// Sends a complete reply. Content-Length is added.
   Task<std::error_code> Respond(HttpReply reply);
-  /// Starts a reply of unknown length.
+  /// Starts a reply of unknown length. If the handler returns or the connection ends before
+  /// `FinishStream()`, the client can tell that the reply is incomplete: the last chunk is missing,
+  /// or, for an HTTP/1.0 client, the connection is reset.
   Task<std::error_code> StartStream(int status, HttpHeaders headers);
   /// Writes a part of a streamed reply. Completes when the kernel has accepted it, so that a slow
   /// client exerts backpressure. `data` must not be empty.
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -77,6 +77,9 @@
   /// alive.
   Task<void> Reject(HttpRejection rejection, std::shared_ptr<Connection> self);
   Task<std::error_code> Write(const std::string& data);
+  /// Sets whether the connection is reset when the socket is closed, also by the end of the
+  /// process. Does nothing if the socket is closed already.
+  void SetResetOnClose(bool reset);
   void CloseIfIdle();
   void Abort();
   const std::string& PeerIp() const { return peer_ip; }
--- /dev/null
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -0,0 +1,420 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <list>
+
+// A macro of Criterion breaks Boost headers that follow it.
+#include <criterion/criterion.h>
+
+#include "platform_world.h"
+#include "transport/address.h"
+#include "transport/internal/completion.h"
+
+using namespace fulmarpoint;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr int kEndpoints = 4;
+constexpr int kWholeStreamEvents = 10;
+constexpr int kEventsBeforeFault = 2;
+// Time in which the daemon reads what was sent before the connection ends.
+constexpr Duration kSettleTime = std::chrono::milliseconds(5);
+// Time in which the daemon forwards the events that have arrived.
+constexpr Duration kForwardTime = std::chrono::milliseconds(50);
+// Deadline of requests that no endpoint answers.
+constexpr char kShortDeadline[] = "700";
+constexpr char kLongDeadline[] = "5000";
+
+// Identifies bytes of failures, which no caller of a stream may receive.
+constexpr char kForeign[] = "FOREIGN";
+constexpr char kSeal[] = "Fulmarpoint-Request-Id: r1\r\nFulmarpoint-Server-Seal: s\r\n";
+constexpr char kEventStream[] = "Content-Type: text/event-stream\r\n";
+constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n";
+constexpr char kBody[] = "a whole body";
+
+enum class Ending { kClose, kReset, kStayOpen };
+
+/// How an endpoint replies to one request and ends the connection.
+struct Answer {
+  std::string name;
+  std::string head;
+  /// Last event of the stream that follows the head; 0 if none does.
+  int events = 0;
+  /// Bytes after the events.
+  std::string tail;
+  Ending ending = Ending::kClose;
+};
+
+std::string Head(const std::string& status, const std::string& headers) {
+  return "HTTP/1.1 " + status + "\r\n" + kSeal + headers + "\r\n";
+}
+
+std::string InChunk(const std::string& data) {
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+  return size + data + "\r\n";
+}
+
+std::string Failure(const std::string& status, const std::string& headers = "") {
+  const std::string body = std::string(kForeign) + " " + status;
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+Answer GoodStream() {
+  return {"whole stream", Head("200 OK", kEventStream), kWholeStreamEvents, "", Ending::kClose};
+}
+
+Answer GoodCall() {
+  return {"whole reply",
+          Head("200 OK", "Content-Length: " + std::to_string(sizeof kBody - 1) + "\r\n") + kBody, 0,
+          "", Ending::kClose};
+}
+
+/// Streams that break off after `kEventsBeforeFault` events.
+std::vector<Answer> BrokenStreams() {
+  const std::string open_head = Head("200 OK", kEventStream);
+  const std::string chunked_head = Head("200 OK", std::string(kEventStream) + kChunked);
+  const std::string long_head =
+      Head("200 OK", std::string(kEventStream) + "Content-Length: 100000\r\n");
+  const int events = kEventsBeforeFault;
+  return {
+      {"no last chunk", chunked_head, events, "", Ending::kClose},
+      {"chunks, reset", chunked_head, events, "", Ending::kReset},
+      {"closed inside a chunk", chunked_head, events, "20\r\nid: 3\nda", Ending::kClose},
+      {"last chunk inside an event", chunked_head, events, InChunk("id: 3\nda") + "0\r\n\r\n",
+       Ending::kClose},
+      {"no length, reset", open_head, events, "", Ending::kReset},
+      {"no length, closed inside an event", open_head, events, "id: 3\nda", Ending::kClose},
+      {"no length, closed before an event's last line", open_head, events, "id: 3\ndata: e3\n",
+       Ending::kClose},
+      {"shorter than its length", long_head, events, "", Ending::kClose},
+  };
+}
+
+/// Replies to a stream that are no continuation of it.
+std::vector<Answer> FailuresOfNextEngine() {
+  const std::string stream = Head("200 OK", kEventStream);
+  const std::string cut_head = std::string("HTTP/1.1 500 ") + kForeign + "\r\n" + kSeal;
+  return {
+      {"500", Failure("500 FOREIGN", kSeal), 0, "", Ending::kClose},
+      {"500 without a seal", Failure("500 FOREIGN"), 0, "", Ending::kClose},
+      {"503, not run", Failure("503 FOREIGN", kSeal), 0, "", Ending::kClose},
+      {"404", Failure("404 FOREIGN", kSeal), 0, "", Ending::kClose},
+      {"421", Failure("421 FOREIGN", "Fulmarpoint-Instance-Id: another\r\n"), 0, "",
+       Ending::kClose},
+      {"200 that is not a stream", Failure("200 FOREIGN", kSeal), 0, "", Ending::kClose},
+      {"500 event stream", Failure("500 FOREIGN", std::string(kSeal) + kEventStream), 0, "",
+       Ending::kClose},
+      {"cut head", cut_head, 0, "", Ending::kClose},
+      {"cut head, reset", cut_head, 0, "", Ending::kReset},
+      {"status line", "HTTP/1.1 200 FOREIGN\r\n", 0, "", Ending::kClose},
+      {"no bytes", "", 0, "", Ending::kClose},
+      {"no protocol", std::string(kForeign) + "\r\n\r\n", 0, "", Ending::kClose},
+      {"stream without a length, cut in its first event", stream, 0,
+       std::string("data: ") + kForeign, Ending::kClose},
+  };
+}
+
+/// Endpoints that share a list of replies: whichever receives a request uses the next one, and the
+/// last is repeated.
+class ScriptedEndpoints {
+ public:
+  ScriptedEndpoints(const Executor& executor, std::vector<Answer> answers, int count = kEndpoints)
+      : m_answers(std::move(answers)) {
+    for (int endpoint = 0; endpoint < count; ++endpoint) {
+      m_acceptors.emplace_back(executor, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+      Spawn(executor, [this, &acceptor = m_acceptors.back()]() { return Accept(acceptor); });
+    }
+  }
+
+  void List(StoreStandin& store, const std::string& service) const {
+    for (const tcp::acceptor& acceptor : m_acceptors) {
+      const std::string port = std::to_string(acceptor.local_endpoint().port());
+      store.Put("servers", "i-" + port, EndpointRow("127.0.0.1:" + port, service, "a"));
+    }
+  }
+
+  int requests = 0;
+
+ private:
+  Task<void> Accept(tcp::acceptor& acceptor) {
+    while (true) {
+      tcp::socket socket(acceptor.get_executor());
+      const std::tuple<boost::system::error_code> accepted =
+          co_await acceptor.async_accept(socket, internal::kCompletion);
+      if (std::get<0>(accepted)) co_return;
+      m_sockets.push_back(std::move(socket));
+      Spawn(acceptor.get_executor(),
+            [this, &connection = m_sockets.back()]() { return Serve(connection); });
+    }
+  }
+
+  Task<void> Serve(tcp::socket& socket) {
+    Ending ending = Ending::kStayOpen;
+    while (ending == Ending::kStayOpen) ending = co_await ServeOne(socket);
+    boost::system::error_code ignored;
+    if (ending == Ending::kReset) {
+      socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    socket.close(ignored);
+  }
+
+  Task<Ending> ServeOne(tcp::socket& socket) {
+    std::string received;
+    const internal::IoResult read = co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(received), "\r\n\r\n", internal::kCompletion);
+    // A probe only connects.
+    if (std::get<0>(read)) co_return Ending::kClose;
+    const std::size_t at = std::min<std::size_t>(requests++, m_answers.size() - 1);
+    const Answer answer = m_answers[at];
+    const std::string bytes = answer.head + Events(answer, LastEventOf(received)) + answer.tail;
+    co_await asio::async_write(socket, asio::buffer(bytes), internal::kCompletion);
+    co_await Sleep(kSettleTime);
+    co_return answer.ending;
+  }
+
+  static int LastEventOf(const std::string& request) {
+    const std::string name = "Last-Event-Id: ";
+    const std::size_t at = request.find(name);
+    return at == std::string::npos ? 0 : std::stoi(request.substr(at + name.size()));
+  }
+
+  static std::string Events(const Answer& answer, int after) {
+    const bool is_chunked = answer.head.find(kChunked) != std::string::npos;
+    const std::string events = AllEvents(after + 1, answer.events);
+    return is_chunked && !events.empty() ? InChunk(events) : events;
+  }
+
+  std::vector<Answer> m_answers;
+  std::list<tcp::acceptor> m_acceptors;
+  std::list<tcp::socket> m_sockets;
+};
+
+/// A reply as a caller takes it.
+struct Received {
+  int status = 0;
+  std::string body;
+  /// The framing shows that nothing is missing.
+  bool is_whole = false;
+  std::string bytes;
+};
+
+Received Parse(std::string bytes, bool was_closed_cleanly) {
+  http::response_parser<http::string_body> parser;
+  parser.eager(true);
+  boost::system::error_code error;
+  std::size_t used = 0;
+  while (!error && used < bytes.size() && !parser.is_done()) {
+    used += parser.put(asio::buffer(bytes.data() + used, bytes.size() - used), error);
+  }
+  if (error == http::error::need_more) error = {};
+  if (!error && !parser.is_done() && was_closed_cleanly) parser.put_eof(error);
+  Received received;
+  received.is_whole = !error && parser.is_done();
+  if (parser.is_header_done()) received.status = static_cast<int>(parser.get().result_int());
+  received.body = parser.get().body();
+  cr_assert(!parser.is_done() || used == bytes.size(), "bytes after the reply");
+  received.bytes = std::move(bytes);
+  return received;
+}
+
+std::string Request(const std::string& target, const std::string& version,
+                    const std::string& deadline) {
+  return "POST " + target + " " + version +
+         "\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n"
+         "Fulmarpoint-Request-Id: r1\r\nFulmarpoint-Model: m\r\n"
+         "Fulmarpoint-Token-Count: 50,80\r\nFulmarpoint-Prompt-Prefix: 5c1e07a2:50\r\n"
+         "Content-Length: 0\r\nFulmarpoint-Deadline-Ms: " +
+         deadline + "\r\n\r\n";
+}
+
+/// Sends a request on a new connection and reads until it ends.
+Task<Received> Send(std::string address, std::string request) {
+  const std::optional<SocketAddress> to = ParseSocketAddress(address);
+  tcp::socket socket(co_await asio::this_coro::executor);
+  co_await socket.async_connect({asio::ip::make_address(to->ip), to->port}, internal::kCompletion);
+  co_await asio::async_write(socket, asio::buffer(request), internal::kCompletion);
+  std::string bytes;
+  const internal::IoResult read =
+      co_await asio::async_read(socket, asio::dynamic_buffer(bytes), internal::kCompletion);
+  co_return Parse(std::move(bytes), std::get<0>(read) == asio::error::eof);
+}
+
+struct Exchange {
+  std::string target = "/stream/x";
+  std::string version = "HTTP/1.1";
+  std::string deadline = kLongDeadline;
+};
+
+/// Sends a request to a daemon whose endpoints give `answers`, and returns what the caller gets.
+Received Play(const Exchange& exchange, std::vector<Answer> answers, int* requests = nullptr) {
+  PlatformWorld world;
+  ScriptedEndpoints endpoints(world.loop.GetExecutor(), std::move(answers));
+  const bool is_stream = exchange.target.substr(0, 8) == "/stream/";
+  Received received;
+  world.Run([&]() -> Task<void> {
+    endpoints.List(*world.store, is_stream ? "drafts" : "orders");
+    co_await world.Start();
+    received = co_await Send(world.daemon->CallerAddress(),
+                             Request(exchange.target, exchange.version, exchange.deadline));
+  });
+  if (requests != nullptr) *requests = endpoints.requests;
+  return received;
+}
+
+/// Closes a server that streams a reply, and returns what the client gets.
+Received CloseServerWithinStream(const std::string& version) {
+  EventLoop loop;
+  HttpServer server(
+      loop.GetExecutor(), HttpServerLimits(),
+      [](HttpExchange& exchange) -> Task<void> {
+        co_await exchange.StartStream(200, HttpHeaders());
+        co_await exchange.WriteChunk(AllEvents(1, kEventsBeforeFault));
+        while (!exchange.ClientDisconnected()) co_await Sleep(kSettleTime);
+      },
+      [](HttpRejection) {
+        return HttpReply{400, {}, ""};
+      });
+  server.Listen("127.0.0.1:0");
+  Received received;
+  Spawn(loop.GetExecutor(), [&]() -> Task<void> {
+    co_await Sleep(kForwardTime);
+    server.Close();
+  });
+  Spawn(loop.GetExecutor(), [&]() -> Task<void> {
+    received = co_await Send(server.Address(), Request("/stream/x", version, kLongDeadline));
+    loop.Stop();
+  });
+  loop.Run();
+  loop.DestroyPendingWork();
+  return received;
+}
+
+void CheckWholeStream(const Received& received, const std::string& name) {
+  cr_expect_eq(received.status, 200, "%s: %d", name.c_str(), received.status);
+  cr_expect(received.is_whole, "%s: not whole", name.c_str());
+  cr_expect(received.body == AllEvents(1, kWholeStreamEvents), "%s: %s", name.c_str(),
+            received.bytes.c_str());
+}
+
+void CheckCutStream(const Received& received, const std::string& name) {
+  cr_expect_eq(received.status, 200, "%s: %d", name.c_str(), received.status);
+  cr_expect_not(received.is_whole, "%s: taken for whole", name.c_str());
+  cr_expect(received.body == AllEvents(1, kEventsBeforeFault), "%s: %s", name.c_str(),
+            received.bytes.c_str());
+}
+
+const char* const kVersions[] = {"HTTP/1.1", "HTTP/1.0"};
+
+void CheckEachPair(const std::string& version, bool ends_well) {
+  for (const Answer& broken : BrokenStreams()) {
+    for (const Answer& failure : FailuresOfNextEngine()) {
+      const std::string name = version + ", " + broken.name + ", then " + failure.name;
+      std::vector<Answer> answers = {broken, failure};
+      if (ends_well) answers.push_back(GoodStream());
+      const Exchange exchange = {"/stream/x", version, ends_well ? kLongDeadline : kShortDeadline};
+      const Received received = Play(exchange, std::move(answers));
+      if (ends_well) CheckWholeStream(received, name);
+      if (!ends_well) CheckCutStream(received, name);
+    }
+  }
+}
+
+/// Returns replies that end within their head, at each position.
+std::vector<Answer> CutHeads(const std::string& head) {
+  std::vector<Answer> cut;
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    cut.push_back(
+        {"head cut after " + std::to_string(size), head.substr(0, size), 0, "", Ending::kClose});
+  }
+  return cut;
+}
+
+std::vector<Answer> ShortCalls() {
+  std::vector<Answer> cut = CutHeads(Head("200 OK", "Content-Length: 12\r\n"));
+  cut.push_back({"no body", Head("200 OK", "Content-Length: 12\r\n"), 0, "", Ending::kClose});
+  cut.push_back({"short body", Head("200 OK", "Content-Length: 12\r\n"), 0, "a", Ending::kClose});
+  cut.push_back({"no chunk", Head("200 OK", kChunked), 0, "", Ending::kClose});
+  cut.push_back({"no last chunk", Head("200 OK", kChunked), 0, "1\r\na\r\n", Ending::kClose});
+  cut.push_back({"no length, reset", Head("200 OK", ""), 0, "a", Ending::kReset});
+  return cut;
+}
+
+std::vector<Answer> ShortStreams() {
+  const std::string length = std::string(kEventStream) + "Content-Length: 12\r\n";
+  std::vector<Answer> cut = CutHeads(Head("200 OK", kEventStream));
+  cut.push_back({"no body", Head("200 OK", length), 0, "", Ending::kClose});
+  cut.push_back({"short body", Head("200 OK", length), 0, "id: 1\n", Ending::kClose});
+  cut.push_back(
+      {"no chunk", Head("200 OK", std::string(kEventStream) + kChunked), 0, "", Ending::kClose});
+  cut.push_back({"no length, reset", Head("200 OK", kEventStream), 0, "", Ending::kReset});
+  cut.push_back({"no length, cut event", Head("200 OK", kEventStream), 0, "id: 1", Ending::kClose});
+  return cut;
+}
+
+}  // namespace
+
+// Guards against bytes of the next engine's failure in a stream that goes on at a third engine.
+Test(broken_answers, failure_of_next_engine_in_continued_stream) {
+  for (const char* version : kVersions) CheckEachPair(version, true);
+}
+
+// Guards against a chunked stream that broke off for good and looks whole or has foreign bytes.
+Test(broken_answers, cut_chunked_stream_taken_for_whole) { CheckEachPair("HTTP/1.1", false); }
+
+// Guards against a stream that its caller sees close cleanly though it broke off for good.
+Test(broken_answers, cut_close_delimited_stream_taken_for_whole) {
+  CheckEachPair("HTTP/1.0", false);
+}
+
+// Guards against a whole stream whose caller sees its connection reset.
+Test(broken_answers, whole_stream_taken_for_cut) {
+  for (const char* version : kVersions) {
+    CheckWholeStream(Play({"/stream/x", version, kLongDeadline}, {GoodStream()}), version);
+  }
+}
+
+// Guards against a success that stands for an idempotent call whose replies were all cut.
+Test(broken_answers, short_replies_to_idempotent_calls) {
+  for (const Answer& cut : ShortCalls()) {
+    const Received lost = Play({"/look/x", "HTTP/1.1", kLongDeadline}, {cut});
+    cr_expect_eq(lost.status, 502, "%s: %s", cut.name.c_str(), lost.bytes.c_str());
+    const Received repeated = Play({"/look/x", "HTTP/1.0", kLongDeadline}, {cut, GoodCall()});
+    cr_expect_eq(repeated.status, 200, "%s: %d", cut.name.c_str(), repeated.status);
+    cr_expect(repeated.is_whole && repeated.body == kBody, "%s: %s", cut.name.c_str(),
+              repeated.bytes.c_str());
+  }
+}
+
+// Guards against a non-idempotent call that is answered with a cut reply or sent again.
+Test(broken_answers, short_replies_to_non_idempotent_calls) {
+  for (const Answer& cut : ShortCalls()) {
+    int requests = 0;
+    const Received lost =
+        Play({"/place/x", "HTTP/1.1", kLongDeadline}, {cut, GoodCall()}, &requests);
+    cr_expect_eq(lost.status, 502, "%s: %s", cut.name.c_str(), lost.bytes.c_str());
+    cr_expect_eq(requests, 1, "%s: %d requests", cut.name.c_str(), requests);
+  }
+}
+
+// Guards against a stream that looks whole to its client because the server was closed.
+Test(broken_answers, server_closed_within_stream) {
+  for (const char* version : kVersions) CheckCutStream(CloseServerWithinStream(version), version);
+}
+
+// Guards against an empty or short stream that looks whole because its engine ended in the head.
+Test(broken_answers, short_replies_to_streams) {
+  for (const Answer& cut : ShortStreams()) {
+    const Received whole = Play({"/stream/x", "HTTP/1.0", kLongDeadline}, {cut, GoodStream()});
+    CheckWholeStream(whole, cut.name);
+    const Received lost = Play({"/stream/x", "HTTP/1.1", kShortDeadline}, {cut});
+    cr_expect_geq(lost.status, 500, "%s: %s", cut.name.c_str(), lost.bytes.c_str());
+  }
+}
