relay: count a call whose reply was cut on a kept connection as run

An idempotent call with two attempts reached three endpoints, the second one without a retry from the quota, if the first used a kept connection and the endpoint closed it within the head of its reply.

Cause: any error before the end of the head of a reply on a kept connection was taken for a connection that the endpoint had closed while idle, and the call was sent again without being counted.

Ruled out: a foreign or short success; such a call gets the next endpoint's whole reply or 502. Calls on new connections and non-idempotent ones, which use no kept connection, were counted already.

Change: the client connection tells whether any byte of the reply has arrived, and a kept connection counts as closed while idle only if none has.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -280,7 +280,8 @@
     std::error_code error = co_await m_connection->ReadHead(m_reply, TimeLeft());
     if (error && HasRetry()) error = std::make_error_code(std::errc::timed_out);
     if (error) {
-      const bool was_closed = m_is_reused && error != std::errc::timed_out;
+      const bool was_closed =
+          m_is_reused && error != std::errc::timed_out && !m_connection->HasReplyBegun();
       m_use_idle = m_use_idle && !was_closed;
       if (was_closed) co_return TryResult::kClosedIdle;
       OnAttemptLost("answer", error);
--- a/src/libs/transport/http_client_connection.cpp
+++ b/src/libs/transport/http_client_connection.cpp
@@ -72,6 +72,7 @@
                                                                       HttpReply& reply) {
   boost::system::error_code error;
   int heads = 0;
+  reply_begun = false;
   do {
     if (heads++ > kMaxInformational) co_return http::error::header_limit;
     parser.emplace();
@@ -83,6 +84,7 @@
           co_await http::async_read_some(socket, buffer, *parser, kCompletion);
       error = std::get<0>(read);
     }
+    reply_begun = reply_begun || parser->got_some();
     if (error) co_return error;
   } while (parser->get().result_int() / 100 == 1);
   reply.status = static_cast<int>(parser->get().result_int());
--- a/src/libs/transport/http_client_exchange.cpp
+++ b/src/libs/transport/http_client_exchange.cpp
@@ -128,6 +128,8 @@
   co_return std::error_code();
 }
 
+bool HttpClientExchange::HasReplyBegun() const { return m_state->connection.reply_begun; }
+
 bool HttpClientExchange::BodyDone() const {
   return m_state->connection.parser && m_state->connection.BodyDone();
 }
--- a/src/libs/transport/http_client_exchange.h
+++ b/src/libs/transport/http_client_exchange.h
@@ -36,6 +36,9 @@
   void Start(HttpClientRequest request);
   /// Reads the status and headers of the reply; informational (1xx) replies are skipped.
   Task<std::error_code> ReadHead(HttpReply& reply, Duration timeout);
+  /// Returns whether any byte of the reply that is read has arrived. Precondition: `ReadHead()` has
+  /// completed.
+  bool HasReplyBegun() const;
   /// Reads some bytes of the body. `data` may be empty before the end.
   Task<std::error_code> ReadSome(std::string& data);
   /// Reads the whole body; fails with `message_size` if it exceeds `max_bytes` or the bytes that
--- a/src/libs/transport/internal/http_client_connection.h
+++ b/src/libs/transport/internal/http_client_connection.h
@@ -39,6 +39,8 @@
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
+  /// Bytes of the current reply have arrived, be it an informational one.
+  bool reply_begun = false;
   internal::EventParser events;
   std::string address;
   TimePoint idle_since;
--- a/tests/auto/platform/tst_broken_answers.cpp
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -297,6 +297,25 @@
   return received;
 }
 
+/// Sends a call whose connection is kept and then another one, and returns how many requests the
+/// second caused at the endpoints. As the route allows two attempts, one of them uses the kept
+/// connection.
+int RequestsOfSecondCall(std::vector<Answer> answers) {
+  constexpr int kTwoEndpoints = 2;
+  PlatformWorld world;
+  ScriptedEndpoints endpoints(world.loop.GetExecutor(), std::move(answers), kTwoEndpoints);
+  world.Run([&]() -> Task<void> {
+    endpoints.List(*world.store, "orders");
+    co_await world.Start();
+    const std::string request = Request("/look/x", "HTTP/1.1", kLongDeadline);
+    const Received first = co_await Send(world.daemon->CallerAddress(), request);
+    cr_assert_eq(first.status, 200, "%d", first.status);
+    const Received second = co_await Send(world.daemon->CallerAddress(), request);
+    cr_assert_eq(second.status, 502, "%d", second.status);
+  });
+  return endpoints.requests - 1;
+}
+
 void CheckWholeStream(const Received& received, const std::string& name) {
   cr_expect_eq(received.status, 200, "%s: %d", name.c_str(), received.status);
   cr_expect(received.is_whole, "%s: not whole", name.c_str());
@@ -409,6 +428,15 @@
   for (const char* version : kVersions) CheckCutStream(CloseServerWithinStream(version), version);
 }
 
+// Guards against more repetitions of a call than its route allows when a kept connection breaks.
+Test(broken_answers, cut_head_on_kept_connection) {
+  Answer kept = GoodCall();
+  kept.ending = Ending::kStayOpen;
+  const std::string cut = "HTTP/1.1 200 OK\r\nFulmarpoint";
+  const int requests = RequestsOfSecondCall({kept, {"cut", cut, 0, "", Ending::kClose}});
+  cr_expect_eq(requests, 2, "%d requests", requests);
+}
+
 // Guards against an empty or short stream that looks whole because its engine ended in the head.
 Test(broken_answers, short_replies_to_streams) {
   for (const Answer& cut : ShortStreams()) {
