relay: a rollout order written again after a restore is not a new one

What could happen: after the store was restored from a copy, the operator writes its orders again. A rollout that was done or rolled back started again, and a version found bad received requests again; one in progress lost its evidence. While the copy lacked the row, or held an earlier order, the order counted as withdrawn or replaced: its rollout was aborted, and all versions were used alike.

Cause: an order was the version of its row, versions are assigned again in a restored store, and a provisional removal was taken for a withdrawal.

Ruled out: an identity from the content alone, because the operator may give the same order again.

Change: coordination/rollout_orders decides what a row means. The map of orders in relay_tables is gone.

Limit: a daemon that starts after the restore knows the order only by its new row version, so its reports name another rollout than those of the daemons that ran before.

--- a/src/libs/protocol/rollout_order.h
+++ b/src/libs/protocol/rollout_order.h
@@ -16,6 +16,8 @@
   VersionName new_version;
   /// Time from the order to the end of the rollout.
   Duration time_limit{};
+
+  bool operator==(const RolloutOrder&) const = default;
 };
 
 /// State of a rollout as reported to the operator. Endpoints of other versions are stopped at
--- a/src/libs/relay/relay_rollouts.cpp
+++ b/src/libs/relay/relay_rollouts.cpp
@@ -10,6 +10,7 @@
 #include "relay/peer_exchange.h"
 #include "relay/rollout_control.h"
 #include "utils/logging.h"
+#include "utils/overloaded.h"
 
 namespace fulmarpoint {
 
@@ -34,6 +35,10 @@
   State(RelayContext& shared, PeerExchange& peer_exchange, PeerConnections& peer_connections,
         EncodeStatus encode_status, std::uint64_t seed);
 
+  void Perform(const RolloutOrders::Action& action);
+  void Start(const RolloutOrder& order, std::uint64_t row_version);
+  void Withdraw(const ServiceName& service);
+  bool IsIdle() const { return rollouts.empty() && !orders.HasPending(); }
   Task<void> Run();
   void Handle(Rollout& rollout, const RolloutParticipant::Event& event);
   Task<void> Report(RolloutReport report);
@@ -50,6 +55,7 @@
   PeerExchange& exchange;
   PeerConnections& connections;
   RolloutControl control;
+  RolloutOrders orders;
   std::map<ServiceName, Rollout> rollouts;
   /// The latest latencies of each service on this daemon, except those from during a rollout.
   std::map<ServiceName, RecentLatencies> recent_latencies;
@@ -73,10 +79,44 @@
                }},
               seed) {}
 
+void RelayRollouts::State::Perform(const RolloutOrders::Action& action) {
+  std::visit(Overloaded{[this](const RolloutOrders::Ordered& ordered) {
+                          Start(ordered.order, ordered.row_version);
+                        },
+                        [this](const RolloutOrders::Withdrawn& withdrawn) {
+                          Withdraw(withdrawn.service);
+                        }},
+             action);
+}
+
+void RelayRollouts::State::Start(const RolloutOrder& order, std::uint64_t row_version) {
+  Withdraw(order.service);
+  RolloutRequest request;
+  request.id = order.service + "/" + order.new_version + "/" + std::to_string(row_version);
+  request.to = order.new_version;
+  request.deadline =
+      WallNow() + std::chrono::duration_cast<std::chrono::milliseconds>(order.time_limit).count();
+  const InstanceId self{context.settings.name, context.incarnation};
+  rollouts.emplace(order.service, Rollout{RolloutParticipant(self, order.service, request,
+                                                             recent_latencies[order.service])});
+  control.Add(order.service, request);
+  Log(LogLevel::kInfo, "rollout_ordered", {{"rollout", request.id}, {"to", order.new_version}});
+}
+
+void RelayRollouts::State::Withdraw(const ServiceName& service) {
+  const auto known = rollouts.find(service);
+  if (known == rollouts.end()) return;
+  control.Remove(known->second.Request().id);
+  rollouts.erase(known);
+}
+
 /// Drives the rollouts until none is left.
 Task<void> RelayRollouts::State::Run() {
   const std::shared_ptr<State> self = shared_from_this();
-  while (!stopped && !rollouts.empty()) {
+  while (!stopped && !IsIdle()) {
+    std::vector<RolloutOrders::Action> actions;
+    orders.Tick(SteadyNow(), actions);
+    for (const RolloutOrders::Action& action : actions) Perform(action);
     for (auto& [service, rollout] : rollouts) {
       if (!rollout.end) Handle(rollout, RolloutParticipant::Tick{});
     }
@@ -198,31 +238,13 @@
   m_state->control.Stop();
 }
 
-void RelayRollouts::OnOrder(const RolloutOrder& order, std::uint64_t row_version) {
-  State& state = *m_state;
-  RolloutRequest request;
-  request.id = order.service + "/" + order.new_version + "/" + std::to_string(row_version);
-  const auto known = state.rollouts.find(order.service);
-  if (known != state.rollouts.end() && known->second.Request().id == request.id) return;
-  OnOrderRemoved(order.service);
-  request.to = order.new_version;
-  request.deadline =
-      WallNow() + std::chrono::duration_cast<std::chrono::milliseconds>(order.time_limit).count();
-  const InstanceId self{state.context.settings.name, state.context.incarnation};
-  state.rollouts.emplace(order.service,
-                         State::Rollout{RolloutParticipant(self, order.service, request,
-                                                           state.recent_latencies[order.service])});
-  state.control.Add(order.service, request);
-  Log(LogLevel::kInfo, "rollout_ordered", {{"rollout", request.id}, {"to", order.new_version}});
-  if (std::exchange(state.running, true)) return;
-  Spawn(state.context.executor, [shared = m_state]() { return shared->Run(); });
-}
-
-void RelayRollouts::OnOrderRemoved(const ServiceName& service) {
-  const auto known = m_state->rollouts.find(service);
-  if (known == m_state->rollouts.end()) return;
-  m_state->control.Remove(known->second.Request().id);
-  m_state->rollouts.erase(known);
+void RelayRollouts::OnOrderRow(const TableWatcher::Change& change,
+                               const std::optional<RolloutOrder>& order) {
+  std::vector<RolloutOrders::Action> actions;
+  m_state->orders.OnRow(change, order, SteadyNow(), actions);
+  for (const RolloutOrders::Action& action : actions) m_state->Perform(action);
+  if (m_state->IsIdle() || std::exchange(m_state->running, true)) return;
+  Spawn(m_state->context.executor, [shared = m_state]() { return shared->Run(); });
 }
 
 VersionChoice RelayRollouts::Choose(const ServiceName& service) {
--- a/src/libs/relay/relay_rollouts.h
+++ b/src/libs/relay/relay_rollouts.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "coordination/rollout_orders.h"
 #include "coordination/rollout_participant.h"
 #include "coordination/version_choice.h"
 #include "relay/peer_connections.h"
@@ -28,10 +30,9 @@
   RelayRollouts(const RelayRollouts&) = delete;
   RelayRollouts& operator=(const RelayRollouts&) = delete;
 
-  /// Handles the operator's order from a row of the store. Each version of the row is a new order.
-  void OnOrder(const RolloutOrder& order, std::uint64_t row_version);
-  /// Handles the removal of the service's order.
-  void OnOrderRemoved(const ServiceName& service);
+  /// Handles a change of a row for the operator's orders. `order` is the content of the row;
+  /// nothing if it was removed.
+  void OnOrderRow(const TableWatcher::Change& change, const std::optional<RolloutOrder>& order);
 
   /// Chooses the version for a new request and counts the request.
   VersionChoice Choose(const ServiceName& service);
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -100,7 +100,7 @@
 void RelayTables::OnConfigurationRows(const std::vector<TableWatcher::Change>& changes) {
   for (const TableWatcher::Change& change : changes) {
     if (change.row.key != m_sources.configuration_key) {
-      OnOrderRow(change.row);
+      OnOrderRow(change);
       continue;
     }
     std::optional<RelayConfiguration> parsed;
@@ -116,21 +116,17 @@
   }
 }
 
-void RelayTables::OnOrderRow(const StoreRow& row) {
-  if (row.removed) {
-    const auto known = m_orders.find(row.key);
-    if (known == m_orders.end()) return;
-    m_context.rollouts->OnOrderRemoved(known->second);
-    m_orders.erase(known);
-    return;
-  }
-  const std::optional<RolloutOrder> order = m_sources.parse_rollout(row.key, row.value);
-  if (!order) {
-    Log(LogLevel::kWarning, "operator_row_ignored", {{"key", row.key}});
-    return;
+void RelayTables::OnOrderRow(const TableWatcher::Change& change) {
+  const StoreRow& row = change.row;
+  std::optional<RolloutOrder> order;
+  if (!row.removed) {
+    order = m_sources.parse_rollout(row.key, row.value);
+    if (!order) {
+      Log(LogLevel::kWarning, "operator_row_ignored", {{"key", row.key}});
+      return;
+    }
   }
-  m_orders[row.key] = order->service;
-  m_context.rollouts->OnOrder(*order, row.version);
+  m_context.rollouts->OnOrderRow(change, order);
 }
 
 void RelayTables::Apply(RelayConfiguration configuration) {
--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -50,7 +49,7 @@
   void OnConfirmed(const std::string& table, StorePosition position, TimePoint at);
   void OnConfigurationConfirmed(TimePoint at);
   void OnConfigurationRows(const std::vector<TableWatcher::Change>& changes);
-  void OnOrderRow(const StoreRow& row);
+  void OnOrderRow(const TableWatcher::Change& change);
   void Apply(RelayConfiguration configuration);
   void OnEndpointRows(const std::vector<TableWatcher::Change>& changes);
   void OnEndpointRow(const TableWatcher::Change& change, bool is_logged);
@@ -68,8 +67,6 @@
   TableReplication* m_endpoint_replication = nullptr;
   RestoredConfigurationCheck m_restored_check;
   bool m_is_configuration_current = true;
-  /// Services with a rollout order, by the order's key.
-  std::map<std::string, ServiceName> m_orders;
 };
 
 }  // namespace fulmarpoint
--- a/tests/auto/platform/tst_rollouts.cpp
+++ b/tests/auto/platform/tst_rollouts.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kMaxFailures = 50;
 // Longer than the lease, its send margin and the validity of directives.
 constexpr Duration kOutageTime = std::chrono::milliseconds(5000);
+// From a restore of the store until the operator writes again what the copy lacks.
+constexpr Duration kOperatorDelay = std::chrono::milliseconds(100);
 const char kNewVersion[] = "v2";
 
 void AddEndpoints(PlatformWorld& world, const std::string& version, EndpointBehaviour behaviour) {
@@ -189,6 +191,40 @@
   cr_assert_eq(traffic.failed, 0);
 }
 
+/// Restores the store from its copy and writes again, with other row versions, what the copy lacks.
+Task<void> RestoreAndWriteAgain(PlatformWorld& world) {
+  world.store->Restore();
+  co_await Sleep(kOperatorDelay);
+  const char* domain = "a";
+  for (const std::unique_ptr<EndpointStandin>& endpoint : world.endpoints) {
+    if (endpoint->version != kNewVersion) continue;
+    world.List(*endpoint, "orders", domain);
+    domain = "b";
+  }
+  Order(world, kNewVersion);
+}
+
+Task<void> RestoredOrderDoesNotStartAgain(PlatformWorld& world) {
+  AddEndpoints(world, "v1", EndpointBehaviour::kAnswer);
+  co_await world.Start();
+  world.store->TakeCopy();
+  Traffic traffic;
+  Spawn(world.loop.GetExecutor(), [&]() { return SendCalls(world, traffic); });
+  Order(world, kNewVersion);
+  AddEndpoints(world, kNewVersion, EndpointBehaviour::kFail);
+  co_await PlatformWorld::WaitFor([&]() { return StateOf(world) == "rolled_back"; });
+  const std::size_t before = CountAttempts(world).new_version;
+  co_await RestoreAndWriteAgain(world);
+  const TimePoint end = SteadyNow() + kOutageTime;
+  while (SteadyNow() < end) {
+    cr_assert_neq(StateOf(world), "running", "the rollout has ended");
+    co_await Sleep(kRequestInterval);
+  }
+  cr_assert_eq(CountAttempts(world).new_version, before, "nothing more after the end");
+  traffic.stopped = true;
+  co_await Sleep(std::chrono::milliseconds(200));
+}
+
 }  // namespace
 
 // Guards against a good version that is not fully in use by the order's deadline, and calls that
@@ -208,3 +244,7 @@
 
 // Guards against an order that still limits a version after the operator has withdrawn it.
 Test(rollouts, a_withdrawn_order_has_no_effect) { RunTest(&WithdrawnOrderHasNoEffect); }
+
+// Guards against an ended rollout that starts again, and a version found bad that receives requests
+// again, when the store is restored from a copy and the operator writes the order again.
+Test(rollouts, a_restored_order_does_not_start_again) { RunTest(&RestoredOrderDoesNotStartAgain); }
