coordination: order fencing tokens across restores of the store

What could happen: after the store was restored from a copy, the next holder of a rollout's lease gets a lower row version than the former one. Daemons that had a directive of the former ignore all of the new one until the end: no share, no known end, and a rollback reaches them only by the notice among daemons. A controller that reads a row of its predecessor from the copy may give up.

Cause: the fencing token was the row version, which means nothing across epochs.

Ruled out: participants that accept any token after a restore, because they don't know which epoch a token is of.

Change: the token holds the epoch above 40 bits of row version, so messages and rows keep their form. fulmarpointd's table service has no epochs; there the token is the row version as before.

--- a/src/libs/coordination/lease.cpp
+++ b/src/libs/coordination/lease.cpp
@@ -7,6 +7,13 @@
 constexpr Duration kTick = std::chrono::milliseconds(500);
 /// Row value of a released lease.
 constexpr char kReleased[] = "released";
+/// Bits of a fencing token that hold the row version; those above hold the epoch of the store, so
+/// that tokens are ordered like positions.
+constexpr int kTokenVersionBits = 40;
+
+std::uint64_t FencingTokenOf(StorePosition position) {
+  return (position.epoch << kTokenVersionBits) | position.version;
+}
 
 }  // namespace
 
@@ -66,7 +73,7 @@
 void Lease::ResolveWrite(const RowRead& event, TimePoint now, Actions& actions) {
   m_write_uncertain = false;
   if (event.row && event.row->value == m_write->value) {
-    return OnWritten(event.row->version, now, actions);
+    return OnWritten({event.epoch, event.row->version}, now, actions);
   }
   // The unanswered write can still take effect as long as the row has the version that it expects.
   // While that is so, the same value is written again.
@@ -111,7 +118,7 @@
   if (!m_write || event.token != m_write->token) return;
   switch (event.outcome) {
     case TableOutcome::kDone:
-      return OnWritten(event.version, now, actions);
+      return OnWritten({event.epoch, event.version}, now, actions);
     case TableOutcome::kConflict:
       // The conflict may be with an earlier attempt of the same write.
       if (m_write->was_unanswered) {
@@ -130,23 +137,23 @@
   }
 }
 
-void Lease::OnWritten(std::uint64_t version, TimePoint now, Actions& actions) {
+void Lease::OnWritten(StorePosition position, TimePoint now, Actions& actions) {
   const Write write = *m_write;
   m_write.reset();
   m_write_uncertain = false;
-  m_version = version;
+  m_version = position.version;
   m_version_since = now;
   if (write.is_release) return;
   if (!m_held && now >= write.started + m_options.lease_time) {
     // The lease expired before the answer arrived, but the row still belongs to this daemon.
-    return StartWrite(version, false, now, actions);
+    return StartWrite(m_version, false, now, actions);
   }
   m_renewed_at = m_options.mutate_count_from_answer ? now : write.started;
   m_next_action = m_renewed_at + m_options.renew_interval;
   if (m_held) return;
   m_held = true;
-  m_fencing_token = version;
-  actions.emplace_back(Acquired{version});
+  m_fencing_token = FencingTokenOf(position);
+  actions.emplace_back(Acquired{m_fencing_token});
 }
 
 void Lease::LoseLease(Actions& actions) {
--- a/src/libs/coordination/lease.h
+++ b/src/libs/coordination/lease.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "protocol/identifiers.h"
+#include "protocol/store_messages.h"
 #include "protocol/table_messages.h"
 #include "utils/random.h"
 #include "utils/time.h"
@@ -45,12 +46,16 @@
     std::uint64_t token = 0;
     bool ok = false;
     std::optional<TableRow> row;
+    /// Epoch of the store, if `ok`; 0 for a table service without epochs.
+    std::uint64_t epoch = 0;
   };
   struct WriteDone {
     std::uint64_t token = 0;
     TableOutcome outcome = TableOutcome::kUnknown;
     /// Version of the row after `kDone`.
     std::uint64_t version = 0;
+    /// Epoch of the store after `kDone`; 0 for a table service without epochs.
+    std::uint64_t epoch = 0;
   };
   /// Releases the lease, so that a successor need not wait for its end.
   struct Release {};
@@ -85,8 +90,9 @@
     return m_renewed_at + m_options.lease_time - m_options.send_margin;
   }
   bool IsHeld() const { return m_held; }
-  /// Returns the row version with which the lease was acquired; it is higher than that of every
-  /// earlier holder.
+  /// Returns the token of the write with which the lease was acquired; it is higher than that of
+  /// every earlier holder, also if the store was restored from a copy in between. Without epochs it
+  /// is the row version.
   std::uint64_t FencingToken() const { return m_fencing_token; }
 
  private:
@@ -113,7 +119,7 @@
   void SendWrite(std::uint64_t expect, TimePoint now, Actions& actions);
   void ResolveWrite(const RowRead& event, TimePoint now, Actions& actions);
   void StartRead(TimePoint now, Actions& actions);
-  void OnWritten(std::uint64_t version, TimePoint now, Actions& actions);
+  void OnWritten(StorePosition position, TimePoint now, Actions& actions);
   void LoseLease(Actions& actions);
 
   std::string m_key;
--- a/src/libs/relay/rollout_control.cpp
+++ b/src/libs/relay/rollout_control.cpp
@@ -226,7 +226,8 @@
   const std::shared_ptr<State> self = shared_from_this();
   const StoreReply reply = co_await ReadStoreRow(kRelayLeaseTable, read.key);
   if (stopped) co_return;
-  Lease::RowRead event{read.token, reply.status == StoreStatus::kOk, std::nullopt};
+  Lease::RowRead event{read.token, reply.status == StoreStatus::kOk, std::nullopt,
+                       reply.position.epoch};
   if (const StoreRow* row = FindRow(reply, kRelayLeaseTable, read.key)) {
     event.row = TableRow{row->key, row->version, row->value};
   }
@@ -245,7 +246,8 @@
   transaction.puts.push_back(std::move(row));
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
   if (stopped) co_return;
-  DriveLease(host, Lease::WriteDone{write.token, OutcomeOf(reply.status), reply.position.version});
+  DriveLease(host, Lease::WriteDone{write.token, OutcomeOf(reply.status), reply.position.version,
+                                    reply.position.epoch});
 }
 
 Task<void> RolloutControl::State::ReadRow(Host host) {
--- /dev/null
+++ b/tests/auto/coordination/tst_lease.cpp
@@ -0,0 +1,93 @@
+#include <criterion/criterion.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "coordination/lease.h"
+#include "coordination/rollout_participant.h"
+#include "protocol/store_messages.h"
+
+using namespace fulmarpoint;
+
+namespace {
+
+const RolloutRequest kRollout{"move-1", "v1", "v2", 0};
+
+template <typename Wanted, typename Actions>
+std::optional<Wanted> LastOfType(const Actions& actions) {
+  std::optional<Wanted> last;
+  for (const auto& action : actions) {
+    if (const Wanted* wanted = std::get_if<Wanted>(&action)) last = *wanted;
+  }
+  return last;
+}
+
+/// A candidate for a lease whose row does not exist yet.
+struct Candidate {
+  std::vector<Lease::Action> Handle(const Lease::Event& event) {
+    std::vector<Lease::Action> actions;
+    lease.Handle(event, now, actions);
+    return actions;
+  }
+
+  /// Acquires the lease with a write that the store puts at `position`; returns the fencing token.
+  std::uint64_t Acquire(StorePosition position) {
+    Handle(Lease::CandidateChanged{true});
+    Handle(Lease::Start{});
+    const std::optional<Lease::ReadRow> read =
+        LastOfType<Lease::ReadRow>(Handle(Lease::TimerFired{}));
+    cr_assert(read.has_value());
+    const std::optional<Lease::WriteRow> write = LastOfType<Lease::WriteRow>(
+        Handle(Lease::RowRead{read->token, true, std::nullopt, position.epoch}));
+    cr_assert(write.has_value());
+    const std::optional<Lease::Acquired> acquired = LastOfType<Lease::Acquired>(Handle(
+        Lease::WriteDone{write->token, TableOutcome::kDone, position.version, position.epoch}));
+    cr_assert(acquired.has_value());
+    cr_assert_eq(acquired->fencing_token, lease.FencingToken());
+    return acquired->fencing_token;
+  }
+
+  Lease lease{"rollout/move-1", {"daemon", 1}, Lease::Options(), 1};
+  TimePoint now{std::chrono::seconds(1)};
+};
+
+/// Lets `participant` report, and answers as the controller with the fencing token `token`.
+void Direct(RolloutParticipant& participant, std::uint64_t token, RolloutPhase phase,
+            TimePoint now) {
+  std::vector<RolloutParticipant::Action> actions;
+  participant.Handle(RolloutParticipant::Tick{}, now, actions);
+  const std::optional<RolloutParticipant::SendReport> sent =
+      LastOfType<RolloutParticipant::SendReport>(actions);
+  cr_assert(sent.has_value());
+  RolloutDirective directive;
+  directive.rollout = kRollout.id;
+  directive.sequence = sent->report.sequence;
+  directive.controller_token = token;
+  directive.phase = phase;
+  participant.Handle(RolloutParticipant::DirectiveReceived{directive}, now, actions);
+}
+
+}  // namespace
+
+// The table service of the product has no epochs.
+Test(lease, without_epochs_the_token_is_the_row_version) {
+  cr_assert_eq(Candidate().Acquire({0, 500}), 500u);
+}
+
+Test(lease, tokens_are_ordered_by_version_within_an_epoch) {
+  cr_assert_lt(Candidate().Acquire({3, 20}), Candidate().Acquire({3, 500}));
+}
+
+// Guards against daemons that ignore the controller that is elected after the store was restored
+// from a copy, so that a bad version is not rolled back.
+Test(lease, a_holder_after_a_restore_is_obeyed) {
+  const std::uint64_t before = Candidate().Acquire({1, 500});
+  const std::uint64_t after = Candidate().Acquire({2, 20});
+  RolloutParticipant participant({"daemon", 1}, "orders", kRollout);
+  const TimePoint now{std::chrono::seconds(10)};
+  Direct(participant, before, RolloutPhase::kCanary, now);
+  Direct(participant, after, RolloutPhase::kRolledBack, now + RolloutParticipant::kReportInterval);
+  cr_assert(participant.KnownBad(), "token %llu after %llu", static_cast<unsigned long long>(after),
+            static_cast<unsigned long long>(before));
+}
