coordination: hold no lease of a rollout from before a restore of the store

What could happen: after the store was restored from a copy, row versions are given out again, so a condition that was read before can fit another row. The holder of a rollout's lease then renewed it over that of a daemon that had acquired it in the new epoch, a candidate acquired it by a write that proved nothing, and a controller took its phase for written. Found by reading; no play has shown it.

Cause: the lease and the rollout's row remembered versions without the epoch in which they were read.

Ruled out: accepting such a write after it was read back, because it may have overwritten the row of another holder that doesn't know it yet.

Change: the lease knows the latest epoch of the store, from its own calls, from those for the rollout's row, and from the replicated tables. In a later epoch it drops what it has read and any write in progress, the holder stops, and candidates compete again. Replies that are not of the epoch in which a controller made its call are dropped. Without epochs nothing changes.

Result: tst_lease a_renewal_in_a_later_epoch_proves_nothing, a_holder_stops_once_a_later_epoch_is_known and a_write_with_a_condition_of_an_earlier_epoch_acquires_nothing failed before and pass. tst_rollouts a_rollout_goes_on_after_a_restore (new) passes; it was not run without the change.

--- a/src/libs/coordination/lease.cpp
+++ b/src/libs/coordination/lease.cpp
@@ -54,6 +54,22 @@
   if (!m_write) StartWrite(version, true, now, actions);
 }
 
+void Lease::On(const EpochSeen& event, TimePoint now, Actions& actions) {
+  if (event.epoch > m_epoch) BeginEpoch(event.epoch, now, actions);
+}
+
+/// The store was restored from a copy. What was read before fits its rows only by chance, and
+/// another candidate may have acquired the lease.
+void Lease::BeginEpoch(std::uint64_t epoch, TimePoint now, Actions& actions) {
+  m_epoch = epoch;
+  m_write.reset();
+  m_write_uncertain = false;
+  m_version = 0;
+  m_version_since.reset();
+  m_next_action = now;
+  if (m_held) LoseLease(actions);
+}
+
 void Lease::StartRead(TimePoint now, Actions& actions) {
   const Duration::rep interval = m_options.read_interval.count();
   m_next_action = now + Duration(interval / 2 + static_cast<Duration::rep>(m_random() % interval));
@@ -64,6 +80,8 @@
 void Lease::On(const RowRead& event, TimePoint now, Actions& actions) {
   if (event.token != m_read_token || !event.ok) return;
   m_read_token = 0;
+  if (event.epoch < m_epoch) return;
+  if (event.epoch > m_epoch) BeginEpoch(event.epoch, now, actions);
   if (m_write && m_write_uncertain) return ResolveWrite(event, now, actions);
   if (m_held) return;
   ObserveVersion(event.row ? event.row->version : 0, now);
@@ -116,6 +134,8 @@
 
 void Lease::On(const WriteDone& event, TimePoint now, Actions& actions) {
   if (!m_write || event.token != m_write->token) return;
+  const bool is_answered = event.outcome != TableOutcome::kUnknown;
+  if (is_answered && event.epoch > m_epoch) return BeginEpoch(event.epoch, now, actions);
   switch (event.outcome) {
     case TableOutcome::kDone:
       return OnWritten({event.epoch, event.version}, now, actions);
--- a/src/libs/coordination/lease.h
+++ b/src/libs/coordination/lease.h
@@ -19,7 +19,8 @@
 /// A lease that is stored in a row of the table service. Clocks of different daemons are never
 /// compared: a candidate takes over when it has seen the same row version for the lease time plus a
 /// margin on its own clock, and the holder stops earlier, counted from the start of its last
-/// successful write. If the answer to a write is lost, the row is read back. Not thread-safe.
+/// successful write. If the answer to a write is lost, the row is read back. When the store was
+/// restored from a copy, the holder stops and competes again. Not thread-safe.
 class Lease {
  public:
   struct Options {
@@ -54,12 +55,17 @@
     TableOutcome outcome = TableOutcome::kUnknown;
     /// Version of the row after `kDone`.
     std::uint64_t version = 0;
-    /// Epoch of the store after `kDone`; 0 for a table service without epochs.
+    /// Epoch of the store, unless the outcome is `kUnknown`; 0 for a table service without epochs.
     std::uint64_t epoch = 0;
   };
   /// Releases the lease, so that a successor need not wait for its end.
   struct Release {};
-  using Event = std::variant<Start, TimerFired, CandidateChanged, RowRead, WriteDone, Release>;
+  /// A reply of the store for any row shows that it is in `epoch`.
+  struct EpochSeen {
+    std::uint64_t epoch = 0;
+  };
+  using Event =
+      std::variant<Start, TimerFired, CandidateChanged, RowRead, WriteDone, Release, EpochSeen>;
 
   struct SetTimer {
     TimePoint at;
@@ -90,6 +96,8 @@
     return m_renewed_at + m_options.lease_time - m_options.send_margin;
   }
   bool IsHeld() const { return m_held; }
+  /// Returns the latest epoch of the store that is known; 0 without epochs.
+  std::uint64_t Epoch() const { return m_epoch; }
   /// Returns the token of the write with which the lease was acquired; it is higher than that of
   /// every earlier holder, also if the store was restored from a copy in between. Without epochs it
   /// is the row version.
@@ -112,7 +120,9 @@
   void On(const RowRead& event, TimePoint now, Actions& actions);
   void On(const WriteDone& event, TimePoint now, Actions& actions);
   void On(const Release& event, TimePoint now, Actions& actions);
+  void On(const EpochSeen& event, TimePoint now, Actions& actions);
 
+  void BeginEpoch(std::uint64_t epoch, TimePoint now, Actions& actions);
   void ObserveVersion(std::uint64_t version, TimePoint now);
   void TryTakeOver(const std::optional<TableRow>& row, TimePoint now, Actions& actions);
   void StartWrite(std::uint64_t expect, bool is_release, TimePoint now, Actions& actions);
@@ -129,6 +139,8 @@
   bool m_candidate = false;
   bool m_held = false;
   std::uint64_t m_fencing_token = 0;
+  /// Latest epoch of the store that is known; the lease is held in no earlier one.
+  std::uint64_t m_epoch = 0;
   /// Version of the row as last read or written, and the time since which it has been unchanged.
   std::uint64_t m_version = 0;
   std::optional<TimePoint> m_version_since;
--- a/src/libs/coordination/rollout_host.h
+++ b/src/libs/coordination/rollout_host.h
@@ -39,6 +39,8 @@
   std::optional<RolloutDirective> Answer(const RolloutReport& report, TimePoint now,
                                          Actions& actions);
 
+  /// Returns the latest epoch of the store that is known; a controller exists in no earlier one.
+  std::uint64_t Epoch() const { return m_lease.Epoch(); }
   bool MaySend(TimePoint now) const { return m_lease.MaySend(now); }
   /// Returns the controller; null while this daemon does not hold the lease.
   const RolloutController* Controller() const { return m_controller ? &*m_controller : nullptr; }
--- a/src/libs/relay/relay_rollouts.cpp
+++ b/src/libs/relay/relay_rollouts.cpp
@@ -297,4 +297,6 @@
   m_state->control.OnBadVersion(notice);
 }
 
+void RelayRollouts::OnStoreEpoch(std::uint64_t epoch) { m_state->control.OnStoreEpoch(epoch); }
+
 }  // namespace fulmarpoint
--- a/src/libs/relay/relay_rollouts.h
+++ b/src/libs/relay/relay_rollouts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +48,8 @@
   /// control it.
   RolloutDirective Answer(const RolloutReport& report);
   void OnBadVersion(const BadVersionNotice& notice);
+  /// The store is in `epoch`; a later one than before if it was restored from a copy.
+  void OnStoreEpoch(std::uint64_t epoch);
 
  private:
   struct State;
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -71,6 +71,7 @@
 
 void RelayTables::OnConfirmed(const std::string& table, StorePosition position, TimePoint at) {
   m_replicas.Confirm(table, position, at);
+  m_context.rollouts->OnStoreEpoch(position.epoch);
   if (table == m_sources.configuration_table) OnConfigurationConfirmed(at);
   if (table != kPeerTable || m_endpoint_replication == nullptr) return;
   std::exchange(m_endpoint_replication, nullptr)->Start();
--- a/src/libs/relay/rollout_control.cpp
+++ b/src/libs/relay/rollout_control.cpp
@@ -95,6 +95,7 @@
   void Perform(const Host& host, const RolloutHost::Actions& actions);
   void Perform(const Host& host, const Lease::Action& action);
   void Perform(const Host& host, const RolloutController::Action& action);
+  bool IsAnswerToController(const Host& host, std::uint64_t epoch, const StoreReply& reply);
   Task<StoreReply> ReadStoreRow(std::string table, std::string key);
   Task<void> ReadLease(Host host, Lease::ReadRow read);
   Task<void> WriteLease(Host host, Lease::WriteRow write);
@@ -215,6 +216,15 @@
              action);
 }
 
+/// Returns whether `reply` is of `epoch`, in which the controller's call was made, and the host
+/// still is in it. Otherwise the controller is gone, and the reply proves nothing to its successor.
+bool RolloutControl::State::IsAnswerToController(const Host& host, std::uint64_t epoch,
+                                                 const StoreReply& reply) {
+  const bool has_epoch = reply.status != StoreStatus::kUnknown;
+  if (has_epoch) DriveLease(host, Lease::EpochSeen{reply.position.epoch});
+  return host->Epoch() == epoch && (!has_epoch || reply.position.epoch == epoch);
+}
+
 Task<StoreReply> RolloutControl::State::ReadStoreRow(std::string table, std::string key) {
   StoreRead read;
   read.table = std::move(table);
@@ -252,8 +262,9 @@
 
 Task<void> RolloutControl::State::ReadRow(Host host) {
   const std::shared_ptr<State> self = shared_from_this();
+  const std::uint64_t epoch = host->Epoch();
   const StoreReply reply = co_await ReadStoreRow(kRelayRolloutTable, host->Rollout().id);
-  if (stopped) co_return;
+  if (stopped || !IsAnswerToController(host, epoch, reply)) co_return;
   if (reply.status == StoreStatus::kOk) {
     DriveController(host, RowReadOf(reply, host->Rollout().id));
   } else {
@@ -266,6 +277,7 @@
 Task<void> RolloutControl::State::WriteRow(Host host, RolloutController::WriteRow write) {
   const std::shared_ptr<State> self = shared_from_this();
   if (!host->MaySend(SteadyNow())) co_return;
+  const std::uint64_t epoch = host->Epoch();
   StoreTransaction transaction;
   transaction.conditions.push_back(
       {kRelayRolloutTable, "", write.row.rollout, write.expected_version});
@@ -277,7 +289,7 @@
   transaction.puts.push_back(
       handlers.encode_status({write.row.service, write.row.to, StateOf(write.row.phase)}));
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
-  if (stopped) co_return;
+  if (stopped || !IsAnswerToController(host, epoch, reply)) co_return;
   switch (reply.status) {
     case StoreStatus::kOk:
       Log(LogLevel::kInfo, "rollout_phase",
@@ -348,4 +360,10 @@
   m_state->DriveController(found->second.host, RolloutController::GossipReceived{notice});
 }
 
+void RolloutControl::OnStoreEpoch(std::uint64_t epoch) {
+  for (auto& [id, entry] : m_state->entries) {
+    if (entry.host) m_state->DriveLease(entry.host, Lease::EpochSeen{epoch});
+  }
+}
+
 }  // namespace fulmarpoint
--- a/src/libs/relay/rollout_control.h
+++ b/src/libs/relay/rollout_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,8 @@
   /// rollout.
   std::optional<RolloutDirective> Answer(const RolloutReport& report);
   void OnBadVersion(const BadVersionNotice& notice);
+  /// The store is in `epoch`. A controller from an earlier one stops.
+  void OnStoreEpoch(std::uint64_t epoch);
 
  private:
   struct State;
--- a/tests/auto/coordination/tst_lease.cpp
+++ b/tests/auto/coordination/tst_lease.cpp
@@ -31,23 +31,35 @@
     return actions;
   }
 
-  /// Acquires the lease with a write that the store puts at `position`; returns the fencing token.
-  std::uint64_t Acquire(StorePosition position) {
+  /// Reads the missing row in `epoch` and returns the write that is to acquire the lease.
+  Lease::WriteRow StartAcquiring(std::uint64_t epoch) {
     Handle(Lease::CandidateChanged{true});
     Handle(Lease::Start{});
     const std::optional<Lease::ReadRow> read =
         LastOfType<Lease::ReadRow>(Handle(Lease::TimerFired{}));
     cr_assert(read.has_value());
-    const std::optional<Lease::WriteRow> write = LastOfType<Lease::WriteRow>(
-        Handle(Lease::RowRead{read->token, true, std::nullopt, position.epoch}));
+    const std::optional<Lease::WriteRow> write =
+        LastOfType<Lease::WriteRow>(Handle(Lease::RowRead{read->token, true, std::nullopt, epoch}));
     cr_assert(write.has_value());
+    return *write;
+  }
+
+  /// Acquires the lease with a write that the store puts at `position`; returns the fencing token.
+  std::uint64_t Acquire(StorePosition position) {
+    const Lease::WriteRow write = StartAcquiring(position.epoch);
     const std::optional<Lease::Acquired> acquired = LastOfType<Lease::Acquired>(Handle(
-        Lease::WriteDone{write->token, TableOutcome::kDone, position.version, position.epoch}));
+        Lease::WriteDone{write.token, TableOutcome::kDone, position.version, position.epoch}));
     cr_assert(acquired.has_value());
     cr_assert_eq(acquired->fencing_token, lease.FencingToken());
     return acquired->fencing_token;
   }
 
+  /// Waits until the next renewal is due and returns its actions.
+  std::vector<Lease::Action> WaitForRenewal() {
+    now += Lease::Options().renew_interval;
+    return Handle(Lease::TimerFired{});
+  }
+
   Lease lease{"rollout/move-1", {"daemon", 1}, Lease::Options(), 1};
   TimePoint now{std::chrono::seconds(1)};
 };
@@ -91,3 +103,36 @@
   cr_assert(participant.KnownBad(), "token %llu after %llu", static_cast<unsigned long long>(after),
             static_cast<unsigned long long>(before));
 }
+
+// Guards against a holder that believes that its renewal proves that nobody else has acquired the
+// lease, although the condition of the renewal fits again by chance.
+Test(lease, a_renewal_in_a_later_epoch_proves_nothing) {
+  Candidate holder;
+  holder.Acquire({1, 500});
+  const std::optional<Lease::WriteRow> renewal =
+      LastOfType<Lease::WriteRow>(holder.WaitForRenewal());
+  cr_assert(renewal.has_value());
+  const std::vector<Lease::Action> actions =
+      holder.Handle(Lease::WriteDone{renewal->token, TableOutcome::kDone, 501, 2});
+  cr_assert(LastOfType<Lease::Lost>(actions).has_value());
+  cr_assert_not(holder.lease.MaySend(holder.now));
+}
+
+Test(lease, a_write_with_a_condition_of_an_earlier_epoch_acquires_nothing) {
+  Candidate candidate;
+  const Lease::WriteRow write = candidate.StartAcquiring(1);
+  const std::vector<Lease::Action> actions =
+      candidate.Handle(Lease::WriteDone{write.token, TableOutcome::kDone, 2, 2});
+  cr_assert_not(LastOfType<Lease::Acquired>(actions).has_value());
+  cr_assert(LastOfType<Lease::ReadRow>(candidate.Handle(Lease::TimerFired{})).has_value());
+}
+
+Test(lease, a_holder_stops_once_a_later_epoch_is_known) {
+  Candidate holder;
+  holder.Acquire({1, 500});
+  cr_assert_not(LastOfType<Lease::Lost>(holder.Handle(Lease::EpochSeen{1})).has_value());
+  cr_assert(LastOfType<Lease::Lost>(holder.Handle(Lease::EpochSeen{2})).has_value());
+  const std::vector<Lease::Action> actions = holder.WaitForRenewal();
+  cr_assert_not(LastOfType<Lease::WriteRow>(actions).has_value(), "the condition is outdated");
+  cr_assert(LastOfType<Lease::ReadRow>(actions).has_value());
+}
--- a/tests/auto/platform/tst_rollouts.cpp
+++ b/tests/auto/platform/tst_rollouts.cpp
@@ -225,6 +225,28 @@
   co_await Sleep(std::chrono::milliseconds(200));
 }
 
+Task<void> RolloutGoesOnAfterRestore(PlatformWorld& world) {
+  AddEndpoints(world, "v1", EndpointBehaviour::kAnswer);
+  co_await world.Start();
+  world.store->TakeCopy();
+  Traffic traffic;
+  Spawn(world.loop.GetExecutor(), [&]() { return SendCalls(world, traffic); });
+  Order(world, kNewVersion);
+  AddEndpoints(world, kNewVersion, EndpointBehaviour::kAnswer);
+  co_await PlatformWorld::WaitFor([&]() { return CountAttempts(world).new_version > 0; });
+  co_await RestoreAndWriteAgain(world);
+  for (const std::unique_ptr<EndpointStandin>& endpoint : world.endpoints) {
+    if (endpoint->version == kNewVersion) endpoint->behaviour = EndpointBehaviour::kFail;
+  }
+  co_await PlatformWorld::WaitFor([&]() { return StateOf(world) == "rolled_back"; });
+  const Attempts attempts = CountAttempts(world);
+  co_await Sleep(std::chrono::seconds(1));
+  cr_assert_eq(CountAttempts(world).new_version, attempts.new_version,
+               "nothing more after the end");
+  traffic.stopped = true;
+  co_await Sleep(std::chrono::milliseconds(200));
+}
+
 }  // namespace
 
 // Guards against a good version that is not fully in use by the order's deadline, and calls that
@@ -248,3 +270,7 @@
 // Guards against an ended rollout that starts again, and a version found bad that receives requests
 // again, when the store is restored from a copy and the operator writes the order again.
 Test(rollouts, a_restored_order_does_not_start_again) { RunTest(&RestoredOrderDoesNotStartAgain); }
+
+// Guards against a version that is not rolled back because its rollout's controller was elected
+// before the store was restored from a copy.
+Test(rollouts, a_rollout_goes_on_after_a_restore) { RunTest(&RolloutGoesOnAfterRestore); }
