relay: write a rollout's end again after a restore of the store

What could happen: the store is restored from a copy that lacks the end of a rollout. The operator never learns it: nobody writes the rollout's row and the status row again, because the former controller has stopped. Since a restore within 250 ms after the end also made the controller forget it, and the rollout began again at the canary.

Cause: an end counted as stored for good once it had been written, and it was remembered only at the controller's next tick.

Change: the controller's daemon remembers the end when it is written. In a later epoch it reads the rollout's row and, unless that holds an end, writes both rows on the condition of the version read; it tries again until an answer of the same epoch shows that the store has an end. New log line: rollout_end_restored.

Limits: only the daemon whose controller wrote or read the end does this. Another candidate that knows the end from a directive does not, and begins the rollout anew if that daemon is lost.

--- a/src/libs/relay/rollout_control.cpp
+++ b/src/libs/relay/rollout_control.cpp
@@ -80,6 +80,10 @@
     std::shared_ptr<RolloutHost> host;
     /// Set once the rollout's end has been written; later reports get it as reply.
     std::optional<RolloutRow> end;
+    /// Epoch of the store that has the end's rows.
+    std::uint64_t end_epoch = 0;
+    /// The end's rows are being written again.
+    bool is_end_in_progress = false;
   };
   using Host = std::shared_ptr<RolloutHost>;
 
@@ -88,6 +92,8 @@
 
   bool IsCandidate(const std::string& rollout) const;
   void Tick(Entry& entry);
+  static bool HasEnded(const Entry& entry);
+  void KnowEnd(Entry& entry, const RolloutRow& row);
   void StopHosting(Entry& entry);
   RolloutController::CapacityChanged CapacityOf(const Entry& entry) const;
   void DriveLease(const Host& host, const Lease::Event& event);
@@ -95,15 +101,21 @@
   void Perform(const Host& host, const RolloutHost::Actions& actions);
   void Perform(const Host& host, const Lease::Action& action);
   void Perform(const Host& host, const RolloutController::Action& action);
-  bool IsAnswerToController(const Host& host, std::uint64_t epoch, const StoreReply& reply);
+  bool IsAnswerToController(const Host& host, std::uint64_t call_epoch, const StoreReply& reply);
   Task<StoreReply> ReadStoreRow(std::string table, std::string key);
   Task<void> ReadLease(Host host, Lease::ReadRow read);
   Task<void> WriteLease(Host host, Lease::WriteRow write);
   Task<void> ReadRow(Host host);
   Task<void> WriteRow(Host host, RolloutController::WriteRow write);
 
+  Task<void> KeepEnd(RolloutRow end);
+  Task<std::optional<std::uint64_t>> WriteEndAgain(RolloutRow end);
+  Task<StoreReply> CommitRows(RolloutRow row, std::uint64_t expected_version);
+
   RelayContext& context;
   const Handlers handlers;
+  /// Latest epoch of the store that is known.
+  std::uint64_t epoch = 0;
   std::uint64_t seed;
   std::map<std::string, Entry> entries;
   bool stopped = false;
@@ -117,7 +129,14 @@
 }
 
 void RolloutControl::State::Tick(Entry& entry) {
-  if (entry.end) return;
+  if (HasEnded(entry)) {
+    StopHosting(entry);
+    if (entry.end_epoch < epoch && !std::exchange(entry.is_end_in_progress, true)) {
+      Spawn(context.executor,
+            [self = shared_from_this(), end = *entry.end]() { return self->KeepEnd(end); });
+    }
+    return;
+  }
   const bool is_candidate = context.IsServing() && IsCandidate(entry.rollout.id);
   if (!is_candidate) {
     StopHosting(entry);
@@ -134,11 +153,22 @@
   entry.host->Tick(SteadyNow(), WallNow(), actions);
   const RolloutController* controller = entry.host->Controller();
   const bool is_finished = controller != nullptr && controller->Finished(SteadyNow());
-  if (is_finished) entry.end = controller->Row();
+  if (is_finished) KnowEnd(entry, controller->Row());
   Perform(entry.host, actions);
   if (is_finished) StopHosting(entry);
 }
 
+/// Returns whether the end is known and no controller of this daemon has anything left to do.
+bool RolloutControl::State::HasEnded(const Entry& entry) {
+  return entry.end && (!entry.host || entry.host->Controller() == nullptr);
+}
+
+/// Remembers the end at once, because the lease is lost when the store is restored from a copy.
+void RolloutControl::State::KnowEnd(Entry& entry, const RolloutRow& row) {
+  entry.end = row;
+  entry.end_epoch = entry.host ? entry.host->Epoch() : epoch;
+}
+
 void RolloutControl::State::StopHosting(Entry& entry) {
   if (!entry.host) return;
   DriveLease(std::exchange(entry.host, nullptr), Lease::Release{});
@@ -204,6 +234,8 @@
                           handlers.on_bad_version(publish.notice);
                         },
                         [&](const RolloutController::ReportEnd& end) {
+                          const auto found = entries.find(host->Rollout().id);
+                          if (found != entries.end()) KnowEnd(found->second, end.row);
                           Log(LogLevel::kInfo, "rollout_ended",
                               {{"rollout", end.row.rollout},
                                {"result", NameOf(kRolloutPhaseNames, end.row.phase)},
@@ -216,13 +248,14 @@
              action);
 }
 
-/// Returns whether `reply` is of `epoch`, in which the controller's call was made, and the host
-/// still is in it. Otherwise the controller is gone, and the reply proves nothing to its successor.
-bool RolloutControl::State::IsAnswerToController(const Host& host, std::uint64_t epoch,
+/// Returns whether `reply` is of `call_epoch`, in which the controller's call was made, and the
+/// host still is in it. Otherwise the controller is gone, and the reply proves nothing to its
+/// successor.
+bool RolloutControl::State::IsAnswerToController(const Host& host, std::uint64_t call_epoch,
                                                  const StoreReply& reply) {
   const bool has_epoch = reply.status != StoreStatus::kUnknown;
   if (has_epoch) DriveLease(host, Lease::EpochSeen{reply.position.epoch});
-  return host->Epoch() == epoch && (!has_epoch || reply.position.epoch == epoch);
+  return host->Epoch() == call_epoch && (!has_epoch || reply.position.epoch == call_epoch);
 }
 
 Task<StoreReply> RolloutControl::State::ReadStoreRow(std::string table, std::string key) {
@@ -262,9 +295,9 @@
 
 Task<void> RolloutControl::State::ReadRow(Host host) {
   const std::shared_ptr<State> self = shared_from_this();
-  const std::uint64_t epoch = host->Epoch();
+  const std::uint64_t call_epoch = host->Epoch();
   const StoreReply reply = co_await ReadStoreRow(kRelayRolloutTable, host->Rollout().id);
-  if (stopped || !IsAnswerToController(host, epoch, reply)) co_return;
+  if (stopped || !IsAnswerToController(host, call_epoch, reply)) co_return;
   if (reply.status == StoreStatus::kOk) {
     DriveController(host, RowReadOf(reply, host->Rollout().id));
   } else {
@@ -274,22 +307,49 @@
 
 /// Writes the rollout's row and the operator's status row in one transaction, so that a controller
 /// that has been replaced writes neither.
-Task<void> RolloutControl::State::WriteRow(Host host, RolloutController::WriteRow write) {
-  const std::shared_ptr<State> self = shared_from_this();
-  if (!host->MaySend(SteadyNow())) co_return;
-  const std::uint64_t epoch = host->Epoch();
+Task<StoreReply> RolloutControl::State::CommitRows(RolloutRow row, std::uint64_t expected_version) {
   StoreTransaction transaction;
-  transaction.conditions.push_back(
-      {kRelayRolloutTable, "", write.row.rollout, write.expected_version});
+  transaction.conditions.push_back({kRelayRolloutTable, "", row.rollout, expected_version});
   StoreRow own;
   own.table = kRelayRolloutTable;
-  own.key = write.row.rollout;
-  own.value = ToJson(write.row);
+  own.key = row.rollout;
+  own.value = ToJson(row);
   transaction.puts.push_back(std::move(own));
-  transaction.puts.push_back(
-      handlers.encode_status({write.row.service, write.row.to, StateOf(write.row.phase)}));
-  const StoreReply reply = co_await context.store.commit(std::move(transaction));
-  if (stopped || !IsAnswerToController(host, epoch, reply)) co_return;
+  transaction.puts.push_back(handlers.encode_status({row.service, row.to, StateOf(row.phase)}));
+  co_return co_await context.store.commit(std::move(transaction));
+}
+
+/// The store was restored from a copy that may lack the rollout's end.
+Task<void> RolloutControl::State::KeepEnd(RolloutRow end) {
+  const std::shared_ptr<State> self = shared_from_this();
+  const std::optional<std::uint64_t> kept_in = co_await WriteEndAgain(end);
+  const auto found = entries.find(end.rollout);
+  if (stopped || found == entries.end()) co_return;
+  found->second.is_end_in_progress = false;
+  if (kept_in) found->second.end_epoch = *kept_in;
+}
+
+/// Writes the rows of `end` unless the store has an end. Returns the epoch of the store that has
+/// one; nothing if that is unknown.
+Task<std::optional<std::uint64_t>> RolloutControl::State::WriteEndAgain(RolloutRow end) {
+  const StoreReply read = co_await ReadStoreRow(kRelayRolloutTable, end.rollout);
+  if (stopped || read.status != StoreStatus::kOk) co_return std::nullopt;
+  const RolloutController::RowRead stored = RowReadOf(read, end.rollout);
+  if (stored.row && IsEnd(stored.row->phase)) co_return read.position.epoch;
+  const StoreReply written = co_await CommitRows(end, stored.version);
+  const bool is_written =
+      written.status == StoreStatus::kOk && written.position.epoch == read.position.epoch;
+  if (!is_written) co_return std::nullopt;
+  Log(LogLevel::kInfo, "rollout_end_restored", {{"rollout", end.rollout}});
+  co_return written.position.epoch;
+}
+
+Task<void> RolloutControl::State::WriteRow(Host host, RolloutController::WriteRow write) {
+  const std::shared_ptr<State> self = shared_from_this();
+  if (!host->MaySend(SteadyNow())) co_return;
+  const std::uint64_t call_epoch = host->Epoch();
+  const StoreReply reply = co_await CommitRows(write.row, write.expected_version);
+  if (stopped || !IsAnswerToController(host, call_epoch, reply)) co_return;
   switch (reply.status) {
     case StoreStatus::kOk:
       Log(LogLevel::kInfo, "rollout_phase",
@@ -317,7 +377,8 @@
 void RolloutControl::Stop() { m_state->stopped = true; }
 
 void RolloutControl::Add(const ServiceName& service, const RolloutRequest& rollout) {
-  m_state->entries.try_emplace(rollout.id, State::Entry{service, rollout, nullptr, std::nullopt});
+  m_state->entries.try_emplace(rollout.id,
+                               State::Entry{service, rollout, nullptr, std::nullopt, 0, false});
 }
 
 void RolloutControl::Remove(const std::string& rollout) {
@@ -338,7 +399,7 @@
   const auto found = m_state->entries.find(report.rollout);
   if (found == m_state->entries.end()) return std::nullopt;
   const State::Entry& entry = found->second;
-  if (entry.end) {
+  if (State::HasEnded(entry)) {
     RolloutDirective directive;
     directive.rollout = report.rollout;
     directive.sequence = report.sequence;
@@ -361,6 +422,7 @@
 }
 
 void RolloutControl::OnStoreEpoch(std::uint64_t epoch) {
+  m_state->epoch = std::max(m_state->epoch, epoch);
   for (auto& [id, entry] : m_state->entries) {
     if (entry.host) m_state->DriveLease(entry.host, Lease::EpochSeen{epoch});
   }
--- a/tests/auto/platform/tst_rollouts.cpp
+++ b/tests/auto/platform/tst_rollouts.cpp
@@ -247,6 +247,23 @@
   co_await Sleep(std::chrono::milliseconds(200));
 }
 
+Task<void> EndIsWrittenAgain(PlatformWorld& world) {
+  AddEndpoints(world, "v1", EndpointBehaviour::kAnswer);
+  co_await world.Start();
+  world.store->TakeCopy();
+  Traffic traffic;
+  Spawn(world.loop.GetExecutor(), [&]() { return SendCalls(world, traffic); });
+  Order(world, kNewVersion);
+  AddEndpoints(world, kNewVersion, EndpointBehaviour::kFail);
+  co_await PlatformWorld::WaitFor([&]() { return StateOf(world) == "rolled_back"; });
+  // All daemons know the end.
+  co_await Sleep(std::chrono::seconds(2));
+  co_await RestoreAndWriteAgain(world);
+  co_await PlatformWorld::WaitFor([&]() { return StateOf(world) == "rolled_back"; });
+  traffic.stopped = true;
+  co_await Sleep(std::chrono::milliseconds(200));
+}
+
 }  // namespace
 
 // Guards against a good version that is not fully in use by the order's deadline, and calls that
@@ -274,3 +291,7 @@
 // Guards against a version that is not rolled back because its rollout's controller was elected
 // before the store was restored from a copy.
 Test(rollouts, a_rollout_goes_on_after_a_restore) { RunTest(&RolloutGoesOnAfterRestore); }
+
+// Guards against an operator who never learns how a rollout ended, because the store was restored
+// from a copy that lacks the end.
+Test(rollouts, an_end_is_written_again_after_a_restore) { RunTest(&EndIsWrittenAgain); }
