--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -52,7 +51,7 @@
   void OnConfirmed(const std::string& table, StorePosition position, TimePoint at);
   void OnConfigurationConfirmed(StorePosition position, TimePoint at);
   void OnConfigurationRows(const std::vector<TableWatcher::Change>& changes);
-  void OnOrderRow(const StoreRow& row);
+  void OnOrderRow(const TableWatcher::Change& change);
   void Apply(RelayConfiguration configuration);
   void OnEndpointRows(const std::vector<TableWatcher::Change>& changes);
   void OnEndpointRow(const TableWatcher::Change& change, bool is_logged);
@@ -72,8 +71,6 @@
   bool m_is_configuration_current = true;
   /// On the clock `BootNow()`.
   TimePoint m_configuration_confirmed_at{};
-  /// Services with a rollout order, by the order's key.
-  std::map<std::string, ServiceName> m_orders;
 };
 
 }  // namespace fulmarpoint
