coordination: quarantine parts of prompts that always come together, together

Change: after five crashes a part whose only explanations are parts that all of the requests have is quarantined together with these: only requests with all of them are rejected. Such a quarantine explains no other part's crashes. Requests that lack one of the parts run, and show by completion or by crashes which part is the cause. Five and not four: a test demands that four crashes decide nothing while another part may explain them.

--- a/src/libs/coordination/crash_tracker.cpp
+++ b/src/libs/coordination/crash_tracker.cpp
@@ -17,6 +17,7 @@
     if (m_consecutive_crashes.size() >= m_options.max_fingerprints) return Finding::kNothing;
   }
   ConsecutiveCrashes& crashes = m_consecutive_crashes[attempt.fingerprint];
+  if (LacksJointPart(crashes, attempt)) RestartSeries(crashes);
   if (crashes.state == State::kQuarantined) {
     if (now < crashes.quarantined_until) return Finding::kQuarantined;
     if (crashes.requests.empty()) {
@@ -56,6 +57,47 @@
   }
 }
 
+/// Returns whether the attempt crashed its endpoint although its request was not in the quarantine.
+bool CrashTracker::LacksJointPart(const ConsecutiveCrashes& crashes,
+                                  const CrashedAttempt& attempt) {
+  if (crashes.state != State::kQuarantined || !crashes.joint_parts) return false;
+  return std::any_of(
+      crashes.joint_parts->begin(), crashes.joint_parts->end(), [&](Fingerprint part) {
+        return std::find(attempt.companions.begin(), attempt.companions.end(), part) ==
+               attempt.companions.end();
+      });
+}
+
+/// Counts anew after a quarantine that turned out to be too narrow.
+void CrashTracker::RestartSeries(ConsecutiveCrashes& crashes) {
+  crashes.state = State::kCounting;
+  crashes.endpoints.clear();
+  crashes.requests.clear();
+  crashes.companions.clear();
+}
+
+/// Returns the other parts that all requests have.
+std::set<Fingerprint> CrashTracker::CommonParts(const ConsecutiveCrashes& crashes) {
+  std::set<Fingerprint> common;
+  for (const auto& [companion, count] : crashes.companions) {
+    const bool was_common = !crashes.joint_parts || crashes.joint_parts->contains(companion);
+    if (was_common && count == crashes.requests.size()) common.insert(companion);
+  }
+  return common;
+}
+
+/// Returns whether another part may explain the crashes, so that more must be counted.
+bool CrashTracker::IsExplained(const ConsecutiveCrashes& crashes) const {
+  const std::vector<Fingerprint> explanations = Explanations(crashes);
+  if (explanations.empty() || crashes.endpoints.size() >= m_options.part_pair_threshold) {
+    return false;
+  }
+  const bool is_joint = std::all_of(
+      explanations.begin(), explanations.end(),
+      [&](Fingerprint part) { return crashes.companions.at(part) == crashes.requests.size(); });
+  return !is_joint || crashes.endpoints.size() < m_options.joint_crash_threshold;
+}
+
 /// Returns the other parts that more than half of the requests have.
 std::vector<Fingerprint> CrashTracker::Explanations(const ConsecutiveCrashes& crashes) {
   std::vector<Fingerprint> explanations;
@@ -107,9 +149,7 @@
   for (auto& [fingerprint, crashes] : m_consecutive_crashes) {
     if (crashes.state != State::kQuerying || now - crashes.queried_at < m_options.answer_timeout)
       continue;
-    const bool is_explained =
-        !Explanations(crashes).empty() && crashes.endpoints.size() < m_options.part_pair_threshold;
-    if (is_explained) {
+    if (IsExplained(crashes)) {
       crashes.state = State::kCounting;
       continue;
     }
@@ -121,6 +161,7 @@
 
 void CrashTracker::Quarantine(ConsecutiveCrashes& crashes, TimePoint now) {
   crashes.state = State::kQuarantined;
+  if (!crashes.requests.empty()) crashes.joint_parts = CommonParts(crashes);
   crashes.quarantined_until =
       now + m_options.quarantine_durations[std::min(crashes.quarantine_count, std::size_t{2})];
   ++crashes.quarantine_count;
@@ -132,6 +173,12 @@
   return std::max(Duration::zero(), found->second.quarantined_until - now);
 }
 
+std::vector<Fingerprint> CrashTracker::QuarantineCompanions(Fingerprint fingerprint) const {
+  const auto found = m_consecutive_crashes.find(fingerprint);
+  if (found == m_consecutive_crashes.end() || !found->second.joint_parts) return {};
+  return {found->second.joint_parts->begin(), found->second.joint_parts->end()};
+}
+
 std::optional<TimePoint> CrashTracker::ClearedSince(Fingerprint fingerprint) const {
   const auto found = m_consecutive_crashes.find(fingerprint);
   if (found == m_consecutive_crashes.end()) return std::nullopt;
--- a/src/libs/coordination/crash_tracker.h
+++ b/src/libs/coordination/crash_tracker.h
@@ -35,7 +35,9 @@
 ///
 /// Poison requests may differ in all but one part of their prompt. A part is quarantined only if
 /// several requests with it crashed endpoints and no other part explains these crashes: each other
-/// part is missing from half of the requests, or was completed elsewhere. Not thread-safe.
+/// part is missing from half of the requests, or was completed elsewhere. If all these requests
+/// have other parts in common, only requests with all of them are quarantined: those that lack one
+/// go on, and show by their completion or their crashes which part is the cause. Not thread-safe.
 class CrashTracker {
  public:
   struct Options {
@@ -49,8 +51,11 @@
     std::size_t part_request_threshold = 2;
     /// Crashes of one request that count for a part of its prompt.
     std::size_t part_crashes_per_request = 2;
-    /// Crashes after which a part is quarantined although another one may explain them: it always
-    /// occurs together with that one.
+    /// Crashes after which a part is quarantined together with the other parts that all the
+    /// requests have: one more, because requests of one caller may share all but their last part.
+    std::size_t joint_crash_threshold = 5;
+    /// Crashes after which a part is quarantined although another one that most of the requests
+    /// have may explain them.
     std::size_t part_pair_threshold = 8;
     /// A part is cleared also by completions this long before its first crash, because those of
     /// other requests with it may take longer than a series of crashes.
@@ -94,6 +99,8 @@
   std::vector<Fingerprint> TakeNewQuarantines(TimePoint now);
   /// Returns how much longer the quarantine lasts; zero if there is none.
   Duration RemainingQuarantine(Fingerprint fingerprint, TimePoint now) const;
+  /// Returns the other parts that a request must have to be in this quarantine.
+  std::vector<Fingerprint> QuarantineCompanions(Fingerprint fingerprint) const;
   /// Returns the time since which a completion clears the fingerprint: the start of the first of
   /// the consecutive crashing attempts, or earlier for a part; nothing if there is none.
   std::optional<TimePoint> ClearedSince(Fingerprint fingerprint) const;
@@ -118,10 +125,17 @@
     /// have each other part, without those that have completed since.
     std::map<Fingerprint, std::size_t> requests;
     std::map<Fingerprint, std::size_t> companions;
+    /// In a quarantine: the other parts that its requests must have. Later quarantines keep only
+    /// those that are common to all series of crashes.
+    std::optional<std::set<Fingerprint>> joint_parts;
   };
 
   void Count(ConsecutiveCrashes& crashes, const CrashedAttempt& attempt);
   bool IsQueryDue(const ConsecutiveCrashes& crashes) const;
+  static bool LacksJointPart(const ConsecutiveCrashes& crashes, const CrashedAttempt& attempt);
+  static void RestartSeries(ConsecutiveCrashes& crashes);
+  static std::set<Fingerprint> CommonParts(const ConsecutiveCrashes& crashes);
+  bool IsExplained(const ConsecutiveCrashes& crashes) const;
   static std::vector<Fingerprint> Explanations(const ConsecutiveCrashes& crashes);
 
   void Quarantine(ConsecutiveCrashes& crashes, TimePoint now);
--- a/src/libs/protocol/crash_messages.h
+++ b/src/libs/protocol/crash_messages.h
@@ -64,6 +64,9 @@
   Fingerprint fingerprint = 0;
   /// Remaining duration of the quarantine; 0 clears it.
   std::uint32_t quarantine_ms = 0;
+  /// Only requests that have all these parts too are in quarantine: it is not known which of the
+  /// parts crashes endpoints.
+  std::vector<Fingerprint> companions;
 
   /// Returns a quarantine for `time`, rounded up: it must expire at the fingerprint's owner first,
   /// because the owner notifies the other daemons of the first crash after that. Thread-safe.
@@ -74,6 +77,7 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(fingerprint, quarantine_ms);
+    internal::SerializeList(archive, companions);
   }
 };
 
--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -21,6 +21,12 @@
 
 namespace {
 
+struct QuarantinedFingerprint {
+  TimePoint until{};
+  /// The parts that a request must have too.
+  std::vector<Fingerprint> companions;
+};
+
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(120);
 // A terminating process closes its connections before its listening socket, so a probe without a
 // delay could still succeed.
@@ -54,11 +60,12 @@
   void QueryCompletions(Fingerprint fingerprint);
   bool QueryCompletion(Fingerprint fingerprint, TimePoint since);
   Task<void> QuarantineUnlessCompleted();
-  void Quarantine(Fingerprint fingerprint, Duration time);
+  void Quarantine(const QuarantineUpdate& update);
   void PublishQuarantine(Fingerprint fingerprint);
   QuarantineUpdate QuarantineOf(Fingerprint fingerprint) const;
   Task<void> ResendQuarantine(Fingerprint fingerprint);
   bool IsQuarantined(Fingerprint fingerprint) const;
+  bool IsQuarantinedFor(Fingerprint fingerprint, const std::vector<Fingerprint>& parts) const;
   void EndQuarantine(Fingerprint fingerprint);
   void PublishEndOfQuarantine(Fingerprint fingerprint);
   void OnLocalCompletion(Fingerprint fingerprint);
@@ -74,8 +81,7 @@
   LostAttempts lost_attempts;
   std::set<EndpointId> probes_in_progress;
   RecentFingerprints completed{kCompletionLifetime, kMaxCompletions};
-  /// When each quarantine expires.
-  std::unordered_map<Fingerprint, TimePoint> quarantined_until;
+  std::unordered_map<Fingerprint, QuarantinedFingerprint> quarantined;
   /// Consecutive crashes of the fingerprints that this daemon owns.
   CrashTracker tracker;
   bool stopped = false;
@@ -201,8 +207,9 @@
 }
 
 void PoisonRequestDetector::State::PublishQuarantine(Fingerprint fingerprint) {
-  Quarantine(fingerprint, tracker.RemainingQuarantine(fingerprint, SteadyNow()));
-  SendToAll(QuarantineOf(fingerprint));
+  const QuarantineUpdate update = QuarantineOf(fingerprint);
+  Quarantine(update);
+  SendToAll(update);
   Spawn(context.executor,
         [self = shared_from_this(), fingerprint]() { return self->ResendQuarantine(fingerprint); });
 }
@@ -213,33 +220,50 @@
   if (!stopped && IsQuarantined(fingerprint)) SendToAll(QuarantineOf(fingerprint));
 }
 
-/// Returns the message with the quarantine time left in this daemon's tracker.
+/// Returns the message about a quarantine in this daemon's tracker.
 QuarantineUpdate PoisonRequestDetector::State::QuarantineOf(Fingerprint fingerprint) const {
-  return QuarantineUpdate::WithDuration(fingerprint,
-                                        tracker.RemainingQuarantine(fingerprint, SteadyNow()));
+  QuarantineUpdate update = QuarantineUpdate::WithDuration(
+      fingerprint, tracker.RemainingQuarantine(fingerprint, SteadyNow()));
+  update.companions = tracker.QuarantineCompanions(fingerprint);
+  return update;
 }
 
-void PoisonRequestDetector::State::Quarantine(Fingerprint fingerprint, Duration time) {
-  const TimePoint now = SteadyNow();
-  const bool is_new = !IsQuarantined(fingerprint);
-  if (is_new && quarantined_until.size() >= kMaxQuarantined) return;
-  quarantined_until[fingerprint] = now + time;
-  if (!is_new) return;
+void PoisonRequestDetector::State::Quarantine(const QuarantineUpdate& update) {
+  const auto known = quarantined.find(update.fingerprint);
+  const bool is_known = IsQuarantined(update.fingerprint);
+  const bool is_changed = !is_known || known->second.companions != update.companions;
+  if (known == quarantined.end() && quarantined.size() >= kMaxQuarantined) return;
+  quarantined[update.fingerprint] = {SteadyNow() + update.QuarantineTime(), update.companions};
+  if (!is_changed) return;
   Log(LogLevel::kWarning, "request_blocked",
-      {{"fingerprint", fingerprint}, {"seconds", ClampedCount<std::chrono::seconds>(time)}});
-  for (const Fingerprint explained : tracker.OnPoisonFound(fingerprint)) {
+      {{"fingerprint", update.fingerprint},
+       {"companions", update.companions.size()},
+       {"seconds", ClampedCount<std::chrono::seconds>(update.QuarantineTime())}});
+  // With companions, any of the parts may be the poison.
+  if (!update.companions.empty()) return;
+  for (const Fingerprint explained : tracker.OnPoisonFound(update.fingerprint)) {
     PublishEndOfQuarantine(explained);
   }
 }
 
 bool PoisonRequestDetector::State::IsQuarantined(Fingerprint fingerprint) const {
-  const auto found = quarantined_until.find(fingerprint);
-  return found != quarantined_until.end() && SteadyNow() < found->second;
+  const auto found = quarantined.find(fingerprint);
+  return found != quarantined.end() && SteadyNow() < found->second.until;
+}
+
+/// Returns whether a request with these parts is in the quarantine of the fingerprint.
+bool PoisonRequestDetector::State::IsQuarantinedFor(Fingerprint fingerprint,
+                                                    const std::vector<Fingerprint>& parts) const {
+  if (!IsQuarantined(fingerprint)) return false;
+  const std::vector<Fingerprint>& companions = quarantined.at(fingerprint).companions;
+  return std::all_of(companions.begin(), companions.end(), [&](Fingerprint companion) {
+    return std::find(parts.begin(), parts.end(), companion) != parts.end();
+  });
 }
 
 void PoisonRequestDetector::State::EndQuarantine(Fingerprint fingerprint) {
   if (!IsQuarantined(fingerprint)) return;
-  quarantined_until.erase(fingerprint);
+  quarantined.erase(fingerprint);
   Log(LogLevel::kWarning, "request_unblocked", {{"fingerprint", fingerprint}});
 }
 
@@ -267,7 +291,9 @@
 
 void PoisonRequestDetector::State::PublishEndOfQuarantine(Fingerprint fingerprint) {
   EndQuarantine(fingerprint);
-  SendToAll(QuarantineUpdate{fingerprint, 0});
+  QuarantineUpdate end;
+  end.fingerprint = fingerprint;
+  SendToAll(end);
 }
 
 const PeerRecord* PoisonRequestDetector::State::Owner(Fingerprint fingerprint,
@@ -324,7 +350,9 @@
 
 bool PoisonRequestDetector::IsQuarantined(const RelayedRequest& request) const {
   const std::vector<Fingerprint>& parts = request.part_fingerprints;
-  const auto is_quarantined = [this](Fingerprint part) { return m_state->IsQuarantined(part); };
+  const auto is_quarantined = [&](Fingerprint part) {
+    return m_state->IsQuarantinedFor(part, parts);
+  };
   return m_state->IsQuarantined(request.fingerprint) ||
          std::any_of(parts.begin(), parts.end(), is_quarantined);
 }
@@ -344,7 +372,7 @@
                  },
                  [&](const QuarantineUpdate& quarantine) {
                    if (quarantine.QuarantineTime() > Duration::zero()) {
-                     state.Quarantine(quarantine.fingerprint, quarantine.QuarantineTime());
+                     state.Quarantine(quarantine);
                    } else {
                      state.EndQuarantine(quarantine.fingerprint);
                    }
@@ -362,7 +390,7 @@
     }
   }
   state.lost_attempts.Forget(now);
-  std::erase_if(state.quarantined_until, [&](const auto& entry) { return now >= entry.second; });
+  std::erase_if(state.quarantined, [&](const auto& entry) { return now >= entry.second.until; });
 }
 
 }  // namespace fulmarpoint
--- a/tests/auto/coordination/crash_fleet.cpp
+++ b/tests/auto/coordination/crash_fleet.cpp
@@ -30,6 +30,7 @@
 constexpr Fingerprint kFirstPart = 1'000'000'000;
 constexpr Fingerprint kFirstOwnPart = 2'000'000'000;
 constexpr Fingerprint kPoisonPart = 3'000'000'000;
+constexpr Fingerprint kConstantCompanion = 3'000'000'001;
 // Poison requests with a part in common may crash this many endpoints before they count as retries.
 constexpr std::size_t kPartCrashes = 5;
 
@@ -135,7 +136,7 @@
   for (const Fingerprint fingerprint : FingerprintsOf(request)) {
     daemon.completed.Add(fingerprint, m_now);
     if (!IsQuarantined(daemon, fingerprint)) continue;
-    daemon.quarantined_until.erase(fingerprint);
+    daemon.quarantined.erase(fingerprint);
     SendMessage([this, owner = OwnerIndex(fingerprint, request.daemon), fingerprint]() {
       OnCompleted(owner, fingerprint);
     });
@@ -211,9 +212,8 @@
   if (finding == CrashTracker::Finding::kQuarantinedAgain)
     AnnounceQuarantine(owner, attempt.fingerprint);
   if (finding != CrashTracker::Finding::kQuarantined) return;
-  const Duration left = m_daemons[owner].tracker.RemainingQuarantine(attempt.fingerprint, m_now);
-  SendMessage([this, sender, update = QuarantineUpdate::WithDuration(attempt.fingerprint, left)]() {
-    Quarantine(sender, update.fingerprint, update.QuarantineTime());
+  SendMessage([this, sender, update = QuarantineOf(owner, attempt.fingerprint)]() {
+    Quarantine(sender, update);
   });
 }
 
@@ -237,47 +237,62 @@
   });
 }
 
+QuarantineUpdate CrashFleet::QuarantineOf(int owner, Fingerprint fingerprint) const {
+  const CrashTracker& tracker = m_daemons[owner].tracker;
+  QuarantineUpdate update =
+      QuarantineUpdate::WithDuration(fingerprint, tracker.RemainingQuarantine(fingerprint, m_now));
+  update.companions = tracker.QuarantineCompanions(fingerprint);
+  return update;
+}
+
 void CrashFleet::AnnounceQuarantine(int owner, Fingerprint fingerprint) {
-  const Duration left = m_daemons[owner].tracker.RemainingQuarantine(fingerprint, m_now);
-  Quarantine(owner, fingerprint, left);
-  NotifyAll(fingerprint, left);
+  const QuarantineUpdate update = QuarantineOf(owner, fingerprint);
+  Quarantine(owner, update);
+  NotifyAll(update);
   In(kQuarantineResendDelay, [this, owner, fingerprint]() {
     if (!IsQuarantined(m_daemons[owner], fingerprint)) return;
-    NotifyAll(fingerprint, m_daemons[owner].tracker.RemainingQuarantine(fingerprint, m_now));
+    NotifyAll(QuarantineOf(owner, fingerprint));
   });
 }
 
-void CrashFleet::Quarantine(int daemon, Fingerprint fingerprint, Duration time) {
-  m_daemons[daemon].quarantined_until[fingerprint] = m_now + time;
-  if (time <= Duration::zero()) return;
-  for (const Fingerprint explained : m_daemons[daemon].tracker.OnPoisonFound(fingerprint)) {
+void CrashFleet::Quarantine(int daemon, const QuarantineUpdate& update) {
+  m_daemons[daemon].quarantined[update.fingerprint] = {m_now + update.QuarantineTime(),
+                                                       update.companions};
+  if (update.QuarantineTime() <= Duration::zero() || !update.companions.empty()) return;
+  for (const Fingerprint explained : m_daemons[daemon].tracker.OnPoisonFound(update.fingerprint)) {
     EndQuarantine(daemon, explained);
   }
 }
 
 void CrashFleet::EndQuarantine(int owner, Fingerprint fingerprint) {
   ++cleared;
-  m_daemons[owner].quarantined_until.erase(fingerprint);
-  NotifyAll(fingerprint, Duration::zero());
+  m_daemons[owner].quarantined.erase(fingerprint);
+  QuarantineUpdate end;
+  end.fingerprint = fingerprint;
+  NotifyAll(end);
 }
 
 bool CrashFleet::IsQuarantined(const Daemon& daemon, Fingerprint fingerprint) const {
-  const auto found = daemon.quarantined_until.find(fingerprint);
-  return found != daemon.quarantined_until.end() && m_now < found->second;
+  const auto found = daemon.quarantined.find(fingerprint);
+  return found != daemon.quarantined.end() && m_now < found->second.until;
 }
 
 bool CrashFleet::IsQuarantined(const Request& request) const {
   const std::vector<Fingerprint> fingerprints = FingerprintsOf(request);
   return std::any_of(fingerprints.begin(), fingerprints.end(), [&](Fingerprint fingerprint) {
-    return IsQuarantined(m_daemons[request.daemon], fingerprint);
+    const Daemon& daemon = m_daemons[request.daemon];
+    if (!IsQuarantined(daemon, fingerprint)) return false;
+    const std::vector<Fingerprint>& companions = daemon.quarantined.at(fingerprint).companions;
+    return std::all_of(companions.begin(), companions.end(), [&](Fingerprint companion) {
+      return std::find(request.parts.begin(), request.parts.end(), companion) !=
+             request.parts.end();
+    });
   });
 }
 
-void CrashFleet::NotifyAll(Fingerprint fingerprint, Duration time) {
+void CrashFleet::NotifyAll(const QuarantineUpdate& update) {
   for (int index = 0; index < kDaemons; ++index) {
-    SendMessage([this, index, update = QuarantineUpdate::WithDuration(fingerprint, time)]() {
-      Quarantine(index, update.fingerprint, update.QuarantineTime());
-    });
+    SendMessage([this, index, update]() { Quarantine(index, update); });
   }
 }
 
@@ -314,18 +329,30 @@
   }));
 }
 
+/// Returns a stream that has the poison part with the share of the case.
+static CrashFleet::Request MakePoisonOrHarmlessStream(CrashFleet& fleet, Fingerprint fingerprint,
+                                                      const PoisonedPartCase& test_case,
+                                                      Duration sent_after) {
+  CrashFleet::Request request = MakeStream(fleet, fingerprint);
+  request.crashes = std::bernoulli_distribution(test_case.share)(fleet.Generator());
+  const bool has_companion =
+      request.crashes
+          ? test_case.has_constant_companion
+          : test_case.harmless_companions_from && sent_after >= *test_case.harmless_companions_from;
+  if (has_companion) request.parts.front() = kConstantCompanion;
+  if (request.crashes) {
+    request.parts.insert(request.parts.begin() + 1, kPoisonPart);
+    request.length = kFirstEventTime;
+  }
+  return request;
+}
+
 int LateAttemptsWithPoisonPart(CrashFleet& fleet, const PoisonedPartCase& test_case) {
   constexpr Duration kLength = std::chrono::seconds(30);
   Fingerprint next_stream = 1'000'000;
   for (Duration at{}; at < kLength; at += test_case.interval) {
-    fleet.In(at, [&fleet, &next_stream, &test_case]() {
-      CrashFleet::Request request = MakeStream(fleet, ++next_stream);
-      request.crashes = std::bernoulli_distribution(test_case.share)(fleet.Generator());
-      if (request.crashes) {
-        request.parts.insert(request.parts.begin() + 1, kPoisonPart);
-        request.length = kFirstEventTime;
-      }
-      fleet.Send(std::move(request));
+    fleet.In(at, [&fleet, &next_stream, &test_case, at]() {
+      fleet.Send(MakePoisonOrHarmlessStream(fleet, ++next_stream, test_case, at));
     });
   }
   for (int domain = 0; test_case.loses_domains && domain < 3; ++domain) {
@@ -334,7 +361,7 @@
   }
   fleet.RunUntil(fleet.Now() + kLength + std::chrono::seconds(5));
   if (fleet.part_crashes.size() < kPartCrashes) return 0;
-  const TimePoint limit = fleet.part_crashes[kPartCrashes - 1] + kRetryGracePeriod;
+  const TimePoint limit = fleet.part_crashes[kPartCrashes - 1] + test_case.grace_period;
   return static_cast<int>(std::count_if(fleet.part_attempts.begin(), fleet.part_attempts.end(),
                                         [&](TimePoint started) { return started > limit; }));
 }
--- a/tests/auto/coordination/crash_fleet.h
+++ b/tests/auto/coordination/crash_fleet.h
@@ -69,9 +69,14 @@
   std::vector<TimePoint> part_crashes;
 
  private:
+  struct Quarantined {
+    TimePoint until{};
+    /// The parts that a request must have too.
+    std::vector<Fingerprint> companions;
+  };
   struct Daemon {
     RecentFingerprints completed{std::chrono::minutes(1), 4096};
-    std::map<Fingerprint, TimePoint> quarantined_until;
+    std::map<Fingerprint, Quarantined> quarantined;
     CrashTracker tracker;
   };
   struct Attempt {
@@ -98,8 +103,9 @@
   void CountCrash(int owner, const CrashedAttempt& attempt, int sender);
   void QueryCompletion(int owner, Fingerprint fingerprint);
   void AnnounceQuarantine(int owner, Fingerprint fingerprint);
-  void NotifyAll(Fingerprint fingerprint, Duration time);
-  void Quarantine(int daemon, Fingerprint fingerprint, Duration time);
+  QuarantineUpdate QuarantineOf(int owner, Fingerprint fingerprint) const;
+  void NotifyAll(const QuarantineUpdate& update);
+  void Quarantine(int daemon, const QuarantineUpdate& update);
   void EndQuarantine(int owner, Fingerprint fingerprint);
   bool IsQuarantined(const Daemon& daemon, Fingerprint fingerprint) const;
   bool IsQuarantined(const Request& request) const;
@@ -133,10 +139,16 @@
   double share = 0.0;
   Duration interval{};
   bool loses_domains = false;
+  /// Every request with the poison part has the same second part.
+  bool has_constant_companion = false;
+  /// When harmless streams begin to have that second part too; never if it is nothing.
+  std::optional<Duration> harmless_companions_from;
+  /// Attempts that begin later than this after the fifth crash are late.
+  Duration grace_period = std::chrono::seconds(4);
 };
 
 /// Sends streams for 30 s, of which some have a poison part beside parts of harmless ones. Returns
-/// how many of these reach endpoints more than 4 s after the fifth crash.
+/// how many of these reach endpoints after the grace period.
 int LateAttemptsWithPoisonPart(CrashFleet& fleet, const PoisonedPartCase& test_case);
 
 }  // namespace fulmarpoint
--- a/tests/auto/coordination/tst_crash_fleet.cpp
+++ b/tests/auto/coordination/tst_crash_fleet.cpp
@@ -76,6 +76,32 @@
   }
 }
 
+// Guards against a poison part that is never found because all requests with it share a second
+// part: each explains the crashes of the other, so that neither is quarantined, or each ends the
+// quarantine of the other. Harmless requests with the second part alone, which come later, run.
+Test(crash_fleet, a_poison_part_with_a_constant_companion_is_stopped) {
+  constexpr Duration kContactTime = std::chrono::seconds(3);
+  for (std::uint64_t seed = kSeed; seed < kSeed + kPartSeeds; ++seed) {
+    for (const double share : {0.05, 0.2, 0.5}) {
+      for (const int interval_ms : {25, 100, 750}) {
+        PoisonedPartCase test_case{share, std::chrono::milliseconds(interval_ms)};
+        test_case.has_constant_companion = true;
+        test_case.harmless_companions_from = std::chrono::seconds(15);
+        test_case.grace_period = kContactTime;
+        CrashFleet fleet(seed);
+        const int late = LateAttemptsWithPoisonPart(fleet, test_case);
+        std::printf(
+            "constant companion, share %.2f, interval %d ms: crashes %zu, late %d, sent %d, "
+            "rejected %d, seed %llu\n",
+            share, interval_ms, fleet.part_crashes.size(), late, fleet.sent, fleet.rejected,
+            static_cast<unsigned long long>(seed));
+        cr_expect_leq(late, kMaxLateRetries);
+        cr_expect_leq(fleet.rejected, static_cast<int>(kMaxRejectedShare * fleet.sent));
+      }
+    }
+  }
+}
+
 // Guards against attributing the loss of one failure domain to parts of the prompts that ran there.
 Test(crash_fleet, a_lost_failure_domain_rejects_no_request_with_a_part_that_ran_there) {
   for (std::uint64_t seed = kSeed; seed < kSeed + kPartSeeds; ++seed) {
--- a/tests/auto/coordination/tst_crash_tracker.cpp
+++ b/tests/auto/coordination/tst_crash_tracker.cpp
@@ -189,6 +189,40 @@
   cr_assert_eq(tracker.TakeNewQuarantines(At(3000)).size(), 1u, "the other part is harmless");
 }
 
+// Guards against two parts that all crashing requests have, neither of which is ever quarantined,
+// and against rejecting harmless requests with one of them.
+Test(crash_tracker, parts_that_always_come_together_are_quarantined_together) {
+  CrashTracker tracker;
+  for (int crash = 0; crash < 5; ++crash) {
+    const Fingerprint request = static_cast<Fingerprint>(crash + 1);
+    PartCrash(tracker, kPoisonPart, request, {kSharedPart}, crash);
+  }
+  cr_assert_eq(tracker.TakeNewQuarantines(At(1000)).size(), 1u);
+  cr_assert(tracker.QuarantineCompanions(kPoisonPart) == std::vector<Fingerprint>({kSharedPart}));
+  cr_assert(tracker.OnPoisonFound(kRequest).empty(),
+            "another request explains none of the crashes");
+}
+
+// Guards against a quarantine that stays limited to requests with a second part although requests
+// without it crash endpoints too.
+Test(crash_tracker, a_joint_quarantine_widens_when_a_request_without_a_companion_crashes) {
+  CrashTracker tracker;
+  for (int crash = 0; crash < 5; ++crash) {
+    const Fingerprint request = static_cast<Fingerprint>(crash + 1);
+    PartCrash(tracker, kPoisonPart, request, {kSharedPart}, crash);
+  }
+  tracker.TakeNewQuarantines(At(1000));
+  for (int crash = 20; crash < 24; ++crash) {
+    const Fingerprint request = static_cast<Fingerprint>(crash + 1);
+    PartCrash(tracker, kPoisonPart, request, {11}, crash);
+  }
+  cr_assert(tracker.TakeNewQuarantines(At(3000)).empty(), "the other part may be the cause");
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 30, {11}, 40),
+               CrashTracker::Finding::kQueryCompletion);
+  cr_assert_eq(tracker.TakeNewQuarantines(At(5000)).size(), 1u);
+  cr_assert(tracker.QuarantineCompanions(kPoisonPart).empty(), "no other part is in all series");
+}
+
 // Guards against a part that stays quarantined although the cause has been found.
 Test(crash_tracker, the_quarantine_of_an_explained_part_ends) {
   CrashTracker tracker;
