protocol: compare positions of the store field by field

The linter takes the 0 in the code of a defaulted comparison operator for a null pointer. The order is the same: the epoch first, then the version.

--- a/src/libs/protocol/store_messages.h
+++ b/src/libs/protocol/store_messages.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "utils/time.h"
@@ -15,7 +15,10 @@
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;
 
-  auto operator<=>(const StorePosition&) const = default;
+  bool operator==(const StorePosition&) const = default;
+  bool operator<(const StorePosition& other) const {
+    return std::tie(epoch, version) < std::tie(other.epoch, other.version);
+  }
 };
 
 /// A row of the platform's store.
