--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -128,6 +128,9 @@
         self._version = 1
         self._era = 1
         self._changed = asyncio.Event()
+        self._copy = None
+        # While away, the store resets each connection.
+        self.away = False
         self.address = ""
         self._server = None
 
@@ -147,6 +150,16 @@
         self._tables[table][key] = (b"", self._version, True)
         self._notify()
 
+    def take_copy(self):
+        self._copy = ({name: dict(rows) for name, rows in self._tables.items()}, self._version)
+
+    def restore(self):
+        """Comes back from the copy: what was written since is gone, and versions go back."""
+        tables, self._version = self._copy
+        self._tables = {name: dict(rows) for name, rows in tables.items()}
+        self._era += 1
+        self._notify()
+
     def _notify(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -158,7 +171,11 @@
                 if request is None:
                     break
                 await asyncio.sleep(0.004)
-                status, body = await self._answer(request)
+                status, body = (503, {}) if self.away else await self._answer(request)
+                if self.away:
+                    # Nothing was done.
+                    reset(writer)
+                    return
                 headers = [("Store-Era", self._era), ("Content-Type", "application/json")]
                 writer.write(format_answer(status, headers, json.dumps(body).encode()))
                 await writer.drain()
@@ -173,7 +190,7 @@
         if url.path == "/fulmarpoint/rows-get":
             return 200, self._read(query)
         if url.path == "/fulmarpoint/rows-feed":
-            return 200, await self._watch(query)
+            return await self._watch(query)
         if url.path == "/fulmarpoint/rows-tx":
             return self._commit(json.loads(request.body))
         return 404, {}
@@ -204,11 +221,13 @@
         after = int(query.get("afterRev", "0"))
         end = time.monotonic() + min(30000, int(query.get("waitMs", "0"))) / 1000
         while True:
+            if after > self._version:
+                return 410, {}
             rows = [self._row(table, key, row) for key, row in self._tables.get(table, {}).items()
                     if row[1] > after]
             left = end - time.monotonic()
-            if rows or left <= 0:
-                return self._envelope(rows=sorted(rows, key=lambda row: row["ver"]))
+            if rows or left <= 0 or self.away:
+                return 200, self._envelope(rows=sorted(rows, key=lambda row: row["ver"]))
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
             except asyncio.TimeoutError:
@@ -328,7 +347,8 @@
         if request.header("Fulmarpoint-Model"):
             await self._stream(request, headers, writer)
         else:
-            await asyncio.sleep(0.03)
+            # The sheet: 30 ms on average, with a spread of a half.
+            await asyncio.sleep(min(0.22, random.lognormvariate(-3.6, 0.47)))
             writer.write(format_answer(200, headers, f"body of {request_id}".encode()))
         await writer.drain()
         return True
