review: a stopping daemon leaves a request that it has read unanswered (case 2)

A request on a connection that has just been accepted, read as a stopping daemon closes its listener, is passed on and run, and its connection ends without an answer.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,19 +1,29 @@
-"""A request hidden in the body of another one, whose framing the daemon does not know."""
+"""Orders that come as a daemon that is being stopped closes its listener."""
 
 import asyncio
+import collections
 import pathlib
-import random
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins"))
 sys.dont_write_bytecode = True
 from world import CannotRun, play  # noqa: E402
 
+CALLERS = pathlib.Path(__file__).resolve().parent.parent / "standins" / "callers.py"
 ZONES = ["buda-a", "pest-b", "kecs-c", "szol-d"]
 KEY = "xd9dnn2ctnfzs989anu6"
-# Transfer codings of the outer request. None of them says where the body ends.
-CODINGS = ["gzip", "identity", "chunked, identity"]
-ANSWER_LIMIT_S = 2.0
+# Each daemon is stopped and started twice, one at a time.
+ROUNDS = 8
+# Three processes with eight requesters each, as many as are in some zones of the site.
+PROCESSES = 3
+REQUESTERS = 8
+# Requesters keep a lookup's answer (`ttlS` 1) up to three times as long.
+SEND_AFTER_S = 3.0
+BEFORE_S = 0.0008
+# Time for the processes of the requesters to start.
+LEAD_S = 0.4
+ROLL_GAP_S = 1.0
 
 
 def configuration():
@@ -30,71 +40,57 @@
     }
 
 
-def head(request_id, path, framing):
-    return (f"POST {path} HTTP/1.1\r\nHost: roast.example\r\n"
-            f"Fulmarpoint-Request-Id: {request_id}\r\nFulmarpoint-Deadline-Ms: 1000\r\n"
-            f"Authorization: Bearer {KEY}\r\n{framing}\r\n\r\n").encode()
+async def send_orders(world, daemon, at, name):
+    """Lets `REQUESTERS` requesters send an order each at the moment `at`. Returns (id, outcome)."""
+    host, port = daemon.front
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, str(CALLERS), host, str(port), str(REQUESTERS), str(at), name, KEY,
+        stdout=asyncio.subprocess.PIPE)
+    world.processes.append(process)
+    output, _ = await process.communicate()
+    return [tuple(line.split(" ", 1)) for line in output.decode().splitlines()]
 
 
-def new_id():
-    return f"{random.getrandbits(64):016x}"
-
-
-async def exchange(world, daemon, request_id, data):
-    """Sends one request and returns all that comes back until the connection is silent or ends."""
-    world.record.line(f"requester sends request {request_id} to {daemon.name}, one request of "
-                      f"{len(data)} bytes: {data!r}")
-    received = b""
-    reader, writer = await asyncio.open_connection(*daemon.front)
-    writer.write(data)
-    try:
-        while True:
-            some = await asyncio.wait_for(reader.read(65536), ANSWER_LIMIT_S)
-            if not some:
-                break
-            received += some
-    except (asyncio.TimeoutError, ConnectionError):
-        pass
-    writer.close()
-    world.record.line(f"requester receives {received!r}")
-    return received
+async def stop_and_start(daemon):
+    await daemon.terminate()
+    await daemon.start()
+    await daemon.wait_ready()
 
 
 async def test(world, trouble):
+    world.processes = []
     engines = [{"service": "order-desk", "zone": zone, "name": f"order-desk-{number + 1}"}
                for number, zone in enumerate(ZONES)]
     await world.start(configuration(), engines, ZONES)
-    sent = set()
-    hidden = {}
-    unasked_answers = 0
-    for number, coding in enumerate(CODINGS):
-        daemon = world.daemons[number]
-        outer, inner = new_id(), new_id()
-        sent.add(outer)
-        hidden[inner] = coding
-        body = head(inner, "/order/hidden", "Content-Length: 0")
-        if trouble:
-            data = head(outer, "/order/outer", f"Transfer-Encoding: {coding}") + body
-        else:
-            # The same body, in chunks.
-            chunk = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
-            data = head(outer, "/order/outer", "Transfer-Encoding: chunked") + chunk
-        received = await exchange(world, daemon, outer, data)
-        unasked_answers += max(0, received.count(b"HTTP/1.1 ") - 1)
-    # Sound requests are served all the while.
-    sound = new_id()
-    sent.add(sound)
-    answer = await exchange(world, world.daemons[3], sound,
-                            head(sound, "/order/sound", "Content-Length: 0"))
-    runs = [run for engine in world.engines for run in engine.runs]
-    if not answer.startswith(b"HTTP/1.1 200") or sound not in runs:
-        raise CannotRun("a sound request was not served")
-    violations = [f"UNASKED: an engine ran request {run}, which no requester sent; it was hidden "
-                  f"in the body of a request with the transfer coding '{hidden.get(run)}'"
-                  for run in runs if run not in sent]
-    if unasked_answers:
-        violations.append(f"MIXED: {unasked_answers} answers came to requesters that had no "
-                          "request waiting")
+    # In touch, and then a pause as between the stops.
+    await asyncio.sleep(3.0)
+    ends = collections.Counter()
+    violations = []
+    for number in range(ROUNDS):
+        daemon = world.daemons[number % len(world.daemons)]
+        stop_at = time.monotonic() + LEAD_S
+        send_at = stop_at + SEND_AFTER_S - BEFORE_S
+        orders = [asyncio.ensure_future(send_orders(world, daemon, send_at, f"o{number}-{process}"))
+                  for process in range(PROCESSES)]
+        await asyncio.sleep(stop_at - time.monotonic())
+        stop = asyncio.ensure_future(stop_and_start(daemon)) if trouble else None
+        answers = [answer for part in await asyncio.gather(*orders) for answer in part]
+        if stop is not None:
+            await stop
+        runs = {run for engine in world.engines for run in engine.runs}
+        for request_id, outcome in answers:
+            ends.update([outcome])
+            ran = "was run" if request_id in runs else "was not run"
+            world.record.line(f"request {request_id}, sent to {daemon.name} at "
+                              f"{SEND_AFTER_S - BEFORE_S:.4f} s after the SIGTERM, ended with "
+                              f"{outcome} and {ran}")
+            if request_id in runs and outcome in ("closed", "partial", "silent"):
+                violations.append(f"LOST: request {request_id} was read whole, passed on and run, "
+                                  f"and its connection ended without an answer ({outcome})")
+        await asyncio.sleep(ROLL_GAP_S)
+    world.record.line(f"requests ended with: {dict(ends)}")
+    if ends["status 200"] < ROUNDS * PROCESSES * REQUESTERS / 4:
+        raise CannotRun("too few requests were answered")
     return violations
 
 
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -259,20 +259,16 @@
     """A server of a service. `behaviour(engine, request, writer)` may handle a request that it
     runs; if it returns False, the engine gives a sound answer."""
 
-    def __init__(self, record, store, service, zone, name, behaviour=None, events=12,
-                 prefill_tokens_per_s=None):
+    def __init__(self, record, store, service, zone, name, behaviour=None, events=12):
         self._record = record
         self._store = store
         self._service = service
         self._zone = zone
         self._behaviour = behaviour
         self._events = events
-        self._prefill_tokens_per_s = prefill_tokens_per_s
-        self._prefill = asyncio.Lock()
         self._server = None
         self._port = 0
         self._writers = set()
-        self._readers = {}
         self._tasks = set()
         self._host = ""
         self.name = name
@@ -319,7 +315,6 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
-        self._readers[writer] = reader
         try:
             while True:
                 request = await read_message(reader)
@@ -329,26 +324,8 @@
             pass
         finally:
             self._writers.discard(writer)
-            self._readers.pop(writer, None)
             writer.close()
 
-    def has_left(self, writer):
-        """Returns whether the sender has closed its connection."""
-        reader = self._readers.get(writer)
-        return reader is None or reader.at_eof() or writer.is_closing()
-
-    async def read_prompt(self, request, writer):
-        """Reads the prompt, one request after the other. Returns whether the sender is still
-        there; an engine drops a request whose connection is closed."""
-        tokens = int(request.header("Fulmarpoint-Token-Count").split(",")[0])
-        async with self._prefill:
-            end = time.monotonic() + tokens / self._prefill_tokens_per_s
-            while time.monotonic() < end:
-                if self.has_left(writer):
-                    return False
-                await asyncio.sleep(min(0.05, max(0.0, end - time.monotonic())))
-        return not self.has_left(writer)
-
     async def _handle(self, request, writer):
         """Returns whether the connection stays open."""
         request_id = request.header("Fulmarpoint-Request-Id")
@@ -359,12 +336,6 @@
         if wanted and wanted != self.id:
             writer.write(format_answer(421, [("Fulmarpoint-Instance-Id", self.id)]))
             return True
-        if self._prefill_tokens_per_s and request.header("Fulmarpoint-Model"):
-            self._record.line(f"engine {self.name} ({self.id}) reads the prompt of {request_id}")
-            if not await self.read_prompt(request, writer):
-                self._record.line(f"engine {self.name} drops request {request_id}")
-                return False
-        # A request for a model starts to run with its first token.
         self.runs.append(request_id)
         self._record.line(f"engine {self.name} ({self.id}) runs request {request_id}: "
                           f"{request.method} {request.target}")
