transport: wait for a connection's first request without reading

Cause: until its first read completed, a new connection counted as idle. The read takes the bytes from the socket at once and its completion is queued; CloseIfIdle(), posted in between, found no bytes and closed the connection. Then the read completed without an error and the request was passed on. Abort() left the same gap: a request read before it was handled after it.

Kept connections wait without reading between two requests and were safe.

Change: the first request is awaited like the next ones, without reading, and a connection is idle only in that wait. A request whose connection was closed meanwhile is not handled.

Evidence: tst_stopping_server stops a server after each of 40 steps of its event loop.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <charconv>
 #include <exception>
+#include <tuple>
 #include <utility>
 
 #include "transport/internal/endpoint.h"
@@ -140,7 +141,6 @@
   std::optional<HttpRejection> rejection;
   idle = first;
   boost::system::error_code error = co_await ReadHead(*parser, rejection);
-  idle = false;
   std::optional<HttpRequest> request;
   if (!error && !rejection) {
     request = ToRequest(*parser, peer_address);
@@ -150,7 +150,8 @@
     co_await Reject(*rejection, shared_from_this());
     co_return false;
   }
-  if (error || !request) co_return false;
+  // A request whose connection has been aborted meanwhile could not be answered.
+  if (error || !request || !socket.is_open()) co_return false;
   request->body = std::move(parser->get().body());
   const bool keep_alive = parser->get().keep_alive();
   HttpExchange exchange(*this, std::move(*request));
@@ -169,11 +170,16 @@
     socket.shutdown(tcp::socket::shutdown_receive, ignored);
   });
   boost::system::error_code error;
+  if (idle) {
+    // A read could take bytes from the socket while `CloseIfIdle()` still finds the connection
+    // idle.
+    std::tie(error) = co_await socket.async_wait(tcp::socket::wait_read, kCompletion);
+    idle = false;
+  }
   while (!error && !parser.is_header_done()) {
     const internal::IoResult read =
         co_await http::async_read_some(socket, buffer, parser, kCompletion);
     error = std::get<0>(read);
-    idle = idle && buffer.size() == 0 && !parser.is_header_done();
   }
   if (deadline.Expired()) {
     if (parser.got_some() || buffer.size() > 0) rejection = HttpRejection::kTimeout;
@@ -285,7 +291,7 @@
 }
 
 void HttpExchange::Connection::CloseIfIdle() {
-  if (idle && buffer.size() == 0) EndIdle();
+  if (idle) EndIdle();
 }
 
 bool HttpExchange::Connection::HasUnreadBytes() const {
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -94,6 +94,7 @@
   std::function<void()> on_client_disconnect;
   bool client_disconnected = false;
   bool close_after_reply = false;
+  /// Whether the connection waits for a request and has taken no bytes of it from the socket.
   bool idle = true;
 
  private:
