transport: close after a request whose framing is unknown

Cause: the parser takes a request whose last transfer coding is not chunked for one without a body. The relay rejected it with 400 and kept the connection, so the body was read as the next request.

Ruled out: a length beside the coding or a second Transfer-Encoding header do not help the parser; these and chunks in HTTP/1.0 led to the same end.

Change: HttpServer, which reads the connection, rejects what is not framed by a length alone or by a single chunked of HTTP/1.1, and closes. The relay's own check goes; fulmarpointd, which had none, is covered too.

--- a/src/libs/relay/caller_request_handler.cpp
+++ b/src/libs/relay/caller_request_handler.cpp
@@ -44,16 +44,6 @@
   return count;
 }
 
-/// Returns whether the request's framing is unambiguous. The server has already decoded the body,
-/// so a transfer coding other than `chunked` could not be forwarded.
-bool HasUnambiguousFraming(const HttpHeaders& headers) {
-  const std::optional<std::string_view> coding = FindHeader(headers, "Transfer-Encoding");
-  if (!coding) return true;
-  const std::string_view chunked = "chunked";
-  return std::equal(coding->begin(), coding->end(), chunked.begin(), chunked.end(),
-                    [](char a, char b) { return (a | 0x20) == b; });
-}
-
 }  // namespace
 
 Task<void> CallerRequestHandler::Handle(HttpExchange& exchange) {
@@ -82,9 +72,8 @@
   const HttpRequest& received = exchange.Request();
   const std::optional<std::string_view> host = FindHeader(received.headers, "Host");
   const std::optional<CallerFields> fields = m_context.wire.decode_caller(received.headers);
-  const bool is_plain = received.target.substr(0, 1) == "/" &&
-                        HasUnambiguousFraming(received.headers) &&
-                        CountHeaders(received.headers, "Host") == 1;
+  const bool is_plain =
+      received.target.substr(0, 1) == "/" && CountHeaders(received.headers, "Host") == 1;
   if (!host || !fields || !is_plain) {
     admission.rejection = Rejection{ResultCode::kBadRequest,
                                     "a path, one Host and the request's fields are required"};
--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -50,6 +50,17 @@
          error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// Returns whether the request's framing says where its body ends: by `Content-Length` alone, or by
+/// `chunked` as the only transfer coding. The parser takes a request with another coding for one
+/// without a body, so that its body would be read as the next request.
+bool HasKnownFraming(const HttpExchange::Connection::Parser& parser) {
+  const http::request<http::string_body>& message = parser.get();
+  const std::size_t codings = message.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  const bool is_chunked = boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
+  return codings == 1 && is_chunked && message.version() >= 11;
+}
+
 /// Returns the request without its body. Must be called before the body is read, because the parser
 /// adds the trailer fields to the headers.
 HttpRequest ToRequest(HttpExchange::Connection::Parser& parser, const std::string& peer) {
@@ -186,6 +197,7 @@
     co_return asio::error::timed_out;
   }
   if (error && IsProtocolError(error)) rejection = RejectionOf(error);
+  if (!error && !HasKnownFraming(parser)) rejection = HttpRejection::kMalformed;
   co_return error;
 }
 
--- a/tests/auto/platform/tst_framing.cpp
+++ b/tests/auto/platform/tst_framing.cpp
@@ -38,6 +38,73 @@
   };
 }
 
+/// A request that would be served, to be hidden in the body of another one.
+std::string HiddenRequest() {
+  return "POST /place/hidden HTTP/1.1\r\nHost: h.example\r\nFulmarpoint-Request-Id: hidden\r\n"
+         "Authorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Heads that do not say, or say in two ways, where the body ends.
+std::vector<std::string> HeadsOfUnknownFraming() {
+  std::vector<std::string> heads;
+  for (const char* coding : {"gzip", "identity", "chunked, identity", "chunked, gzip", "xchunked",
+                             "chunked;q=1", "\"chunked\"", "", ","}) {
+    const std::string line = "Transfer-Encoding: " + std::string(coding) + "\r\n";
+    heads.push_back(Head(line));
+    heads.push_back(Head(line + "Content-Length: 0\r\n"));
+    heads.push_back(Head("Content-Length: 0\r\n" + line));
+    heads.push_back(Head(line + "Transfer-Encoding: identity\r\n"));
+    heads.push_back(Head("Connection: keep-alive\r\nExpect: 100-continue\r\n" + line));
+  }
+  return heads;
+}
+
+std::size_t CountReplies(const std::string& received) {
+  std::size_t count = 0;
+  for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos;
+       at = received.find("HTTP/1.1 ", at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+Task<void> UnknownFraming(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  for (const std::string& head : HeadsOfUnknownFraming()) {
+    const std::string received = co_await world.SendRaw(head + HiddenRequest());
+    cr_expect_eq(StatusOf(received), 400, "%s -> %s", head.c_str(), received.c_str());
+    cr_expect_eq(CountReplies(received), 1u, "%s -> %s", head.c_str(), received.c_str());
+    cr_expect_eq(endpoint.seen.size(), 0u, "%s", head.c_str());
+  }
+}
+
+Task<void> ChunksOfHttp10(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  std::string head = Head("Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n");
+  head.replace(head.find("HTTP/1.1"), 8, "HTTP/1.0");
+  const std::string received = co_await world.SendRaw(head + "0\r\n\r\n" + HiddenRequest());
+  cr_assert_eq(StatusOf(received), 400, "%s", received.c_str());
+  cr_assert_eq(CountReplies(received), 1u, "%s", received.c_str());
+  cr_assert_eq(endpoint.seen.size(), 0u);
+}
+
+Task<void> SoundRequestBeforeUnknownFraming(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  const std::string sound = Head("Transfer-Encoding: Chunked \r\n") + "3\r\none\r\n0\r\n\r\n";
+  std::string received =
+      co_await world.SendRaw(sound + Head("Transfer-Encoding: gzip\r\n") + HiddenRequest());
+  cr_assert_eq(StatusOf(received), 200, "%s", received.c_str());
+  cr_assert_eq(CountReplies(received), 2u, "%s", received.c_str());
+  received = co_await world.SendRaw(Head("Connection: close\r\nContent-Length: 3\r\n") + "two");
+  cr_assert_eq(StatusOf(received), 200, "%s", received.c_str());
+  cr_assert_eq(endpoint.seen.size(), 2u);
+  cr_assert(endpoint.seen[0].request.body == "one");
+  cr_assert(endpoint.seen[1].request.body == "two");
+}
+
 Task<void> Smuggled(PlatformWorld& world) {
   EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
   co_await world.Start();
@@ -122,6 +189,17 @@
 // Guards against request smuggling.
 Test(framing, ambiguous_requests_are_rejected) { RunTest(&Smuggled); }
 
+// Guards against a request that is hidden in a body whose end the daemon does not know, and runs.
+Test(framing, a_body_of_unknown_framing_is_not_read_as_a_request) { RunTest(&UnknownFraming); }
+
+// Guards against chunks of HTTP/1.0, whose end another server on the way may see elsewhere.
+Test(framing, chunks_of_an_old_protocol_version_are_rejected) { RunTest(&ChunksOfHttp10); }
+
+// Guards against sound requests that are rejected beside one of unknown framing.
+Test(framing, requests_beside_one_of_unknown_framing_are_answered) {
+  RunTest(&SoundRequestBeforeUnknownFraming);
+}
+
 // Guards against pipelined requests that are lost or mixed up.
 Test(framing, pipelined_requests_are_answered_in_order) { RunTest(&Pipelined); }
 
