streams: send a stream that may not be resumed once

Cause: MayContinue() asked what had been delivered to the caller. The rule asks what an engine may have done: a request that was sent and not rejected may have run. All ends of an attempt went through that check: a broken connection, silence, an answer that can't be used, a 5xx of the engine's own.

Ruled out: calls (they end at kMayHaveRun), KV cache backups (only for routes with canResume), a caller's own resumption.

Change: MayStartAttempt() allows one attempt that was not rejected where the stream may not be resumed; MayContinue() is gone. The unit test that stated the wrong rule ("nothing was delivered") is replaced by a stricter one: no second attempt from the first send on, be events delivered or not.

--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -87,7 +87,7 @@
 void StreamContinuation::OnNotReplaced(TimePoint now) { m_keep_until = now + kReplacementInterval; }
 
 StallDecision StreamContinuation::CheckStall(const StallContext& context, TimePoint now) const {
-  if (!MayStartAttempt() || !MayContinue()) return StallDecision::kWait;
+  if (!MayStartAttempt()) return StallDecision::kWait;
   const Duration stalled_for = now - m_last_progress;
   if (stalled_for >= AbandonTimeout(context) && now >= m_keep_until) return StallDecision::kAbandon;
   const Duration interval = context.suspected ? kSuspectedProbeInterval : kProbeInterval;
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -74,10 +74,12 @@
   /// Returns when to call `CheckStall` again if no event arrives.
   TimePoint NextStallCheck(TimePoint now) const;
 
-  /// Returns whether another attempt may be started after the current one.
-  bool MayStartAttempt() const { return m_attempts < m_limits.max_attempts; }
-  /// Returns whether another attempt may continue after the events delivered so far.
-  bool MayContinue() const { return !m_delivered || m_limits.can_resume; }
+  /// Returns whether another attempt may be started after the current one. A stream that cannot be
+  /// resumed may run once at most, so only attempts that were rejected may be followed by another.
+  bool MayStartAttempt() const {
+    const int max_attempts = m_limits.can_resume ? m_limits.max_attempts : 1;
+    return m_attempts < max_attempts;
+  }
   bool HasDelivered() const { return m_delivered; }
   /// Returns the last event that the caller has, after which the next attempt starts.
   std::optional<std::uint64_t> LastEvent() const { return m_last_event; }
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -221,8 +221,7 @@
 }
 
 bool StreamSession::MayStartAttempt() const {
-  return m_continuation.MayStartAttempt() && m_continuation.MayContinue() &&
-         m_endpoint_tries < kMaxEndpointTries &&
+  return m_continuation.MayStartAttempt() && m_endpoint_tries < kMaxEndpointTries &&
          (m_is_harmless || !m_context.poison_requests->IsQuarantined(m_request));
 }
 
@@ -456,7 +455,7 @@
   }
   ReportCompletedAttempt(m_context, m_request, m_attempt->Endpoint(), status >= 500,
                          Duration::zero());
-  if (status >= 500 && m_continuation.MayStartAttempt() && m_continuation.MayContinue()) {
+  if (status >= 500 && m_continuation.MayStartAttempt()) {
     m_failure = std::move(m_attempt->Reply());
     AbandonAttempt("status " + std::to_string(status), AttemptLoss::kNone);
     m_placement.Exclude(engine);
--- a/tests/auto/coordination/tst_stream_continuation.cpp
+++ b/tests/auto/coordination/tst_stream_continuation.cpp
@@ -136,18 +136,33 @@
   cr_assert(stream.MayStartAttempt(), "an attempt that was refused did not run");
 }
 
-// Guards against a stream that is assembled from two attempts although it cannot be resumed.
-Test(stream_continuation, only_resumable_streams_are_continued) {
+// Guards against a stream that may not be resumed and runs twice, or is assembled from two
+// attempts.
+Test(stream_continuation, only_resumable_streams_have_another_attempt) {
   StreamContinuation::Limits limits = Limits();
   limits.can_resume = false;
   StreamContinuation stream(limits, std::nullopt);
+  cr_assert(stream.MayStartAttempt());
   stream.OnAttemptStarted({}, kStart);
-  cr_assert(stream.MayContinue(), "nothing was delivered");
+  cr_assert_not(stream.MayStartAttempt(), "nothing was delivered, but it may have run");
+  cr_assert_eq(stream.CheckStall({true, true}, At(9000)), StallDecision::kWait);
   stream.OnEvent(1, At(10));
-  cr_assert_not(stream.MayContinue());
+  cr_assert_not(stream.MayStartAttempt());
   cr_assert_eq(stream.CheckStall({}, At(9000)), StallDecision::kWait);
 }
 
+// Guards against a stream that is refused because an engine that has not run it rejected it.
+Test(stream_continuation, a_rejected_attempt_may_be_followed_by_another) {
+  StreamContinuation::Limits limits = Limits();
+  limits.can_resume = false;
+  StreamContinuation stream(limits, std::nullopt);
+  for (int rejected = 0; rejected < 5; ++rejected) {
+    stream.OnAttemptStarted({}, kStart);
+    stream.OnAttemptRejected();
+    cr_assert(stream.MayStartAttempt());
+  }
+}
+
 // Guards against estimates without samples, and against short prompts that distort them.
 Test(prefill_rate_estimator, learns_from_first_events) {
   PrefillRateEstimator estimator;
--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -98,7 +98,7 @@
     co_await exchange.Respond(WithExtraHeaders(Refusal(request_id)));
   } else if (behaviour == EndpointBehaviour::kMisdirect) {
     co_await exchange.Respond(Misdirection());
-  } else if (exchange.Request().target.substr(0, 8) == "/stream/") {
+  } else if (exchange.Request().target.substr(0, 8) == "/stream/" && !AnswersWithoutEvents()) {
     co_await AnswerStream(exchange, request_id);
   } else {
     co_await AnswerCall(exchange, request_id);
@@ -153,6 +153,11 @@
   co_await exchange.Respond(std::move(reply));
 }
 
+bool EndpointStandin::AnswersWithoutEvents() const {
+  return behaviour == EndpointBehaviour::kFail || behaviour == EndpointBehaviour::kUnsealed ||
+         behaviour == EndpointBehaviour::kStray;
+}
+
 Task<void> EndpointStandin::AnswerStream(HttpExchange& exchange, std::string request_id) {
   const std::string after = HeaderOf(exchange.Request(), "Last-Event-Id");
   const int first = after.empty() ? 1 : std::stoi(after) + 1;
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -14,7 +14,7 @@
 /// How an endpoint handles a request.
 enum class EndpointBehaviour {
   kAnswer,
-  /// Replies to a call with status 500.
+  /// Replies with status 500.
   kFail,
   /// Rejects the request and states that it has not run it.
   kReject,
@@ -86,6 +86,8 @@
 
  private:
   Task<void> Handle(HttpExchange& exchange);
+  /// Returns whether a stream gets the reply of a call.
+  bool AnswersWithoutEvents() const;
   bool Crashes(const HttpRequest& request) const;
   HttpReply WithExtraHeaders(HttpReply reply) const;
   Task<void> Crash(HttpExchange& exchange);
