poison requests: pass quarantines on to daemons that start later

Cause: what the fleet knows of a poison request was sent once, to the daemons of that moment; counts and histories stood in the memory of one daemon.

Ruled out: daemons that pass it on before they are in touch (the case waits longer than contactMs); the end of the quarantine (it is in force).

Published quarantines enter every daemon's CrashTracker, so a new owner goes on with them. Two daemons count each fingerprint's crashes, so the restart of one does not lose the count. QuarantineUpdate is unchanged on the wire; the two new messages stand after the others, and older builds drop them.

Evidence: restarted_daemons_keep_the_quarantine fails before the change (8 attempts instead of 4), crashes_count_across_restarts with one counting daemon (no rejection after four crashes); both pass now.

--- a/src/libs/coordination/crash_tracker.cpp
+++ b/src/libs/coordination/crash_tracker.cpp
@@ -17,10 +17,11 @@
     if (m_consecutive_crashes.size() >= m_options.max_fingerprints) return Finding::kNothing;
   }
   ConsecutiveCrashes& crashes = m_consecutive_crashes[attempt.fingerprint];
+  crashes.is_part = attempt.request.has_value();
   if (LacksJointPart(crashes, attempt)) RestartSeries(crashes);
   if (crashes.state == State::kQuarantined) {
     if (now < crashes.quarantined_until) return Finding::kQuarantined;
-    if (crashes.requests.empty()) {
+    if (!crashes.is_part) {
       Quarantine(crashes, now);
       return Finding::kQuarantinedAgain;
     }
@@ -109,8 +110,7 @@
 
 bool CrashTracker::IsQueryDue(const ConsecutiveCrashes& crashes) const {
   if (crashes.state != State::kCounting) return false;
-  const bool is_part = !crashes.requests.empty();
-  if (!is_part) return crashes.endpoints.size() >= m_options.crash_threshold;
+  if (!crashes.is_part) return crashes.endpoints.size() >= m_options.crash_threshold;
   return crashes.endpoints.size() >= m_options.part_crash_threshold &&
          crashes.requests.size() >= m_options.part_request_threshold;
 }
@@ -163,10 +163,28 @@
   crashes.state = State::kQuarantined;
   if (!crashes.requests.empty()) crashes.joint_parts = CommonParts(crashes);
   crashes.quarantined_until =
-      now + m_options.quarantine_durations[std::min(crashes.quarantine_count, std::size_t{2})];
+      now + m_options.quarantine_durations[std::min(crashes.quarantine_count, 2U)];
   ++crashes.quarantine_count;
 }
 
+void CrashTracker::OnPublished(const QuarantineRecord& record, TimePoint now) {
+  const bool is_known = m_consecutive_crashes.count(record.fingerprint) > 0;
+  if (!is_known && m_consecutive_crashes.size() >= m_options.max_fingerprints) return;
+  ConsecutiveCrashes& crashes = m_consecutive_crashes[record.fingerprint];
+  if (record.count <= crashes.quarantine_count) return;
+  crashes.state = State::kQuarantined;
+  crashes.quarantine_count = record.count;
+  crashes.quarantined_until = now + record.QuarantineTime();
+  crashes.joint_parts.emplace(record.companions.begin(), record.companions.end());
+}
+
+void CrashTracker::OnCleared(Fingerprint fingerprint) { m_consecutive_crashes.erase(fingerprint); }
+
+std::uint32_t CrashTracker::QuarantineCount(Fingerprint fingerprint) const {
+  const auto found = m_consecutive_crashes.find(fingerprint);
+  return found == m_consecutive_crashes.end() ? 0 : found->second.quarantine_count;
+}
+
 Duration CrashTracker::RemainingQuarantine(Fingerprint fingerprint, TimePoint now) const {
   const auto found = m_consecutive_crashes.find(fingerprint);
   if (found == m_consecutive_crashes.end()) return Duration::zero();
@@ -182,8 +200,8 @@
 std::optional<TimePoint> CrashTracker::ClearedSince(Fingerprint fingerprint) const {
   const auto found = m_consecutive_crashes.find(fingerprint);
   if (found == m_consecutive_crashes.end()) return std::nullopt;
-  const bool is_part = !found->second.requests.empty();
-  return found->second.first_started - (is_part ? m_options.part_lookback : Duration::zero());
+  return found->second.first_started -
+         (found->second.is_part ? m_options.part_lookback : Duration::zero());
 }
 
 std::vector<Fingerprint> CrashTracker::QueriedFingerprints(Fingerprint fingerprint) const {
--- a/src/libs/coordination/crash_tracker.h
+++ b/src/libs/coordination/crash_tracker.h
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "protocol/suspect_messages.h"
+#include "protocol/crash_messages.h"
 #include "utils/time.h"
 
 namespace fulmarpoint {
@@ -97,8 +97,15 @@
   /// Each is returned once. A part whose crashes another part may explain is not quarantined; its
   /// next crash leads to another query.
   std::vector<Fingerprint> TakeNewQuarantines(TimePoint now);
+  /// Takes over a quarantine that another daemon has published, so that this daemon may become the
+  /// fingerprint's owner: the next crash after it leads to a longer one. Ignored if it is known.
+  void OnPublished(const QuarantineRecord& record, TimePoint now);
+  /// Forgets a fingerprint whose quarantine another daemon has cleared.
+  void OnCleared(Fingerprint fingerprint);
   /// Returns how much longer the quarantine lasts; zero if there is none.
   Duration RemainingQuarantine(Fingerprint fingerprint, TimePoint now) const;
+  /// Returns how many quarantines of the fingerprint there were, the current one included.
+  std::uint32_t QuarantineCount(Fingerprint fingerprint) const;
   /// Returns the other parts that a request must have to be in this quarantine.
   std::vector<Fingerprint> QuarantineCompanions(Fingerprint fingerprint) const;
   /// Returns the time since which a completion clears the fingerprint: the start of the first of
@@ -115,11 +122,12 @@
 
   struct ConsecutiveCrashes {
     State state = State::kCounting;
+    bool is_part = false;
     TimePoint first_started{};
     TimePoint last_ended{};
     TimePoint queried_at{};
     TimePoint quarantined_until{};
-    std::size_t quarantine_count = 0;
+    std::uint32_t quarantine_count = 0;
     std::set<EndpointId> endpoints;
     /// For a part of a prompt: the counted crashes of each request, and how many of the requests
     /// have each other part, without those that have completed since.
--- a/src/libs/protocol/crash_messages.h
+++ b/src/libs/protocol/crash_messages.h
@@ -81,9 +81,49 @@
   }
 };
 
+/// What a daemon knows of a quarantine, which may have expired or been cleared.
+struct QuarantineRecord {
+  Fingerprint fingerprint = 0;
+  /// Remaining duration of the quarantine, rounded up; 0 if it has expired.
+  std::uint32_t quarantine_ms = 0;
+  /// Milliseconds since the quarantine began or was cleared.
+  std::uint32_t age_ms = 0;
+  /// Number of quarantines of the fingerprint, this one included; 0 if it was cleared.
+  std::uint32_t count = 0;
+  /// As in `QuarantineUpdate`.
+  std::vector<Fingerprint> companions;
+
+  /// Returns the record of a quarantine that lasts for `time` more. Thread-safe.
+  static QuarantineRecord Of(Fingerprint fingerprint, std::uint32_t count, Duration time,
+                             Duration age);
+  /// Returns the record of a quarantine that was cleared `age` ago. Thread-safe.
+  static QuarantineRecord Cleared(Fingerprint fingerprint, Duration age);
+  bool IsCleared() const { return count == 0; }
+  Duration QuarantineTime() const { return std::chrono::milliseconds(quarantine_ms); }
+  Duration Age() const { return std::chrono::milliseconds(age_ms); }
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(fingerprint, quarantine_ms, age_ms, count);
+    internal::SerializeList(archive, companions);
+  }
+};
+
+/// Asks a daemon for the quarantines that it knows, if the digest of its own differs (see
+/// `QuarantineTable`). Answered by one `QuarantineRecord` for each.
+struct QuarantineQuery {
+  std::uint64_t digest = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(digest);
+  }
+};
+
 /// Messages between daemons about poison requests, which crash the endpoints that run them. Sent
-/// over UDP; a daemon that missed a quarantine receives it again in reply to its next
-/// `CrashReport`.
-using CrashMessage = std::variant<CrashReport, CompletionQuery, CompletionReport, QuarantineUpdate>;
+/// over UDP; a daemon that has missed a quarantine, or was not there when it began, receives it in
+/// reply to its next `QuarantineQuery` or `CrashReport`.
+using CrashMessage = std::variant<CrashReport, CompletionQuery, CompletionReport, QuarantineUpdate,
+                                  QuarantineQuery, QuarantineRecord>;
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <limits>
+#include <random>
 #include <set>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "coordination/crash_tracker.h"
+#include "coordination/quarantine_table.h"
 #include "coordination/recent_fingerprints.h"
 #include "coordination/rendezvous_owner.h"
 #include "protocol/relay_datagram.h"
@@ -21,12 +22,6 @@
 
 namespace {
 
-struct QuarantinedFingerprint {
-  TimePoint until{};
-  /// The parts that a request must have too.
-  std::vector<Fingerprint> companions;
-};
-
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(120);
 // A terminating process closes its connections before its listening socket, so a probe without a
 // delay could still succeed.
@@ -36,7 +31,11 @@
 constexpr std::size_t kMaxCompletions = 16384;
 // Quarantines are sent twice, because a daemon that misses one runs the request once more.
 constexpr Duration kQuarantineResendDelay = std::chrono::milliseconds(200);
-constexpr std::size_t kMaxQuarantined = 1024;
+// Number of daemons that count the crashes of a fingerprint, so that a restart of one does not lose
+// the count.
+constexpr std::size_t kCountingDaemons = 2;
+// Limit on the messages in reply to one query for quarantines.
+constexpr std::size_t kMaxRecordsPerReply = 64;
 
 template <typename Unit>
 std::uint32_t ClampedCount(Duration duration) {
@@ -60,18 +59,18 @@
   void QueryCompletions(Fingerprint fingerprint);
   bool QueryCompletion(Fingerprint fingerprint, TimePoint since);
   Task<void> QuarantineUnlessCompleted();
-  void Quarantine(const QuarantineUpdate& update);
+  /// `from` is the sender, empty for this daemon's own quarantines.
+  void Quarantine(const QuarantineRecord& record, const std::string& from);
   void PublishQuarantine(Fingerprint fingerprint);
   QuarantineUpdate QuarantineOf(Fingerprint fingerprint) const;
+  QuarantineRecord RecordOf(Fingerprint fingerprint) const;
   Task<void> ResendQuarantine(Fingerprint fingerprint);
-  bool IsQuarantined(Fingerprint fingerprint) const;
-  bool IsQuarantinedFor(Fingerprint fingerprint, const std::vector<Fingerprint>& parts) const;
-  void EndQuarantine(Fingerprint fingerprint);
+  void EndQuarantine(Fingerprint fingerprint, Duration age);
+  void QueryQuarantines();
+  void AnswerQuarantineQuery(const std::string& from, const QuarantineQuery& query);
   void PublishEndOfQuarantine(Fingerprint fingerprint);
   void OnLocalCompletion(Fingerprint fingerprint);
-  void ReportLocalCompletion(Fingerprint fingerprint);
-  void OnRemoteCompletion(Fingerprint fingerprint);
-  const PeerRecord* Owner(Fingerprint fingerprint, const std::vector<PeerRecord>& peers) const;
+  void OnCompletion(Fingerprint fingerprint);
   void SendToAll(const CrashMessage& message);
   void Send(const std::string& address, const CrashMessage& message);
   bool HasCompletedSince(Fingerprint fingerprint, TimePoint since) const;
@@ -81,8 +80,8 @@
   LostAttempts lost_attempts;
   std::set<EndpointId> probes_in_progress;
   RecentFingerprints completed{kCompletionLifetime, kMaxCompletions};
-  std::unordered_map<Fingerprint, QuarantinedFingerprint> quarantined;
-  /// Consecutive crashes of the fingerprints that this daemon owns.
+  QuarantineTable quarantines;
+  /// Consecutive crashes of the fingerprints that this daemon owns, and quarantines of others.
   CrashTracker tracker;
   bool stopped = false;
 };
@@ -135,11 +134,13 @@
 
 void PoisonRequestDetector::State::ReportFingerprint(CrashReport report,
                                                      const std::vector<PeerRecord>& peers) {
-  const PeerRecord* owner = Owner(report.fingerprint, peers);
-  if (owner == nullptr) {
-    CountCrash(report, {});
-  } else {
-    Send(owner->peer_address, report);
+  for (const PeerRecord* owner :
+       OwnersOf(report.fingerprint, context.settings.name, peers, kCountingDaemons)) {
+    if (owner == nullptr) {
+      CountCrash(report, {});
+    } else {
+      Send(owner->peer_address, report);
+    }
   }
 }
 
@@ -207,9 +208,8 @@
 }
 
 void PoisonRequestDetector::State::PublishQuarantine(Fingerprint fingerprint) {
-  const QuarantineUpdate update = QuarantineOf(fingerprint);
-  Quarantine(update);
-  SendToAll(update);
+  Quarantine(RecordOf(fingerprint), {});
+  SendToAll(QuarantineOf(fingerprint));
   Spawn(context.executor,
         [self = shared_from_this(), fingerprint]() { return self->ResendQuarantine(fingerprint); });
 }
@@ -217,7 +217,9 @@
 Task<void> PoisonRequestDetector::State::ResendQuarantine(Fingerprint fingerprint) {
   const std::shared_ptr<State> self = shared_from_this();
   co_await Sleep(kQuarantineResendDelay);
-  if (!stopped && IsQuarantined(fingerprint)) SendToAll(QuarantineOf(fingerprint));
+  if (!stopped && quarantines.IsInForce(fingerprint, SteadyNow())) {
+    SendToAll(QuarantineOf(fingerprint));
+  }
 }
 
 /// Returns the message about a quarantine in this daemon's tracker.
@@ -228,79 +230,85 @@
   return update;
 }
 
-void PoisonRequestDetector::State::Quarantine(const QuarantineUpdate& update) {
-  const auto known = quarantined.find(update.fingerprint);
-  const bool is_known = IsQuarantined(update.fingerprint);
-  const bool is_changed = !is_known || known->second.companions != update.companions;
-  if (known == quarantined.end() && quarantined.size() >= kMaxQuarantined) return;
-  quarantined[update.fingerprint] = {SteadyNow() + update.QuarantineTime(), update.companions};
-  if (!is_changed) return;
+QuarantineRecord PoisonRequestDetector::State::RecordOf(Fingerprint fingerprint) const {
+  QuarantineRecord record =
+      QuarantineRecord::Of(fingerprint, tracker.QuarantineCount(fingerprint),
+                           tracker.RemainingQuarantine(fingerprint, SteadyNow()), Duration::zero());
+  record.companions = tracker.QuarantineCompanions(fingerprint);
+  return record;
+}
+
+void PoisonRequestDetector::State::Quarantine(const QuarantineRecord& record,
+                                              const std::string& from) {
+  const TimePoint now = SteadyNow();
+  const QuarantineTable::Change change = quarantines.Put(record, now);
+  if (change == QuarantineTable::Change::kHasEnded && !from.empty()) {
+    Send(from, QuarantineRecord::Cleared(record.fingerprint, Duration::zero()));
+  }
+  if (change != QuarantineTable::Change::kChanged) return;
+  tracker.OnPublished(record, now);
+  if (!quarantines.IsInForce(record.fingerprint, now)) return;
   Log(LogLevel::kWarning, "request_blocked",
-      {{"fingerprint", update.fingerprint},
-       {"companions", update.companions.size()},
-       {"seconds", ClampedCount<std::chrono::seconds>(update.QuarantineTime())}});
+      {{"fingerprint", record.fingerprint},
+       {"companions", record.companions.size()},
+       {"age_ms", record.age_ms},
+       {"seconds", ClampedCount<std::chrono::seconds>(record.QuarantineTime())}});
   // With companions, any of the parts may be the poison.
-  if (!update.companions.empty()) return;
-  for (const Fingerprint explained : tracker.OnPoisonFound(update.fingerprint)) {
+  if (!record.companions.empty()) return;
+  for (const Fingerprint explained : tracker.OnPoisonFound(record.fingerprint)) {
     PublishEndOfQuarantine(explained);
   }
 }
 
-bool PoisonRequestDetector::State::IsQuarantined(Fingerprint fingerprint) const {
-  const auto found = quarantined.find(fingerprint);
-  return found != quarantined.end() && SteadyNow() < found->second.until;
+/// Ends a quarantine that was cleared `age` ago.
+void PoisonRequestDetector::State::EndQuarantine(Fingerprint fingerprint, Duration age) {
+  const TimePoint now = SteadyNow();
+  const bool was_in_force = quarantines.IsInForce(fingerprint, now);
+  if (!quarantines.End(fingerprint, age, now)) return;
+  tracker.OnCleared(fingerprint);
+  if (!was_in_force) return;
+  Log(LogLevel::kWarning, "request_unblocked", {{"fingerprint", fingerprint}});
 }
 
-/// Returns whether a request with these parts is in the quarantine of the fingerprint.
-bool PoisonRequestDetector::State::IsQuarantinedFor(Fingerprint fingerprint,
-                                                    const std::vector<Fingerprint>& parts) const {
-  if (!IsQuarantined(fingerprint)) return false;
-  const std::vector<Fingerprint>& companions = quarantined.at(fingerprint).companions;
-  return std::all_of(companions.begin(), companions.end(), [&](Fingerprint companion) {
-    return std::find(parts.begin(), parts.end(), companion) != parts.end();
-  });
+/// Asks another daemon for quarantines that this one does not know, because it was started, paused
+/// or cut off when they began.
+void PoisonRequestDetector::State::QueryQuarantines() {
+  const std::vector<PeerRecord> peers = context.peers.AvailablePeers(SteadyNow());
+  if (peers.empty()) return;
+  const std::size_t chosen =
+      std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(context.random);
+  Send(peers[chosen].peer_address, QuarantineQuery{quarantines.Digest()});
 }
 
-void PoisonRequestDetector::State::EndQuarantine(Fingerprint fingerprint) {
-  if (!IsQuarantined(fingerprint)) return;
-  quarantined.erase(fingerprint);
-  Log(LogLevel::kWarning, "request_unblocked", {{"fingerprint", fingerprint}});
+void PoisonRequestDetector::State::AnswerQuarantineQuery(const std::string& from,
+                                                         const QuarantineQuery& query) {
+  if (query.digest == quarantines.Digest()) return;
+  std::vector<QuarantineRecord> records = quarantines.Records(SteadyNow());
+  // Each reply holds others, so that a daemon receives all in the end.
+  std::shuffle(records.begin(), records.end(), context.random);
+  records.resize(std::min(records.size(), kMaxRecordsPerReply));
+  for (const QuarantineRecord& record : records) Send(from, record);
 }
 
 void PoisonRequestDetector::State::OnLocalCompletion(Fingerprint fingerprint) {
   completed.Add(fingerprint, SteadyNow());
-  if (IsQuarantined(fingerprint)) ReportLocalCompletion(fingerprint);
-}
-
-/// Ends the quarantine of a request of which an earlier attempt has completed at this daemon, and
-/// notifies the owner.
-void PoisonRequestDetector::State::ReportLocalCompletion(Fingerprint fingerprint) {
-  EndQuarantine(fingerprint);
-  const std::vector<PeerRecord> peers = context.peers.AvailablePeers(SteadyNow());
-  const PeerRecord* owner = Owner(fingerprint, peers);
-  if (owner == nullptr) {
-    OnRemoteCompletion(fingerprint);
-  } else {
-    Send(owner->peer_address, CompletionReport{fingerprint});
-  }
+  if (!quarantines.IsInForce(fingerprint, SteadyNow())) return;
+  // An attempt from before the quarantine has completed.
+  tracker.OnCompleted(fingerprint);
+  PublishEndOfQuarantine(fingerprint);
 }
 
-void PoisonRequestDetector::State::OnRemoteCompletion(Fingerprint fingerprint) {
+void PoisonRequestDetector::State::OnCompletion(Fingerprint fingerprint) {
   if (tracker.OnCompleted(fingerprint)) PublishEndOfQuarantine(fingerprint);
 }
 
 void PoisonRequestDetector::State::PublishEndOfQuarantine(Fingerprint fingerprint) {
-  EndQuarantine(fingerprint);
+  EndQuarantine(fingerprint, Duration::zero());
   QuarantineUpdate end;
   end.fingerprint = fingerprint;
   SendToAll(end);
 }
 
-const PeerRecord* PoisonRequestDetector::State::Owner(Fingerprint fingerprint,
-                                                      const std::vector<PeerRecord>& peers) const {
-  return OwnerOf(fingerprint, context.settings.name, peers);
-}
-
 void PoisonRequestDetector::State::SendToAll(const CrashMessage& message) {
   const std::string bytes = EncodeDatagram(message);
   for (const PeerRecord& peer : context.peers.AvailablePeers(SteadyNow())) {
@@ -349,39 +357,47 @@
 }
 
 bool PoisonRequestDetector::IsQuarantined(const RelayedRequest& request) const {
+  const TimePoint now = SteadyNow();
+  const QuarantineTable& quarantines = m_state->quarantines;
   const std::vector<Fingerprint>& parts = request.part_fingerprints;
   const auto is_quarantined = [&](Fingerprint part) {
-    return m_state->IsQuarantinedFor(part, parts);
+    return quarantines.Covers(part, parts, now);
   };
-  return m_state->IsQuarantined(request.fingerprint) ||
+  return quarantines.IsInForce(request.fingerprint, now) ||
          std::any_of(parts.begin(), parts.end(), is_quarantined);
 }
 
 void PoisonRequestDetector::OnMessage(const std::string& from, const CrashMessage& message) {
   State& state = *m_state;
-  std::visit(Overloaded{
-                 [&](const CrashReport& report) { state.CountCrash(report, from); },
-                 [&](const CompletionQuery& query) {
-                   const TimePoint since =
-                       SteadyNow() - std::chrono::milliseconds(query.lookback_ms);
-                   if (!state.HasCompletedSince(query.fingerprint, since)) return;
-                   state.Send(from, CompletionReport{query.fingerprint});
-                 },
-                 [&](const CompletionReport& completion) {
-                   state.OnRemoteCompletion(completion.fingerprint);
-                 },
-                 [&](const QuarantineUpdate& quarantine) {
-                   if (quarantine.QuarantineTime() > Duration::zero()) {
-                     state.Quarantine(quarantine);
-                   } else {
-                     state.EndQuarantine(quarantine.fingerprint);
-                   }
-                 },
-             },
-             message);
+  std::visit(
+      Overloaded{
+          [&](const CrashReport& report) { state.CountCrash(report, from); },
+          [&](const CompletionQuery& query) {
+            const TimePoint since = SteadyNow() - std::chrono::milliseconds(query.lookback_ms);
+            if (!state.HasCompletedSince(query.fingerprint, since)) return;
+            state.Send(from, CompletionReport{query.fingerprint});
+          },
+          [&](const CompletionReport& completion) { state.OnCompletion(completion.fingerprint); },
+          [&](const QuarantineUpdate& update) {
+            if (update.QuarantineTime() > Duration::zero()) {
+              state.Quarantine(state.quarantines.RecordOf(update, SteadyNow()), from);
+            } else {
+              state.EndQuarantine(update.fingerprint, Duration::zero());
+            }
+          },
+          [&](const QuarantineRecord& record) {
+            if (record.IsCleared()) {
+              state.EndQuarantine(record.fingerprint, record.Age());
+            } else {
+              state.Quarantine(record, from);
+            }
+          },
+          [&](const QuarantineQuery& query) { state.AnswerQuarantineQuery(from, query); },
+      },
+      message);
 }
 
-void PoisonRequestDetector::CheckLostAttempts() {
+void PoisonRequestDetector::Housekeep() {
   State& state = *m_state;
   const TimePoint now = SteadyNow();
   for (const EndpointProcess& process : state.lost_attempts.Processes()) {
@@ -390,7 +406,8 @@
     }
   }
   state.lost_attempts.Forget(now);
-  std::erase_if(state.quarantined, [&](const auto& entry) { return now >= entry.second.until; });
+  state.quarantines.Forget(now);
+  state.QueryQuarantines();
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/poison_request_detector.h
+++ b/src/libs/relay/poison_request_detector.h
@@ -18,8 +18,9 @@
 /// that run them. Such requests may be the same as a whole, or have a part of their prompt in
 /// common. Each lost attempt whose endpoint proves to be gone is reported to the owners of the
 /// fingerprints of the request and of the parts of its prompt, which count the crashes. Every
-/// daemon computes the owner from the list of peers by rendezvous hashing. Used on the daemon's
-/// thread.
+/// daemon computes the owners, two for each fingerprint, from the list of peers by rendezvous
+/// hashing. Quarantines are sent to all daemons when they begin; those that start later or miss
+/// them ask for them. Used on the daemon's thread.
 class PoisonRequestDetector {
  public:
   /// Both must outlive this.
@@ -41,9 +42,10 @@
   bool IsQuarantined(const RelayedRequest& request) const;
   /// Handles a message from the daemon at `from`, "ip:port".
   void OnMessage(const std::string& from, const CrashMessage& message);
-  /// Finds lost attempts whose endpoints the store no longer lists, and drops expired entries. Call
-  /// it every few hundred milliseconds.
-  void CheckLostAttempts();
+  /// Finds lost attempts whose endpoints the store no longer lists, drops expired entries, and asks
+  /// another daemon for quarantines that this one has missed. Call it every few hundred
+  /// milliseconds.
+  void Housekeep();
 
  private:
   struct State;
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -227,7 +227,7 @@
     endpoint_connections.CloseExpired(now);
     context.endpoints.Forget(now);
     context.streams.Forget(now);
-    poison_requests.CheckLostAttempts();
+    poison_requests.Housekeep();
     LogReadiness();
     FlushLog();
   }
--- a/tests/auto/coordination/tst_crash_tracker.cpp
+++ b/tests/auto/coordination/tst_crash_tracker.cpp
@@ -264,3 +264,36 @@
   cr_assert_eq(attempts.TakeCrashed(EndpointProcess{"a", 1}).size(), 1u);
   cr_assert_eq(attempts.Processes().size(), 1u);
 }
+
+// Guards against a daemon that becomes the owner of a quarantined request and counts anew.
+Test(crash_tracker, a_published_quarantine_is_continued) {
+  CrashTracker tracker;
+  const QuarantineRecord record =
+      QuarantineRecord::Of(kRequest, 1, std::chrono::seconds(30), Duration::zero());
+  tracker.OnPublished(record, At(0));
+  cr_assert_eq(Crash(tracker, "a", 10'000, 10'010), CrashTracker::Finding::kQuarantined);
+  cr_assert_eq(Crash(tracker, "b", 31'000, 31'010), CrashTracker::Finding::kQuarantinedAgain);
+  cr_assert_eq(tracker.RemainingQuarantine(kRequest, At(31'015)), std::chrono::minutes(5));
+  tracker.OnPublished(record, At(31'020));
+  cr_assert_eq(tracker.QuarantineCount(kRequest), 2u, "an earlier one is ignored");
+  tracker.OnCleared(kRequest);
+  cr_assert_eq(Crash(tracker, "c", 40'000, 40'010), CrashTracker::Finding::kNothing);
+}
+
+// Guards against a part that is quarantined again without a query, or with more requests than
+// before, by a daemon that has become its owner.
+Test(crash_tracker, a_published_quarantine_of_a_part_is_continued) {
+  CrashTracker tracker;
+  QuarantineRecord record =
+      QuarantineRecord::Of(kPoisonPart, 1, std::chrono::seconds(30), Duration::zero());
+  record.companions = {kSharedPart};
+  tracker.OnPublished(record, At(0));
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 1, {kSharedPart}, 310),
+               CrashTracker::Finding::kQueryCompletion);
+  cr_assert(tracker.ClearedSince(kPoisonPart) <= At(30'000), "completions since then clear it");
+  cr_assert_eq(tracker.TakeNewQuarantines(At(32'000)).size(), 1u);
+  cr_assert(tracker.QuarantineCompanions(kPoisonPart) == std::vector<Fingerprint>{kSharedPart});
+  cr_assert_eq(tracker.QuarantineCount(kPoisonPart), 2u);
+  cr_assert_eq(PartCrash(tracker, kPoisonPart, 2, {}, 330), CrashTracker::Finding::kNothing,
+               "a request without the shared part was not in the quarantine");
+}
--- a/tests/auto/platform/tst_crashing_requests.cpp
+++ b/tests/auto/platform/tst_crashing_requests.cpp
@@ -65,16 +65,33 @@
   }
 }
 
+// Time after its start from which a daemon must know what the fleet knows.
+constexpr Duration kContactTime = std::chrono::seconds(3);
+
+using Daemons = std::vector<std::unique_ptr<RelayDaemon>>;
+
+/// Starts three daemons that list each other. The first is `world.daemon`.
+Task<void> StartFleet(PlatformWorld& world, Daemons& others) {
+  co_await world.Start();
+  for (const char* name : {"daemon-2", "daemon-3"}) others.push_back(world.StartPeer(name));
+  for (std::unique_ptr<RelayDaemon>& daemon : others) {
+    co_await PlatformWorld::WaitFor([&]() { return daemon->IsServing(); });
+    co_await WaitForPeers(world, daemon);
+  }
+}
+
+/// Replaces a daemon by a new process with its name, and lets it run for `kContactTime`.
+Task<void> Restart(PlatformWorld& world, std::unique_ptr<RelayDaemon>& daemon, std::string name) {
+  daemon.reset();
+  daemon = world.StartPeer(name);
+  co_await PlatformWorld::WaitFor([&]() { return daemon->IsServing(); });
+  co_await Sleep(kContactTime);
+}
+
 Task<void> FleetQuarantinesPoisonRequest(PlatformWorld& world) {
   AddEndpointsThatCrash(world);
-  co_await world.Start();
-  std::vector<std::unique_ptr<RelayDaemon>> daemons;
-  for (const char* name : {"daemon-2", "daemon-3"}) daemons.push_back(world.StartPeer(name));
-  co_await PlatformWorld::WaitFor([&]() {
-    return std::all_of(daemons.begin(), daemons.end(),
-                       [](const auto& daemon) { return daemon->IsServing(); });
-  });
-  for (std::unique_ptr<RelayDaemon>& daemon : daemons) co_await WaitForPeers(world, daemon);
+  Daemons daemons;
+  co_await StartFleet(world, daemons);
   for (std::unique_ptr<RelayDaemon>& daemon : daemons) {
     const HttpResult result = co_await SendAt(world, daemon, kCrashingTarget);
     cr_assert_eq(result.reply.status, 502, "%d", result.reply.status);
@@ -98,6 +115,59 @@
   cr_assert_leq(all_attempts, attempts + (retries - 1) * kAttemptsPerRequest, "%zu", all_attempts);
 }
 
+/// Sends the crashing request at all daemons in turn until it is rejected.
+Task<void> SendUntilRejected(PlatformWorld& world, Daemons& others) {
+  for (std::unique_ptr<RelayDaemon>& daemon : others) {
+    const HttpResult result = co_await SendAt(world, daemon, kCrashingTarget);
+    cr_assert_eq(result.reply.status, 502, "%d", result.reply.status);
+  }
+  HttpResult own;
+  for (int retries = 0; !IsRejectedAsPoison(own); ++retries) {
+    cr_assert_leq(retries, kMaxRetries);
+    co_await Sleep(kQuarantineDelay);
+    own = co_await world.Send("GET", kCrashingTarget);
+  }
+}
+
+Task<void> RestartedDaemonsKeepQuarantine(PlatformWorld& world) {
+  AddEndpointsThatCrash(world);
+  Daemons others;
+  co_await StartFleet(world, others);
+  co_await SendUntilRejected(world, others);
+  const std::size_t attempts = AttemptsOf(world, kCrashingTarget);
+  others.push_back(std::move(world.daemon));
+  const char* names[] = {"daemon-2", "daemon-3", "daemon-1"};
+  // The first one is restarted again at the end: all that knew the crashes themselves are gone.
+  for (std::size_t turn = 0; turn < 4; ++turn) {
+    std::unique_ptr<RelayDaemon>& daemon = others[turn % 3];
+    co_await Restart(world, daemon, names[turn % 3]);
+    const HttpResult refused = co_await SendAt(world, daemon, kCrashingTarget);
+    cr_expect(IsRejectedAsPoison(refused), "turn %zu: %d", turn, refused.reply.status);
+    const HttpResult fine = co_await SendAt(world, daemon, kHarmlessTarget);
+    cr_expect_eq(fine.reply.status, 200, "turn %zu: %d", turn, fine.reply.status);
+  }
+  cr_assert_eq(AttemptsOf(world, kCrashingTarget), attempts, "%zu, %zu", attempts,
+               AttemptsOf(world, kCrashingTarget));
+}
+
+/// Restarts one of three daemons after two crashes; it may be the one that counts them.
+Task<void> CrashesCountAcrossARestart(PlatformWorld& world, std::size_t restarted) {
+  AddEndpointsThatCrash(world);
+  Daemons daemons;
+  co_await StartFleet(world, daemons);
+  daemons.push_back(std::move(world.daemon));
+  const char* names[] = {"daemon-2", "daemon-3", "daemon-1"};
+  std::unique_ptr<RelayDaemon>& sender = daemons[(restarted + 1) % 3];
+  HttpResult result = co_await SendAt(world, sender, kCrashingTarget);
+  co_await Sleep(kQuarantineDelay);
+  co_await Restart(world, daemons[restarted], names[restarted]);
+  result = co_await SendAt(world, sender, kCrashingTarget);
+  co_await Sleep(kQuarantineDelay);
+  result = co_await SendAt(world, sender, kCrashingTarget);
+  cr_expect(IsRejectedAsPoison(result), "%s: %d after four crashes", names[restarted],
+            result.reply.status);
+}
+
 constexpr int kEngines = 20;
 const char kPoisonPart[] = "dead:40";
 const char kSharedPart[] = "5c1e07a2:200";
@@ -124,14 +194,8 @@
     engine.behaviour = EndpointBehaviour::kCrash;
     engine.crashing_part = kPoisonPart;
   }
-  co_await world.Start();
-  std::vector<std::unique_ptr<RelayDaemon>> daemons;
-  for (const char* name : {"daemon-2", "daemon-3"}) daemons.push_back(world.StartPeer(name));
-  co_await PlatformWorld::WaitFor([&]() {
-    return std::all_of(daemons.begin(), daemons.end(),
-                       [](const auto& daemon) { return daemon->IsServing(); });
-  });
-  for (std::unique_ptr<RelayDaemon>& daemon : daemons) co_await WaitForPeers(world, daemon);
+  Daemons daemons;
+  co_await StartFleet(world, daemons);
   int number = 0;
   int retries = -1;
   HttpResult poison;
@@ -204,6 +268,20 @@
   RunTest(&FleetQuarantinesPoisonRequest);
 }
 
+// Guards against a poison request that each daemon passes on once more after a restart.
+Test(crashing_requests, restarted_daemons_keep_the_quarantine) {
+  RunTest(&RestartedDaemonsKeepQuarantine);
+}
+
+// Guards against a poison request whose crashes are counted anew because the daemon that counts
+// them was restarted.
+Test(crashing_requests, crashes_count_across_restarts) {
+  for (std::size_t restarted = 0; restarted < 3; ++restarted) {
+    PlatformWorld world;
+    world.Run([&]() { return CrashesCountAcrossARestart(world, restarted); });
+  }
+}
+
 // Guards against a poison request that is never quarantined because its endpoints hang instead of
 // refusing connections.
 Test(crashing_requests, stalled_endpoints_count_once_they_are_unlisted) {
