streams: limit the memory for replies that are no streams

What callers would see (report of other operators): an engine that sends bytes without end takes the daemon's memory, and the requests of all callers of that daemon end with its process.

Cause: each reply to a stream that is no stream was read up to 1 MB, outside the limit that the bodies of calls share, also where its body is not used.

Ruled out, by runs: heads, header lines, informational replies, trailers, chunk extensions, bodies of calls, stray replies, events without an end or a number.

Change: such a body is reserved from the daemon's memory for replies. A rejection's body, and one without the engine's seal, is not read.

--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -114,10 +114,15 @@
 }
 
 Task<void> StreamAttempt::ReadNonStreamAnswer() {
-  const std::error_code error =
-      co_await m_connection->ReadBody(m_reply.body, kMaxNonStreamAnswerBytes, kNoTimeout);
-  const bool is_refusal = m_answer.not_run || m_answer.misdirected;
-  if (error && !is_refusal) {
+  const bool is_rejection = m_answer.not_run || m_answer.misdirected;
+  const bool is_forwarded = m_answer.is_from_endpoint && !is_rejection;
+  if (!is_forwarded) {
+    Finish(StreamAttemptEnd::kAnswered);
+    co_return;
+  }
+  const std::error_code error = co_await m_connection->ReadBody(
+      m_reply.body, kMaxNonStreamAnswerBytes, kNoTimeout, &m_memory);
+  if (error) {
     Finish(StreamAttemptEnd::kBroken, "body: " + error.message());
     co_return;
   }
--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -12,6 +12,7 @@
 #include "transport/event_splitter.h"
 #include "transport/http_client_exchange.h"
 #include "transport/notification.h"
+#include "utils/byte_budget.h"
 
 namespace fulmarpoint {
 
@@ -32,7 +33,8 @@
 enum class StreamAttemptEnd {
   /// The endpoint ended its stream.
   kComplete,
-  /// The endpoint replied with something other than a stream; `Reply()` is complete.
+  /// The endpoint replied with something other than a stream. `Reply()` is complete, but for the
+  /// body of a rejection or of a reply that is not the endpoint's own.
   kAnswered,
   /// The connection broke, or the reply is invalid or belongs to another request.
   kBroken,
@@ -42,12 +44,14 @@
 /// on one strand.
 class StreamAttempt : public std::enable_shared_from_this<StreamAttempt> {
  public:
-  /// `wake` is notified when events arrive or the attempt ends; it may be destroyed earlier.
+  /// `wake` is notified when events arrive or the attempt ends; it may be destroyed earlier. The
+  /// body of a reply that is not a stream is reserved from `memory`, which must outlive this.
   StreamAttempt(EndpointRecord endpoint, std::shared_ptr<HttpClientExchange> connection,
-                std::weak_ptr<Notification> wake)
+                std::weak_ptr<Notification> wake, ByteBudget& memory)
       : m_endpoint(std::move(endpoint)),
         m_connection(std::move(connection)),
-        m_wake(std::move(wake)) {}
+        m_wake(std::move(wake)),
+        m_memory(memory) {}
 
   /// Sends `request` and reads the reply until its end. Call once; the connection must be new.
   void Start(const Executor& executor, const RelayWire& wire, HttpClientRequest request,
@@ -81,6 +85,7 @@
   EndpointRecord m_endpoint;
   std::shared_ptr<HttpClientExchange> m_connection;
   std::weak_ptr<Notification> m_wake;
+  ByteReservation m_memory;
   HttpReply m_reply;
   EndpointResponseFields m_answer;
   EventSplitter m_splitter;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -112,8 +112,8 @@
   int m_resumes = 0;
   /// Time from the arrival of the request to its first event; zero until then.
   Duration m_first_event{};
-  /// An engine's error reply, forwarded if no other engine succeeds.
-  std::optional<HttpReply> m_failure;
+  /// An attempt with an engine's error reply, forwarded if no other engine succeeds.
+  std::shared_ptr<StreamAttempt> m_failed_attempt;
 };
 
 StreamSession::StreamSession(RelayContext& context, HttpExchange& exchange, RelayedRequest request)
@@ -253,7 +253,8 @@
   const DirectoryEndpoint* known = m_context.endpoints.Find(engine.id);
   m_backlog_tokens =
       known == nullptr ? m_request.fields.prompt_tokens : known->PendingPrefillTokens();
-  m_attempt = std::make_shared<StreamAttempt>(engine, std::move(connection), m_wake);
+  m_attempt = std::make_shared<StreamAttempt>(engine, std::move(connection), m_wake,
+                                              m_context.reply_memory);
   ++m_sends;
   m_has_retry = false;
   m_attempt_started = SteadyNow();
@@ -456,7 +457,7 @@
   ReportCompletedAttempt(m_context, m_request, m_attempt->Endpoint(), status >= 500,
                          Duration::zero());
   if (status >= 500 && m_continuation.MayStartAttempt()) {
-    m_failure = std::move(m_attempt->Reply());
+    m_failed_attempt = m_attempt;
     AbandonAttempt("status " + std::to_string(status), AttemptLoss::kNone);
     m_placement.Exclude(engine);
     co_return Step::kContinue;
@@ -577,8 +578,8 @@
     LogEnd(RequestOutcome::kCut, 200);
     co_return;
   }
-  if (m_failure) {
-    co_await Answer(std::move(*m_failure), RequestOutcome::kEndpointFailed);
+  if (m_failed_attempt) {
+    co_await Answer(std::move(m_failed_attempt->Reply()), RequestOutcome::kEndpointFailed);
   } else if (m_stale) {
     co_await Answer(RelayProblem(ResultCode::kStale, "use another daemon", kRetryAfterNoEngine),
                     RequestOutcome::kStale);
--- a/tests/auto/platform/tst_endless_answers.cpp
+++ b/tests/auto/platform/tst_endless_answers.cpp
@@ -1,20 +1,13 @@
 #include <criterion/criterion.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-#include <list>
-
+#include "endless_endpoint.h"
 #include "platform_world.h"
-#include "transport/internal/completion.h"
 
 using namespace fulmarpoint;
-namespace asio = boost::asio;
 
 namespace {
 
 constexpr std::size_t kAnswerMemory = std::size_t{1024} * 1024;
-constexpr std::size_t kPieceBytes = std::size_t{16} * 1024;
 // Limit on the data that the daemon and the socket buffers in between hold.
 constexpr std::size_t kMaxWrittenBytes = std::size_t{12} * 1024 * 1024;
 
@@ -42,6 +35,7 @@
     {"chunks", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
     {"a chunk's line does not end", "Transfer-Encoding: chunked\r\n\r\n", "1"},
     {"a long body", "Content-Length: 1000000000000\r\n\r\n", "x"},
+    {"trailers", "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Name: value\r\n"},
 };
 
 const EndlessBytes kEvents[] = {
@@ -51,63 +45,6 @@
     {"the same event", "id: 1\ndata: 1\n\n", "id: 1\ndata: 1\n\n"},
 };
 
-/// An endpoint that replies to each request with endless data.
-class EndlessEndpoint {
- public:
-  EndlessEndpoint(const Executor& executor, std::string begin, const std::string& repeated)
-      : m_acceptor(executor, {asio::ip::address_v4::loopback(), 0}), m_begin(std::move(begin)) {
-    while (m_piece.size() < kPieceBytes) m_piece += repeated;
-    Spawn(executor, [this]() { return Accept(); });
-  }
-
-  std::string Row(const std::string& service) const {
-    const std::string port = std::to_string(m_acceptor.local_endpoint().port());
-    return EndpointRow("127.0.0.1:" + port, service, "a");
-  }
-
-  int requests = 0;
-  /// Number of requests whose connection the daemon has closed.
-  int closed = 0;
-  /// Maximum of the bytes written to one connection.
-  std::size_t max_written = 0;
-
- private:
-  Task<void> Accept() {
-    while (true) {
-      asio::ip::tcp::socket socket(m_acceptor.get_executor());
-      const std::tuple<boost::system::error_code> accepted =
-          co_await m_acceptor.async_accept(socket, internal::kCompletion);
-      if (std::get<0>(accepted)) co_return;
-      m_sockets.push_back(std::move(socket));
-      Spawn(m_acceptor.get_executor(),
-            [this, &connection = m_sockets.back()]() { return Answer(connection); });
-    }
-  }
-
-  Task<void> Answer(asio::ip::tcp::socket& socket) {
-    std::string received;
-    const internal::IoResult read = co_await asio::async_read_until(
-        socket, asio::dynamic_buffer(received), "\r\n\r\n", internal::kCompletion);
-    // A probe only connects.
-    if (std::get<0>(read)) co_return;
-    ++requests;
-    internal::IoResult written =
-        co_await asio::async_write(socket, asio::buffer(m_begin), internal::kCompletion);
-    std::size_t total = 0;
-    while (!std::get<0>(written)) {
-      written = co_await asio::async_write(socket, asio::buffer(m_piece), internal::kCompletion);
-      total += std::get<1>(written);
-      max_written = std::max(max_written, total);
-    }
-    ++closed;
-  }
-
-  asio::ip::tcp::acceptor m_acceptor;
-  std::string m_begin;
-  std::string m_piece;
-  std::list<asio::ip::tcp::socket> m_sockets;
-};
-
 /// Sends a request that reaches the endless endpoint while there is another one, and checks that
 /// the daemon closes the endless connection and has read only a limited amount from it.
 Task<HttpResult> SendToEndless(PlatformWorld& world, const EndlessBytes& bytes, std::string begin,
