peers: release the engines that departed daemons used

Cause: a stopping daemon removes its row, so its peers drop it from their directory before it becomes silent, and only silent neighbours' uses were released. A neighbour that others replace on the ring leaves the same way.

Ruled out: killed daemons (their rows stay, and their silence is noticed).

Change: the last heartbeat of each peer, listed or not, is remembered; what the peer uses is released after the time of a stop without one. A pause of this process restarts these times as it restarts the others.

--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay/peer_exchange.h"
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,8 @@
   void OnDatagram(const Datagram& datagram);
   void OnHeartbeat(const RelayHeartbeat& heartbeat, TimePoint now);
   void LogReachability();
+  void OnProcessPause(TimePoint now);
+  void ReleaseUsesOfDepartedPeers(TimePoint now);
 
   RelayContext& context;
   UdpSocket socket;
@@ -55,6 +58,9 @@
   std::uint32_t sequence = 0;
   HeartbeatPayloadSchedule schedule;
   std::map<std::string, bool> reachable;
+  /// When the last heartbeat of each peer arrived, also of peers that have left the directory
+  /// since.
+  std::map<std::string, TimePoint> last_heartbeats;
   bool stopped = false;
 };
 
@@ -66,9 +72,10 @@
     if (stopped) break;
     if (was_notified) co_await Sleep(kCoalescingDelay);
     if (stopped) break;
-    if (SteadyNow() - before > kProcessPauseThreshold) context.peers.RestartTimeouts(SteadyNow());
+    if (SteadyNow() - before > kProcessPauseThreshold) OnProcessPause(SteadyNow());
     SendAll();
     LogReachability();
+    ReleaseUsesOfDepartedPeers(SteadyNow());
   }
 }
 
@@ -134,6 +141,7 @@
     context.metrics.Count("heartbeats", "old_or_unknown");
     return;
   }
+  last_heartbeats[sender->name] = now;
   if (!heartbeat.payload) return;
   const HeartbeatPayload& payload = *heartbeat.payload;
   context.streams.OnPeerStreams(payload.streams, now);
@@ -156,6 +164,24 @@
   reachable = std::move(seen);
 }
 
+/// Restarts the timeouts of all peers, whose heartbeats could not be received meanwhile.
+void PeerExchange::State::OnProcessPause(TimePoint now) {
+  context.peers.RestartTimeouts(now);
+  for (auto& [peer, last_heartbeat] : last_heartbeats) last_heartbeat = now;
+}
+
+/// Releases the endpoint capacity of peers from which nothing is received any more, because they
+/// have left or are no neighbours now. A peer that is stopping has streams for at most the time of
+/// a stop.
+void PeerExchange::State::ReleaseUsesOfDepartedPeers(TimePoint now) {
+  std::erase_if(last_heartbeats, [&](const auto& entry) {
+    const auto& [peer, last_heartbeat] = entry;
+    if (now - last_heartbeat < context.settings.stop_grace) return false;
+    context.endpoints.SetPeerUses(peer, {});
+    return true;
+  });
+}
+
 PeerExchange::PeerExchange(RelayContext& context) : m_state(std::make_shared<State>(context)) {}
 
 PeerExchange::~PeerExchange() {
