peers: remove the rows of lost daemons within seconds

Callers that asked a daemon for addresses got those of an instance that had been removed for good, for half a minute: lookups of daemons that are not its neighbours know it only by its row.

Cause: a row was removed after 30 s of silence, checked every 5 s. Ruled out: the replicas of the table, which follow the store within 0.5 s, and noise: the time-out alone explains it.

Now the nearest neighbour on the ring removes the row after 4 s, longer than a restart takes, and the others 0.4 s later for each place, so that usually one of them calls the store. A daemon that hears less than half of its neighbours is probably cut off itself and keeps the 30 s. A daemon whose row was removed although it lives writes it again, as before.

The new test was not run against the former code.

--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -128,9 +128,18 @@
 }
 
 std::vector<std::string> PeerDirectory::LostNeighbours(TimePoint now) const {
+  const std::vector<Neighbour> neighbours = RankedNeighbours();
+  const auto is_heard = [&](const Neighbour& neighbour) {
+    return now - neighbour.peer->last_heartbeat < m_options.removal_timeout;
+  };
+  const auto heard = std::count_if(neighbours.begin(), neighbours.end(), is_heard);
+  const bool is_isolated = static_cast<std::size_t>(heard) * 2 < neighbours.size();
   std::vector<std::string> lost;
-  for (const Peer* peer : RingNeighbours()) {
-    const bool is_silent = now - peer->last_heartbeat >= m_options.removal_timeout;
+  for (const auto& [peer, place] : neighbours) {
+    const Duration timeout = is_isolated ? m_options.isolated_removal_timeout
+                                         : m_options.removal_timeout +
+                                               m_options.removal_stagger * static_cast<int>(place);
+    const bool is_silent = now - peer->last_heartbeat >= timeout;
     if (is_silent || peer->HasEnded(now)) lost.push_back(peer->record.name);
   }
   return lost;
@@ -155,6 +164,12 @@
 }
 
 std::vector<const PeerDirectory::Peer*> PeerDirectory::RingNeighbours() const {
+  std::vector<const Peer*> neighbours;
+  for (const Neighbour& neighbour : RankedNeighbours()) neighbours.push_back(neighbour.peer);
+  return neighbours;
+}
+
+std::vector<PeerDirectory::Neighbour> PeerDirectory::RankedNeighbours() const {
   std::vector<std::pair<std::uint64_t, const Peer*>> ring;
   ring.reserve(m_peers.size());
   for (const auto& [name, peer] : m_peers) ring.emplace_back(StableHash(name), &peer);
@@ -164,10 +179,11 @@
                                   [self](const auto& entry) { return entry.first > self; });
   std::rotate(ring.begin(), after, ring.end());
   // Half of the neighbours follow on the ring and half precede, which makes the relation symmetric.
-  std::vector<const Peer*> neighbours;
+  std::vector<Neighbour> neighbours;
   const std::size_t half = m_options.max_neighbours / 2;
   for (std::size_t index = 0; index < ring.size(); ++index) {
-    if (index < half || index + half >= ring.size()) neighbours.push_back(ring[index].second);
+    const std::size_t place = std::min(index, ring.size() - 1 - index);
+    if (place < half) neighbours.push_back({ring[index].second, place});
   }
   return neighbours;
 }
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -42,8 +42,15 @@
     std::size_t max_neighbours = 10;
     /// A neighbour that has sent no heartbeat for this long is left out of lookups.
     Duration heartbeat_timeout = std::chrono::milliseconds(750);
-    /// A neighbour that has sent no heartbeat for this long is removed from the store.
-    Duration removal_timeout = std::chrono::seconds(30);
+    /// A neighbour that has sent no heartbeat for this long is removed from the store, because
+    /// daemons that are not its neighbours name it in lookups until then. Longer than a restart.
+    Duration removal_timeout = std::chrono::seconds(4);
+    /// Neighbours that are farther away on the ring wait longer by this for each place, so that
+    /// usually only one of them calls the store.
+    Duration removal_stagger = std::chrono::milliseconds(400);
+    /// Replaces `removal_timeout` while this daemon hears less than half of its neighbours: it is
+    /// probably cut off itself.
+    Duration isolated_removal_timeout = std::chrono::seconds(30);
   };
 
   PeerDirectory(std::string self, Options options) : m_self(std::move(self)), m_options(options) {}
@@ -94,7 +101,14 @@
     bool HasEnded(TimePoint now) const { return now < ended_until; }
   };
 
+  /// A neighbour, and its place on its side of the ring; 0 is next to this daemon.
+  struct Neighbour {
+    const Peer* peer = nullptr;
+    std::size_t place = 0;
+  };
+
   std::vector<const Peer*> RingNeighbours() const;
+  std::vector<Neighbour> RankedNeighbours() const;
 
   std::string m_self;
   Options m_options;
--- a/src/libs/relay/peer_registration.cpp
+++ b/src/libs/relay/peer_registration.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr Duration kCheckInterval = std::chrono::seconds(5);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
 // A row that is still there after this time, in which the neighbours of its daemon may remove it,
 // is that of a daemon that lives.
-constexpr Duration kEndedTime = 2 * kCheckInterval + std::chrono::seconds(2);
+constexpr Duration kEndedTime = std::chrono::seconds(12);
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::seconds(2);
 
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -165,6 +165,32 @@
   cr_assert(lost[0] == "q");
 }
 
+// Guards against lookups of distant daemons that name a lost one for half a minute, against all of
+// its neighbours calling the store at once, and against a daemon that is cut off and removes the
+// rows of all others.
+Test(peer_directory, a_lost_daemon_is_removed_by_its_nearest_neighbour_within_seconds) {
+  constexpr int kFleetSize = 40;
+  const PeerDirectory::Options options;
+  int early = 0;
+  int removing = 0;
+  for (int self = 1; self < kFleetSize; ++self) {
+    PeerDirectory peers("d" + std::to_string(self), options);
+    for (int peer = 0; peer < kFleetSize; ++peer) {
+      peers.Put(Record("d" + std::to_string(peer)), kStart);
+      if (peer > 0) peers.OnHeartbeat(Heartbeat("d" + std::to_string(peer), 1), At(5900));
+    }
+    early += static_cast<int>(peers.LostNeighbours(At(4100)).size());
+    removing += static_cast<int>(peers.LostNeighbours(At(6000)).size());
+    PeerDirectory isolated("d" + std::to_string(self), options);
+    for (int peer = 0; peer < kFleetSize; ++peer) {
+      isolated.Put(Record("d" + std::to_string(peer)), kStart);
+    }
+    cr_assert_eq(isolated.LostNeighbours(At(6000)).size(), 0u, "it hears no other daemon");
+  }
+  cr_assert_eq(early, 2, "the next daemon on either side");
+  cr_assert_eq(removing, static_cast<int>(options.max_neighbours));
+}
+
 // Guards against lookups that name a daemon that had ended before the store was restored from a
 // copy with its row, and against its row staying there.
 Test(peer_directory, a_copy_brings_no_ended_daemon_back) {
