relay: order the requests of equal organisations by their route's priority

Callers of an urgent route were served worse than those of a less urgent one of the same service. Cause: an organisation's priority replaced the route's, and where all organisations have the same priority, all streams were equal to the engines. The priority of the organisation still comes first; between equal ones the route's decides. Only services whose engines have streams of routes with different priorities are affected; all others send what they sent before (test).

--- a/src/libs/coordination/relay_table.cpp
+++ b/src/libs/coordination/relay_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <random>
+#include <set>
 #include <utility>
 
 namespace fulmarpoint {
@@ -19,6 +20,38 @@
   return a->prefix.size() > b->prefix.size();
 }
 
+using PriorityPair = std::pair<int, int>;
+
+PriorityPair PriorityPairOf(int route, const RelayOrganisation* organisation) {
+  if (organisation == nullptr) return {route, route};
+  return {organisation->priority.value_or(route), route};
+}
+
+/// Returns the priorities of the streams to each service.
+std::map<ServiceName, std::set<int>> StreamPriorities(const RelayConfiguration& configuration) {
+  std::map<ServiceName, std::set<int>> priorities;
+  for (const RelayRoute& route : configuration.routes) {
+    if (route.retryability != Retryability::kStream) continue;
+    for (const RouteTarget& target : route.targets) {
+      priorities[target.service].insert(route.priority);
+    }
+  }
+  return priorities;
+}
+
+/// Returns all combinations of the priorities of organisations and routes in ascending order.
+std::vector<PriorityPair> PriorityPairs(const RelayConfiguration& configuration,
+                                        const std::set<int>& routes) {
+  std::set<PriorityPair> pairs;
+  for (const int route : routes) {
+    if (!configuration.has_organisations) pairs.insert(PriorityPairOf(route, nullptr));
+    for (const RelayOrganisation& organisation : configuration.organisations) {
+      pairs.insert(PriorityPairOf(route, &organisation));
+    }
+  }
+  return {pairs.begin(), pairs.end()};
+}
+
 }  // namespace
 
 RelayTable::RelayTable(RelayConfiguration configuration)
@@ -35,6 +68,12 @@
   for (const RelayService& service : m_configuration.services) {
     m_services.emplace(service.name, &service);
   }
+  for (const auto& [service, routes] : StreamPriorities(m_configuration)) {
+    const RelayService* found = FindService(service);
+    const bool has_engines = found != nullptr && found->engine;
+    if (!has_engines || routes.size() < 2) continue;
+    m_priorities[service] = PriorityPairs(m_configuration, routes);
+  }
 }
 
 const RelayRoute* RelayTable::FindRoute(std::string_view host, std::string_view path) const {
@@ -56,6 +95,20 @@
   return found == m_services.end() ? nullptr : found->second;
 }
 
+int RelayTable::PriorityOf(const RelayRoute& route, const RelayOrganisation* organisation,
+                           const ServiceName& service) const {
+  const PriorityPair pair = PriorityPairOf(route.priority, organisation);
+  const auto found = m_priorities.find(service);
+  if (found == m_priorities.end()) return pair.first;
+  const std::vector<PriorityPair>& pairs = found->second;
+  return static_cast<int>(std::lower_bound(pairs.begin(), pairs.end(), pair) - pairs.begin());
+}
+
+int RelayTable::PriorityLevels(const ServiceName& service) const {
+  const auto found = m_priorities.find(service);
+  return found == m_priorities.end() ? 1 : static_cast<int>(found->second.size());
+}
+
 ServiceName ChooseService(const RelayRoute& route, Random& random) {
   double total = 0.0;
   for (const RouteTarget& target : route.targets) total += std::max(0.0, target.weight);
--- a/src/libs/relay/caller_request_handler.cpp
+++ b/src/libs/relay/caller_request_handler.cpp
@@ -35,6 +35,13 @@
   RelayContext& m_context;
 };
 
+int PriorityOf(const RelayedRequest& request) {
+  const RelayOrganisation* organisation =
+      request.organisation.empty() ? nullptr
+                                   : request.table->FindOrganisation(request.fields.api_key);
+  return request.table->PriorityOf(*request.route, organisation, request.service);
+}
+
 std::size_t CountHeaders(const HttpHeaders& headers, std::string_view name) {
   HttpHeaders::const_iterator it = headers.begin();
   std::size_t count = 0;
@@ -94,6 +101,7 @@
   admission.rejection = Authorize(request);
   if (admission.rejection) return admission;
   request.service = ChooseService(*request.route, m_context.random);
+  request.priority = PriorityOf(request);
   const Duration wait =
       std::min(request.fields.deadline.value_or(request.route->timeout), request.route->timeout);
   request.deadline = request.arrived + wait;
@@ -122,7 +130,6 @@
 
 std::optional<CallerRequestHandler::Rejection> CallerRequestHandler::Authorize(
     RelayedRequest& request) const {
-  request.priority = request.route->priority;
   if (!request.table->Configuration().has_organisations || !request.route->requires_api_key) {
     return std::nullopt;
   }
@@ -131,7 +138,6 @@
     return RejectUnknown(ResultCode::kUnauthorized, "the key is missing or unknown");
   }
   request.organisation = organisation->name;
-  request.priority = organisation->priority.value_or(request.priority);
   if (MayForward(m_context, request)) return std::nullopt;
   return Rejection{ResultCode::kStale, "use another daemon", kRetryAfterStale};
 }
--- a/tests/auto/coordination/tst_relay_table.cpp
+++ b/tests/auto/coordination/tst_relay_table.cpp
@@ -67,3 +67,47 @@
   cr_assert(counts["new"] > 800 && counts["new"] < 1200, "new: %d, seed %lu", counts["new"], kSeed);
   cr_assert(ChooseService(RelayRoute(), random).empty());
 }
+
+// Guards against urgent and less urgent streams that are the same to the engines because their
+// organisations have equal priorities.
+Test(relay_table, routes_order_the_requests_of_equal_organisations) {
+  RelayConfiguration configuration = Configuration();
+  configuration.services = {{"models", 0, EngineCapacity()}, {"calls", 0, std::nullopt}};
+  configuration.organisations = {{"a", {"key-a"}, 1}, {"b", {"key-b"}, 0}, {"c", {"key-c"}, {}}};
+  for (RelayRoute& route : configuration.routes) {
+    route.retryability = Retryability::kStream;
+    route.targets = {{"models", 1.0}};
+  }
+  configuration.routes[0].priority = 2;
+  configuration.routes[1].priority = 0;
+  configuration.routes[2].priority = 2;
+  const RelayTable table(configuration);
+  const RelayRoute& normal = table.Configuration().routes[0];
+  const RelayRoute& urgent = table.Configuration().routes[1];
+  const auto priority = [&table](const RelayRoute& route, const char* key) {
+    return table.PriorityOf(route, table.FindOrganisation(key), "models");
+  };
+  cr_assert_lt(priority(urgent, "key-a"), priority(normal, "key-a"));
+  cr_assert_lt(priority(normal, "key-b"), priority(urgent, "key-a"),
+               "the organisation comes first");
+  cr_assert_lt(priority(urgent, "key-c"), priority(urgent, "key-a"));
+  cr_assert_eq(table.PriorityLevels("models"), 5);
+  cr_assert_eq(table.PriorityLevels("calls"), 1);
+}
+
+// Guards against a changed order of requests where no streams of different priority compete.
+Test(relay_table, an_organisations_priority_is_sent_where_routes_are_equal) {
+  RelayConfiguration configuration = Configuration();
+  configuration.services = {{"models", 0, EngineCapacity()}};
+  configuration.organisations = {{"a", {"key-a"}, 3}, {"c", {"key-c"}, {}}};
+  for (RelayRoute& route : configuration.routes) route.targets = {{"models", 1.0}};
+  configuration.routes[0].retryability = Retryability::kStream;
+  configuration.routes[0].priority = 1;
+  configuration.routes[1].priority = 2;
+  const RelayTable table(configuration);
+  const RelayRoute& route = table.Configuration().routes[0];
+  cr_assert_eq(table.PriorityOf(route, table.FindOrganisation("key-a"), "models"), 3);
+  cr_assert_eq(table.PriorityOf(route, table.FindOrganisation("key-c"), "models"), 1);
+  cr_assert_eq(table.PriorityOf(route, nullptr, "models"), 1);
+  cr_assert_eq(table.PriorityLevels("models"), 1);
+}
