platform: read the pace of endpoints, duties and limits of engine numbers

Load reports with four figures were dropped, because exactly three were expected: all reports of endpoints that state their pace. Now further figures are allowed, and the fourth is the pace; a figure that is no positive percentage counts as absent.

--- a/src/libs/protocol/relay_configuration.h
+++ b/src/libs/protocol/relay_configuration.h
@@ -63,12 +63,22 @@
   Duration backup_lifetime = std::chrono::seconds(4);
 };
 
+/// Numbers of engines that the operator allows in each failure domain.
+struct EngineScaleLimits {
+  int min = 0;
+  int max = 0;
+  /// Time from an order until new engines serve.
+  Duration boot_time{};
+};
+
 struct RelayService {
   ServiceName name;
   /// Maximum number of connections of all daemons together to one endpoint; 0 if unlimited.
   int max_connections = 0;
   /// Absent for application engines.
   std::optional<EngineCapacity> engine;
+  /// Absent if the number of engines is fixed.
+  std::optional<EngineScaleLimits> scale;
 };
 
 struct RelayOrganisation {
--- a/src/libs/protocol/relay_messages.h
+++ b/src/libs/protocol/relay_messages.h
@@ -63,6 +63,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes there now, relative to the usual time; absent if not reported.
+  std::optional<double> pace;
 };
 
 /// Header fields of an endpoint's response.
--- /dev/null
+++ b/src/libs/relay/duty_api.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "protocol/duty_messages.h"
+#include "transport/http_client.h"
+
+namespace fulmarpoint {
+
+/// Result of a call to the platform's API for singleton duties.
+enum class DutyCallResult {
+  kAccepted,
+  /// The API has seen a higher fencing token for the subject.
+  kFenced,
+  /// The API's rate limit was exceeded; nothing was done.
+  kThrottled,
+  kRefused,
+  /// No reply: the call may have been executed, or may still be.
+  kUnknown,
+};
+
+/// Who makes a call.
+struct DutyCaller {
+  std::string name;
+  std::uint64_t fencing_token = 0;
+};
+
+/// Encodes and decodes calls to the platform's API. An adapter provides the functions; they have no
+/// side effects and do not throw. The address of a request is left empty.
+struct DutyApi {
+  std::function<HttpClientRequest(const DutyCaller&, const UsageReport&)> encode_usage_report;
+  std::function<HttpClientRequest(const DutyCaller&, const EngineOrder&)> encode_engine_order;
+  std::function<DutyCallResult(int status)> decode_result;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -8,6 +8,24 @@
 
 namespace fulmarpoint {
 
+/// The calls to the platform that only one daemon makes at a time.
+struct DutySettings {
+  /// "ip:port" of the platform's API; empty if there are no duties.
+  std::string api_address;
+  bool reports_usage = false;
+  bool orders_engines = false;
+  /// Calls per second that the API accepts from all daemons together.
+  double calls_per_second = 50.0;
+  Duration lease_time = std::chrono::seconds(3);
+  /// Length of a window of the usage reports, and the time after its end at which its report is
+  /// due.
+  Duration usage_window = std::chrono::seconds(5);
+  Duration usage_due = std::chrono::seconds(10);
+
+  bool IsEnabled() const { return !api_address.empty() && (reports_usage || orders_engines); }
+  bool operator==(const DutySettings&) const = default;
+};
+
 /// Name, addresses and limits of a relay daemon.
 struct RelaySettings {
   std::string name;
@@ -45,6 +63,7 @@
   /// Fleet size from which only some daemons of each failure domain read the store and the others
   /// replicate its tables from them.
   std::size_t min_daemons_for_peer_replication = 12;
+  DutySettings duties;
 
   bool operator==(const RelaySettings&) const = default;
 };
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/configuration_codec.h"
+#include "platform/duty_api_codec.h"
 #include "platform/relay_codec.h"
 #include "platform/settings_file.h"
 
@@ -165,3 +166,65 @@
     cr_assert_not(read(503, text), "%s", text);
   }
 }
+
+// Guards against load reports that are dropped because an endpoint states more than is known, and
+// against a pace that no endpoint can have.
+Test(relay_codec, load_reports_may_have_a_pace_and_more_figures) {
+  const RelayWire wire = platform::MakeRelayWire();
+  const auto load = [&wire](const std::string& text) {
+    return wire.decode_answer(200, {{"Fulmarpoint-Server-Load", text}}).load;
+  };
+  cr_assert_eq(load("3,1,16")->waiting, 1);
+  cr_assert_not(load("3,1,16")->pace.has_value());
+  cr_assert_eq(load("3,1,16,60")->running, 3);
+  cr_assert_float_eq(*load("3,1,16,60")->pace, 0.6, 1e-9);
+  cr_assert_float_eq(*load("3,1,16,250,7,x")->pace, 2.5, 1e-9);
+  for (const char* pace : {"0", "-5", "fast", "", "1e9", "nan", "inf", "0.5"}) {
+    const std::optional<EndpointLoad> report = load(std::string("3,1,16,") + pace);
+    cr_assert(report.has_value(), "%s", pace);
+    cr_assert_not(report->pace.has_value(), "%s", pace);
+  }
+  for (const char* text : {"", "3,1", "3,x,16,60", "3,1,,60"}) {
+    cr_assert_not(load(text).has_value(), "%s", text);
+  }
+}
+
+// Guards against duties that run where the settings name none, or without the API's address.
+Test(settings_file, duties_are_enabled_by_the_settings) {
+  const auto duties = [](const std::string& more) {
+    const Parsed<platform::PlatformSettings> parsed =
+        platform::ParsePlatformSettings(kSettings + more, 0);
+    cr_assert(parsed.Ok());
+    return parsed.Value().relay.duties;
+  };
+  cr_assert_not(duties("").IsEnabled());
+  cr_assert_not(duties("cloud.address=10.200.0.70:8181\ncloud.duties=\n").IsEnabled());
+  cr_assert_not(duties("cloud.address=10.200.0.70:8181\ncloud.duties=unknown\n").IsEnabled());
+  cr_assert_not(duties("cloud.duties=usage_report\n").IsEnabled());
+  const DutySettings enabled = duties(
+      "cloud.address=10.200.0.70:8181\ncloud.duties=usage_report,autoscale\n"
+      "cloud.dutyPerS=20.0\nbounds.leaseMs=4000\nbounds.reportWindowS=5\nbounds.usageLateS=9\n");
+  cr_assert(enabled.reports_usage && enabled.orders_engines && enabled.IsEnabled());
+  cr_assert_eq(enabled.calls_per_second, 20.0);
+  cr_assert(enabled.lease_time == std::chrono::seconds(4));
+  cr_assert(enabled.usage_window == std::chrono::seconds(5));
+  cr_assert(enabled.usage_due == std::chrono::seconds(9));
+}
+
+// Guards against calls for a duty that the platform does not understand.
+Test(duty_api_codec, calls_have_the_platforms_form) {
+  const DutyApi api = platform::MakeDutyApi();
+  const DutyCaller caller{"front-a-1", 12};
+  const HttpClientRequest report = api.encode_usage_report(caller, {77, {{"o1", 3}, {"o2", 4}}});
+  cr_assert(report.method == "POST" && report.target == "/usage");
+  cr_assert(FindHeader(report.headers, "Fulmarpoint-Duty-Holder") == "front-a-1");
+  cr_assert(FindHeader(report.headers, "Fulmarpoint-Fence-Token") == "12");
+  cr_assert(report.body == R"({"counts":{"o1":3,"o2":4},"window":77})");
+  const HttpClientRequest order = api.encode_engine_order(caller, {"s", "a", 6});
+  cr_assert(order.target == "/scale");
+  cr_assert(order.body == R"({"desired":6,"service":"s","zone":"a"})");
+  cr_assert(api.decode_result(200) == DutyCallResult::kAccepted);
+  cr_assert(api.decode_result(409) == DutyCallResult::kFenced);
+  cr_assert(api.decode_result(429) == DutyCallResult::kThrottled);
+  cr_assert(api.decode_result(503) == DutyCallResult::kRefused);
+}
