--- /dev/null
+++ b/src/libs/coordination/engine_scaling.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// Decides how many engines of one service each failure domain needs. Follows the demand upwards at
+/// once and downwards slowly, and leaves enough engines for the loss of a failure domain. Not
+/// thread-safe.
+class EngineScaling {
+ public:
+  /// What the operator allows, and what an engine can do.
+  struct Limits {
+    /// In each failure domain.
+    int min_engines = 0;
+    int max_engines = 0;
+    /// Time from an order until new engines serve.
+    Duration boot_time = std::chrono::seconds(8);
+    /// Requests at once, and tokens of KV cache, of one engine.
+    int slots = 1;
+    std::int64_t kv_cache_tokens = 0;
+
+    bool operator==(const Limits&) const = default;
+  };
+  /// Load of the fleet on the service.
+  struct Demand {
+    /// When the oldest of the figures was measured.
+    TimePoint measured_at{};
+    /// Share of the listed daemons whose figures are included.
+    double coverage = 0.0;
+    double requests = 0.0;
+    double kv_cache_tokens = 0.0;
+    double prompt_tokens_per_second = 0.0;
+    /// Time of an engine for one prompt token; zero if unknown.
+    std::chrono::nanoseconds token_time{};
+    double waiting = 0.0;
+    /// Share of the recent first events that were later than the objective.
+    double late_share = 0.0;
+  };
+  /// A number of engines for a failure domain, and why.
+  struct Order {
+    std::string failure_domain;
+    int desired = 0;
+    std::string reason;
+  };
+
+  explicit EngineScaling(Limits limits) : m_limits(limits) {}
+
+  void SetLimits(const Limits& limits) { m_limits = limits; }
+  void Observe(const Demand& demand, TimePoint now);
+  /// Returns the orders that differ from the numbers ordered before. `engines` are the engines that
+  /// the store lists and that are not draining, by failure domain; a failure domain without engines
+  /// must be listed with 0.
+  std::vector<Order> Decide(const std::map<std::string, int>& engines, TimePoint now);
+  /// Forgets what was ordered, because another daemon may have ordered since.
+  void ForgetOrders();
+  /// Returns the number of engines in all failure domains that the demand needs; nothing if it is
+  /// unknown.
+  std::optional<int> NeededEngines(TimePoint now) const;
+
+ private:
+  Limits m_limits;
+};
+
+}  // namespace fulmarpoint
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -12,6 +12,13 @@
 
 namespace fulmarpoint {
 
+/// Highest share of an engine that may be in use once it has been given a request. Leaves room for
+/// more urgent requests.
+struct FillLimit {
+  double slots = 1.0;
+  double kv_cache = 1.0;
+};
+
 /// Requirements and preferences of a request for its endpoint.
 struct PlacementRequest {
   /// Failure domain of this daemon.
@@ -36,6 +43,10 @@
   std::int64_t engine_kv_cache_tokens = 0;
   /// Limit on concurrent requests of an endpoint; 0 if unlimited.
   int max_requests = 0;
+  /// Absent if requests may use an engine regardless of its slots.
+  std::optional<FillLimit> fill;
+  /// Limit for KV cache backups; absent if they may use an engine's whole KV cache.
+  std::optional<FillLimit> backup_fill;
 };
 
 /// Chooses the endpoint for a request to an application engine: the one with the fewest requests
