relay: perform singleton duties: report usage and order engines

One daemon at a time holds a lease in the store (its fencing token has the store's epoch in its high bits), polls all daemons for what began and for their load, stores the counts of each window before it reports them, and orders engines by the demand of the past boot time. The store I/O of leases is shared with rollouts. Runs only where the settings name duties.

Tried and changed: prompt time from the mean of first events let the orders grow with their own effect (37 and more engines for the same load); the fastest measured time counts now.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -268,6 +268,17 @@
   return usable;
 }
 
+std::vector<const DirectoryEndpoint*> EndpointDirectory::Staying(const ServiceName& service,
+                                                                 TimePoint now) const {
+  std::vector<const DirectoryEndpoint*> staying;
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) return staying;
+  for (const auto& [id, endpoint] : found->second) {
+    if (!endpoint->IsDraining() && !endpoint->HasEnded(now)) staying.push_back(endpoint);
+  }
+  return staying;
+}
+
 std::optional<TimePoint> EndpointDirectory::NextCoolDownEnd(const ServiceName& service,
                                                             TimePoint now) const {
   std::optional<TimePoint> next;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -161,6 +161,9 @@
   /// Returns the endpoints of `service` that may receive a request now. The pointers are valid
   /// until the next call of a non-const function.
   std::vector<const DirectoryEndpoint*> Usable(const ServiceName& service, TimePoint now) const;
+  /// Returns the endpoints of `service` that the store lists and that are not leaving, whether or
+  /// not they may receive a request now. The pointers are valid as above.
+  std::vector<const DirectoryEndpoint*> Staying(const ServiceName& service, TimePoint now) const;
   /// Returns whether all endpoints of `service` that stay have stated that they want no request
   /// before `until`; false if there is none.
   bool IsUnwanted(const ServiceName& service, TimePoint until, TimePoint now) const;
--- a/src/libs/coordination/engine_scaling.h
+++ b/src/libs/coordination/engine_scaling.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,12 +60,38 @@
   std::vector<Order> Decide(const std::map<std::string, int>& engines, TimePoint now);
   /// Forgets what was ordered, because another daemon may have ordered since.
   void ForgetOrders();
-  /// Returns the number of engines in all failure domains that the demand needs; nothing if it is
-  /// unknown.
-  std::optional<int> NeededEngines(TimePoint now) const;
+  /// Returns the number of engines that the demand needs in all `failure_domains` together, the
+  /// limits left out; nothing if it is unknown.
+  std::optional<int> NeededEngines(std::size_t failure_domains, TimePoint now) const;
 
  private:
+  struct Sample {
+    TimePoint at{};
+    double busy_engines = 0.0;
+  };
+  struct Ordered {
+    int engines = 0;
+    TimePoint at{};
+  };
+
+  void ObserveTokenTime(double seconds, Duration elapsed);
+  bool IsCurrent(TimePoint now) const;
+  Duration Past() const;
+  double BusyEngines(const Demand& demand) const;
+  std::optional<double> PeakOfPast(TimePoint now) const;
+  bool MayShrink(const std::string& domain, bool may_shrink, TimePoint now) const;
+  bool IsOrderDue(const std::string& domain, int listed, TimePoint now) const;
+
   Limits m_limits;
+  std::optional<Demand> m_latest;
+  /// Demand of the past that counts, oldest first.
+  std::deque<Sample> m_history;
+  TimePoint m_observed_since{};
+  TimePoint m_observed_at{};
+  /// Mean of the prompt tokens per second, and time of an engine for one of them in seconds.
+  double m_token_rate = 0.0;
+  double m_token_seconds = 0.0;
+  std::map<std::string, Ordered> m_ordered;
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/usage_ledger.h
+++ b/src/libs/coordination/usage_ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,10 +49,12 @@
   using Counts = std::map<OrganisationId, std::uint64_t>;
   using Process = std::pair<std::string, std::uint64_t>;
 
+  void RemoveStalestCopy();
+
   InstanceId m_self;
   Duration m_window_length;
   std::map<UsageWindow, Counts> m_own;
-  std::map<UsageWindow, bool> m_changed;
+  std::set<UsageWindow> m_changed;
   std::map<Process, std::map<UsageWindow, Counts>> m_copies;
   std::uint64_t m_dropped = 0;
 };
--- a/src/libs/protocol/relay_datagram.h
+++ b/src/libs/protocol/relay_datagram.h
@@ -9,12 +9,13 @@
 #include "protocol/prompt_location_messages.h"
 #include "protocol/relay_heartbeat.h"
 #include "protocol/rollout_messages.h"
+#include "protocol/usage_messages.h"
 
 namespace fulmarpoint {
 
 /// Messages between daemons over UDP.
 using RelayDatagram =
-    std::variant<RelayHeartbeat, PromptLocationUpdate, CrashMessage, BadVersionNotice>;
+    std::variant<RelayHeartbeat, PromptLocationUpdate, CrashMessage, BadVersionNotice, UsageCopy>;
 
 /// Heartbeats are truncated to the size of a datagram. Thread-safe.
 std::string EncodeDatagram(RelayDatagram datagram);
--- a/src/libs/protocol/relay_peer_request.cpp
+++ b/src/libs/protocol/relay_peer_request.cpp
@@ -16,6 +16,8 @@
 
 std::string Encode(const RolloutDirective& directive) { return internal::EncodeBody(directive); }
 
+std::string Encode(const DutyPollReply& reply) { return internal::EncodeBody(reply); }
+
 std::optional<RelayPeerRequest> DecodeRelayPeerRequest(std::string_view bytes) {
   return internal::TryDecodeBody<RelayPeerRequest>(bytes);
 }
@@ -40,4 +42,8 @@
   return directive;
 }
 
+std::optional<DutyPollReply> DecodeDutyPollReply(std::string_view bytes) {
+  return internal::TryDecodeBody<DutyPollReply>(bytes);
+}
+
 }  // namespace fulmarpoint
--- a/src/libs/protocol/usage_messages.h
+++ b/src/libs/protocol/usage_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,14 @@
   }
 };
 
+/// Returns the key of the store's row for the window's report. Keys are in the order of the
+/// windows. Thread-safe.
+std::string RowKeyOf(UsageWindow window);
+/// Returns the JSON text that is stored. Thread-safe.
+std::string ToJson(const UsageReport& report);
+/// Returns nothing if `text` is not such a JSON text. Thread-safe.
+std::optional<UsageReport> ParseUsageReport(const std::string& text);
+
 /// Sent over UDP to two neighbours, which keep the sender's sums in case it is lost.
 struct UsageCopy {
   std::vector<UsageSum> sums;
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "relay/duty_counters.h"
 #include "relay/poison_request_detector.h"
 #include "relay/slow_reply_watch.h"
 #include "utils/logging.h"
@@ -91,6 +92,7 @@
  private:
   Task<TryResult> TryEndpoint();
   Task<bool> Connect();
+  void CountBegun();
   void EndWatch();
   Duration ConnectTimeout() const;
   Task<TryResult> Exchange();
@@ -137,6 +139,8 @@
   bool m_use_idle = true;
   bool m_may_have_run = false;
   bool m_stale = false;
+  /// The request was counted as begun.
+  bool m_is_counted = false;
 };
 
 Task<void> CallSession::Run() {
@@ -158,6 +162,7 @@
     const TryResult end = co_await TryEndpoint();
     m_context.endpoints.RemoveUse(use);
     m_connection.reset();
+    if (end == TryResult::kAnswered || end == TryResult::kMayHaveRun) CountBegun();
     if (end == TryResult::kCallerGone) break;
     if (end == TryResult::kAnswered) co_return;
     if (m_stale) break;
@@ -179,6 +184,14 @@
   co_await RespondWithFailure();
 }
 
+/// Counts the request once, when its first attempt that may have run was sent.
+void CallSession::CountBegun() {
+  const bool is_counted = m_context.duty_counters != nullptr && m_attempts > 0 && !m_is_counted;
+  if (!is_counted) return;
+  m_is_counted = true;
+  m_context.duty_counters->OnBegun(m_request.organisation, SteadyNow() - m_attempt_started);
+}
+
 /// Returns an endpoint that may receive the request; null if there is none.
 const DirectoryEndpoint* CallSession::Place(std::set<EndpointId> excluded) const {
   const std::vector<const DirectoryEndpoint*> usable =
--- a/src/libs/relay/duty_api.h
+++ b/src/libs/relay/duty_api.h
@@ -17,12 +17,14 @@
   /// The API's rate limit was exceeded; nothing was done.
   kThrottled,
   kRefused,
+  /// The call was not made: there was no connection, or the lease had ended.
+  kNotSent,
   /// No reply: the call may have been executed, or may still be.
   kUnknown,
 };
 
 /// Who makes a call.
-struct DutyCaller {
+struct DutyIdentity {
   std::string name;
   std::uint64_t fencing_token = 0;
 };
@@ -30,8 +32,8 @@
 /// Encodes and decodes calls to the platform's API. An adapter provides the functions; they have no
 /// side effects and do not throw. The address of a request is left empty.
 struct DutyApi {
-  std::function<HttpClientRequest(const DutyCaller&, const UsageReport&)> encode_usage_report;
-  std::function<HttpClientRequest(const DutyCaller&, const EngineOrder&)> encode_engine_order;
+  std::function<HttpClientRequest(const DutyIdentity&, const UsageReport&)> encode_usage_report;
+  std::function<HttpClientRequest(const DutyIdentity&, const EngineOrder&)> encode_engine_order;
   std::function<DutyCallResult(int status)> decode_result;
 };
 
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -10,6 +10,7 @@
 #include "protocol/relay_datagram.h"
 #include "relay/poison_request_detector.h"
 #include "relay/relay_rollouts.h"
+#include "relay/singleton_duties.h"
 #include "transport/notification.h"
 #include "transport/udp_socket.h"
 #include "utils/logging.h"
@@ -132,6 +133,10 @@
     context.rollouts->OnBadVersion(*notice);
     return;
   }
+  if (const UsageCopy* copy = std::get_if<UsageCopy>(&*received)) {
+    context.duties->OnCopy(*copy);
+    return;
+  }
   OnHeartbeat(std::get<RelayHeartbeat>(*received), now);
 }
 
--- a/src/libs/relay/peer_server.cpp
+++ b/src/libs/relay/peer_server.cpp
@@ -24,6 +24,9 @@
   if (const RolloutReport* report = std::get_if<RolloutReport>(&*request)) {
     co_return Encode(m_handlers.rollout(*report));
   }
+  if (const DutyPoll* poll = std::get_if<DutyPoll>(&*request)) {
+    co_return Encode(m_handlers.duties(*poll));
+  }
   co_return Encode(m_handlers.retry_quota(std::get<RetryQuotaRequest>(*request)));
 }
 
--- a/src/libs/relay/peer_server.h
+++ b/src/libs/relay/peer_server.h
@@ -18,6 +18,7 @@
     std::function<RetryQuotaReply(const RetryQuotaRequest& request)> retry_quota;
     std::function<PromptLocationReply(const PromptLocationQuery& query)> prompt;
     std::function<RolloutDirective(const RolloutReport& report)> rollout;
+    std::function<DutyPollReply(const DutyPoll& poll)> duties;
   };
 
   PeerServer(const Executor& executor, Handlers handlers);
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -24,8 +24,10 @@
 
 namespace fulmarpoint {
 
+class DutyCounters;
 class PoisonRequestDetector;
 class RelayRollouts;
+class SingletonDuties;
 
 /// State shared by the components of one relay daemon. All of them run on the daemon's only thread,
 /// so it needs no locks.
@@ -74,6 +76,9 @@
   /// Set by the daemon once these exist.
   PoisonRequestDetector* poison_requests = nullptr;
   RelayRollouts* rollouts = nullptr;
+  SingletonDuties* duties = nullptr;
+  /// Null if the settings name no duties.
+  DutyCounters* duty_counters = nullptr;
   /// The process is about to stop, so callers are directed to other daemons.
   bool leaving = false;
   /// Set in the last phase of a planned stop, to the time at which requests in progress are cut:
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -5,7 +5,9 @@
 #include <vector>
 
 #include "coordination/drain.h"
+#include "http_api/url.h"
 #include "relay/caller_request_handler.h"
+#include "relay/duty_counters.h"
 #include "relay/endpoint_connection_pool.h"
 #include "relay/peer_connections.h"
 #include "relay/peer_exchange.h"
@@ -17,6 +19,7 @@
 #include "relay/relay_rollouts.h"
 #include "relay/relay_tables.h"
 #include "relay/retry_quota_borrower.h"
+#include "relay/singleton_duties.h"
 #include "transport/http_server.h"
 #include "utils/logging.h"
 #include "utils/overloaded.h"
@@ -39,6 +42,8 @@
 // Interval of the checks whether callers have received their last replies before the daemon stops.
 constexpr Duration kConnectionCheckInterval = std::chrono::milliseconds(5);
 constexpr std::size_t kMaxLookupAddresses = 64;
+// On the metrics address.
+constexpr std::string_view kDutiesPath = "/duties";
 
 HttpServerLimits LimitsOf(const RelaySettings& settings, const CallerLimits& callers) {
   HttpServerLimits limits;
@@ -108,6 +113,8 @@
   PromptFinder prompts;
   PoisonRequestDetector poison_requests;
   RelayRollouts rollouts;
+  DutyCounters duty_counters;
+  SingletonDuties duties;
   RelayTables tables;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<PeerRegistration> registration;
@@ -133,9 +140,14 @@
       poison_requests(context, peer_exchange),
       rollouts(context, peer_exchange, peer_connections, own_sources.encode_rollout_status,
                own_seed),
+      duty_counters(InstanceId{context.settings.name, context.incarnation},
+                    context.settings.duties),
+      duties(context, peer_exchange, peer_connections, context.wire.duties, own_seed),
       tables(context, peer_connections, std::move(own_sources), TableHandlers(), own_seed) {
   context.poison_requests = &poison_requests;
   context.rollouts = &rollouts;
+  context.duties = &duties;
+  if (context.settings.duties.IsEnabled()) context.duty_counters = &duty_counters;
   context.on_heartbeat_payload_changed = [this]() { peer_exchange.SendHeartbeatSoon(); };
   context.borrow_retry_quota = [this](ServiceName service) {
     return retry_quotas.Borrow(std::move(service));
@@ -200,6 +212,7 @@
   };
   handlers.prompt = [this](const PromptLocationQuery& query) { return prompts.Answer(query); };
   handlers.rollout = [this](const RolloutReport& report) { return rollouts.Answer(report); };
+  handlers.duties = [this](const DutyPoll& poll) { return duties.Answer(poll); };
   handlers.retry_quota = [this](const RetryQuotaRequest& request) {
     return retry_quotas.Lend(request);
   };
@@ -279,8 +292,13 @@
 Task<void> RelayDaemon::State::AnswerMetrics(HttpExchange& exchange) {
   context.metrics.SetGauge("relay_requests_in_progress", {}, static_cast<double>(context.requests));
   HttpReply reply;
-  reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-  reply.body = context.metrics.Text();
+  if (PathOf(exchange.Request().target) == kDutiesPath) {
+    reply.headers.push_back({"Content-Type", "application/json"});
+    reply.body = duties.StatusJson();
+  } else {
+    reply.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    reply.body = context.metrics.Text();
+  }
   co_await exchange.Respond(std::move(reply));
 }
 
@@ -296,6 +314,7 @@
                    context.leaving = true;
                    caller_server->CloseConnectionsAfterReply();
                    registration->Deregister();
+                   duties.Release();
                    peer_exchange.SendHeartbeatSoon();
                  },
                  [this](const Drain::RejectNewWork&) {
@@ -353,6 +372,7 @@
   state.registration = std::make_unique<PeerRegistration>(state.context, own_record);
   state.registration->Start();
   state.tables.Start(std::move(own_record));
+  state.duties.Start();
   Spawn(state.context.executor, [shared = m_state]() { return shared->Housekeeping(); });
   Log(LogLevel::kInfo, "started",
       {{"name", state.context.settings.name},
@@ -381,6 +401,7 @@
   applied.ready_address = current.ready_address;
   applied.peer_address = current.peer_address;
   applied.metrics_address = current.metrics_address;
+  applied.duties = current.duties;
   if (applied == current) return;
   current = applied;
   const std::shared_ptr<const RelayTable>& table = m_state->context.table;
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -6,6 +6,7 @@
 #include "coordination/table_replication_options.h"
 #include "relay/peer_registration.h"
 #include "relay/relay_rollouts.h"
+#include "relay/singleton_duties.h"
 #include "utils/logging.h"
 
 namespace fulmarpoint {
@@ -71,6 +72,7 @@
 
 void RelayTables::OnConfirmed(const std::string& table, StorePosition position, TimePoint at) {
   m_context.rollouts->OnStoreEpoch(position.epoch);
+  m_context.duties->OnStoreEpoch(position.epoch);
   const bool is_configuration = table == m_sources.configuration_table;
   if (is_configuration) OnConfigurationConfirmed(position, at);
   // A replica whose configuration is not confirmed must not confirm that of a peer.
--- a/src/libs/relay/relay_wire.h
+++ b/src/libs/relay/relay_wire.h
@@ -8,6 +8,7 @@
 
 #include "protocol/relay_messages.h"
 #include "protocol/store_messages.h"
+#include "relay/duty_api.h"
 #include "transport/http_message.h"
 #include "transport/task.h"
 
@@ -47,6 +48,7 @@
   std::function<bool(const HttpRequest&)> is_lookup;
   std::function<bool(const HttpRequest&)> is_readiness_check;
   std::function<HttpReply(const LookupAnswer&)> encode_lookup;
+  DutyApi duties;
 };
 
 /// Client of the platform's store. A call completes in bounded time and does not throw.
--- a/src/libs/relay/rollout_control.cpp
+++ b/src/libs/relay/rollout_control.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coordination/rendezvous_owner.h"
+#include "relay/lease_rows.h"
 #include "utils/logging.h"
 #include "utils/overloaded.h"
 
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr char kRelayLeaseTable[] = "fulmarpoint-leases";
 constexpr char kRelayRolloutTable[] = "fulmarpoint-rollouts";
 constexpr Duration kMinStep = std::chrono::seconds(2);
 // Fractions of the allowed exposure that are planned for the rollout, and for the canary alone. The
@@ -51,19 +51,6 @@
   return RolloutState::kRunning;
 }
 
-TableOutcome OutcomeOf(StoreStatus status) {
-  if (status == StoreStatus::kOk) return TableOutcome::kDone;
-  if (status == StoreStatus::kConflict) return TableOutcome::kConflict;
-  return TableOutcome::kUnknown;
-}
-
-const StoreRow* FindRow(const StoreReply& reply, const std::string& table, const std::string& key) {
-  for (const StoreRow& row : reply.rows) {
-    if (row.table == table && row.key == key && !row.removed) return &row;
-  }
-  return nullptr;
-}
-
 RolloutController::RowRead RowReadOf(const StoreReply& reply, const std::string& rollout) {
   const StoreRow* row = FindRow(reply, kRelayRolloutTable, rollout);
   if (row == nullptr) return {};
@@ -102,7 +89,6 @@
   void Perform(const Host& host, const Lease::Action& action);
   void Perform(const Host& host, const RolloutController::Action& action);
   bool IsAnswerToController(const Host& host, std::uint64_t call_epoch, const StoreReply& reply);
-  Task<StoreReply> ReadStoreRow(std::string table, std::string key);
   Task<void> ReadLease(Host host, Lease::ReadRow read);
   Task<void> WriteLease(Host host, Lease::WriteRow write);
   Task<void> ReadRow(Host host);
@@ -258,45 +244,23 @@
   return host->Epoch() == call_epoch && (!has_epoch || reply.position.epoch == call_epoch);
 }
 
-Task<StoreReply> RolloutControl::State::ReadStoreRow(std::string table, std::string key) {
-  StoreRead read;
-  read.table = std::move(table);
-  read.from = std::move(key);
-  co_return co_await context.store.read(std::move(read));
-}
-
 Task<void> RolloutControl::State::ReadLease(Host host, Lease::ReadRow read) {
   const std::shared_ptr<State> self = shared_from_this();
-  const StoreReply reply = co_await ReadStoreRow(kRelayLeaseTable, read.key);
-  if (stopped) co_return;
-  Lease::RowRead event{read.token, reply.status == StoreStatus::kOk, std::nullopt,
-                       reply.position.epoch};
-  if (const StoreRow* row = FindRow(reply, kRelayLeaseTable, read.key)) {
-    event.row = TableRow{row->key, row->version, row->value};
-  }
-  DriveLease(host, event);
+  const Lease::RowRead event = co_await ReadLeaseRow(context.store, std::move(read));
+  if (!stopped) DriveLease(host, event);
 }
 
 Task<void> RolloutControl::State::WriteLease(Host host, Lease::WriteRow write) {
   const std::shared_ptr<State> self = shared_from_this();
-  const TableOperation& operation = write.operation;
-  StoreTransaction transaction;
-  transaction.conditions.push_back({kRelayLeaseTable, "", operation.key, operation.expect});
-  StoreRow row;
-  row.table = kRelayLeaseTable;
-  row.key = operation.key;
-  row.value = operation.value.value_or("");
-  transaction.puts.push_back(std::move(row));
-  const StoreReply reply = co_await context.store.commit(std::move(transaction));
-  if (stopped) co_return;
-  DriveLease(host, Lease::WriteDone{write.token, OutcomeOf(reply.status), reply.position.version,
-                                    reply.position.epoch});
+  const Lease::WriteDone event = co_await WriteLeaseRow(context.store, std::move(write));
+  if (!stopped) DriveLease(host, event);
 }
 
 Task<void> RolloutControl::State::ReadRow(Host host) {
   const std::shared_ptr<State> self = shared_from_this();
   const std::uint64_t call_epoch = host->Epoch();
-  const StoreReply reply = co_await ReadStoreRow(kRelayRolloutTable, host->Rollout().id);
+  const StoreReply reply =
+      co_await ReadRowsFrom(context.store, kRelayRolloutTable, host->Rollout().id);
   if (stopped || !IsAnswerToController(host, call_epoch, reply)) co_return;
   if (reply.status == StoreStatus::kOk) {
     DriveController(host, RowReadOf(reply, host->Rollout().id));
@@ -332,7 +296,7 @@
 /// Writes the rows of `end` unless the store has an end. Returns the epoch of the store that has
 /// one; nothing if that is unknown.
 Task<std::optional<std::uint64_t>> RolloutControl::State::WriteEndAgain(RolloutRow end) {
-  const StoreReply read = co_await ReadStoreRow(kRelayRolloutTable, end.rollout);
+  const StoreReply read = co_await ReadRowsFrom(context.store, kRelayRolloutTable, end.rollout);
   if (stopped || read.status != StoreStatus::kOk) co_return std::nullopt;
   const RolloutController::RowRead stored = RowReadOf(read, end.rollout);
   if (stored.row && IsEnd(stored.row->phase)) co_return read.position.epoch;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -10,6 +10,7 @@
 #include "coordination/kv_cache_backup.h"
 #include "coordination/lost_attempts.h"
 #include "coordination/stream_continuation.h"
+#include "relay/duty_counters.h"
 #include "relay/kv_cache_backups.h"
 #include "relay/poison_request_detector.h"
 #include "relay/stream_attempt.h"
@@ -79,6 +80,7 @@
   void ReleaseBackup();
   void OnPromptRead();
   void OnRunning();
+  void CountFirstEvent();
   void ObservePace();
   Task<void> Answer(HttpReply reply, RequestOutcome outcome);
   Task<void> AnswerFailure();
@@ -258,6 +260,10 @@
   ++m_sends;
   m_has_retry = false;
   m_attempt_started = SteadyNow();
+  const bool is_counted = m_context.duty_counters != nullptr && !m_from_backup;
+  if (is_counted) {
+    m_context.duty_counters->OnPromptSent(m_request.service, m_request.fields.prompt_tokens);
+  }
   const PrefillRateEstimator& pace = m_context.PrefillRate(m_request.service);
   m_continuation.OnAttemptStarted({m_from_backup, pace.EstimateTimeToFirstEvent(m_backlog_tokens),
                                    pace.EstimateTimeToFirstEvent(m_request.fields.prompt_tokens)},
@@ -395,6 +401,7 @@
       m_head_sent = true;
       m_first_event = SteadyNow() - m_request.arrived;
       m_context.metrics.Observe("relay_first_event", {}, m_first_event);
+      CountFirstEvent();
       co_await m_exchange.StartStream(m_attempt->Reply().status,
                                       EndToEndHeaders(m_attempt->Reply().headers));
     }
@@ -555,6 +562,13 @@
   m_context.poison_requests->OnSurvived(m_request, true);
 }
 
+void StreamSession::CountFirstEvent() {
+  if (m_context.duty_counters == nullptr) return;
+  m_context.duty_counters->OnBegun(m_request.organisation, Duration::zero());
+  m_context.duty_counters->OnFirstEvent(m_request.service,
+                                        m_first_event > m_request.route->latency_objective);
+}
+
 /// The first event of an attempt shows that its engine has read the prompt.
 void StreamSession::OnPromptRead() {
   if (m_usage.OnPromptRead()) ObservePace();
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -214,7 +214,7 @@
 // Guards against calls for a duty that the platform does not understand.
 Test(duty_api_codec, calls_have_the_platforms_form) {
   const DutyApi api = platform::MakeDutyApi();
-  const DutyCaller caller{"front-a-1", 12};
+  const DutyIdentity caller{"front-a-1", 12};
   const HttpClientRequest report = api.encode_usage_report(caller, {77, {{"o1", 3}, {"o2", 4}}});
   cr_assert(report.method == "POST" && report.target == "/usage");
   cr_assert(FindHeader(report.headers, "Fulmarpoint-Duty-Holder") == "front-a-1");
