--- a/src/libs/coordination/engine_scaling.cpp
+++ b/src/libs/coordination/engine_scaling.cpp
@@ -12,12 +12,12 @@
 constexpr double kMinCoverage = 0.9;
 // Engines are busy for this share of the time at the highest demand, so that a burst of two thirds
 // more still fits.
-constexpr double kTargetUtilization = 0.6;
+constexpr double kTargetUtilization = 0.45;
 // KV cache may be used up to a higher share than processing time, because backups of streams that
 // are needed less give way.
 constexpr double kMemoryWeight = 0.7;
 // The engines left after the loss of a failure domain are busy for at most this share.
-constexpr double kUtilizationAfterLoss = 0.85;
+constexpr double kUtilizationAfterLoss = 0.65;
 // With more late first events than this, engines are missing whatever the other figures say.
 constexpr double kMaxLateShare = 0.1;
 constexpr double kGrowthWhenLate = 1.25;
