--- a/src/libs/relay/duty_caller.cpp
+++ b/src/libs/relay/duty_caller.cpp
@@ -44,13 +44,14 @@
 Task<DutyCallResult> DutyCaller::SendUsageReport(std::uint64_t fencing_token, UsageReport report) {
   HttpClientRequest request =
       m_api.encode_usage_report(IdentityOf(m_context, fencing_token), report);
-  co_return co_await Send(std::move(request), "usage/" + std::to_string(report.window));
+  co_return co_await Send(fencing_token, std::move(request),
+                          "usage/" + std::to_string(report.window));
 }
 
 Task<DutyCallResult> DutyCaller::SendEngineOrder(std::uint64_t fencing_token, EngineOrder order) {
   HttpClientRequest request =
       m_api.encode_engine_order(IdentityOf(m_context, fencing_token), order);
-  co_return co_await Send(std::move(request),
+  co_return co_await Send(fencing_token, std::move(request),
                           "engines/" + order.service + "/" + order.failure_domain);
 }
 
@@ -63,25 +64,29 @@
   if (turn > now) co_await Sleep(turn - now);
 }
 
-Task<DutyCallResult> DutyCaller::Send(HttpClientRequest request, std::string subject) {
+Task<DutyCallResult> DutyCaller::Send(std::uint64_t fencing_token, HttpClientRequest request,
+                                      std::string subject) {
   co_await WaitForTurn();
+  if (m_stopped) co_return DutyCallResult::kNotSent;
   HttpClientExchange connection(m_context.executor, HttpClientExchange::Options());
   const std::string address = m_context.settings.duties.api_address;
   std::error_code error = co_await connection.Connect(address, kConnectTimeout);
+  if (m_stopped) co_return DutyCallResult::kNotSent;
   DutyCallResult result = DutyCallResult::kNotSent;
-  if (!error && m_may_send()) {
+  std::string reason = error ? error.message() : "the lease has ended";
+  if (!error && m_may_send(fencing_token)) {
     request.address = address;
     connection.Start(std::move(request));
     HttpReply reply;
     error = co_await connection.ReadHead(reply, kReplyTimeout);
+    if (m_stopped) co_return DutyCallResult::kUnknown;
     result = error ? DutyCallResult::kUnknown : m_api.decode_result(reply.status);
+    reason = error ? error.message() : "status " + std::to_string(reply.status);
   }
   m_context.metrics.Count("duty_calls", NameOfResult(result));
   if (result != DutyCallResult::kAccepted) {
     Log(LogLevel::kWarning, "duty_call_failed",
-        {{"subject", subject},
-         {"result", NameOfResult(result)},
-         {"reason", error ? error.message() : "status of the reply, or the lease has ended"}});
+        {{"subject", subject}, {"result", NameOfResult(result)}, {"reason", reason}});
   }
   co_return result;
 }
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -413,6 +413,8 @@
 
 std::string RelayDaemon::LookupAddress() const { return m_state->lookup_server->Address(); }
 
+std::string RelayDaemon::MetricsAddress() const { return m_state->metrics_server->Address(); }
+
 bool RelayDaemon::ReplicatesFromPeer() const { return m_state->tables.ReplicatesFromPeer(); }
 
 bool RelayDaemon::IsServing() const { return m_state->context.IsServing(); }
--- a/src/libs/relay/relay_daemon.h
+++ b/src/libs/relay/relay_daemon.h
@@ -30,9 +30,11 @@
   /// Applies changed limits. The name and the addresses cannot change while the process runs.
   void ApplySettings(const RelaySettings& settings);
 
-  /// Return "ip:port" of the service for callers and of the lookup.
+  /// Return "ip:port" of the service for callers, of the lookup and of the metrics. Precondition:
+  /// its server was started.
   std::string CallerAddress() const;
   std::string LookupAddress() const;
+  std::string MetricsAddress() const;
   /// Returns whether any table is replicated from a peer instead of the store.
   bool ReplicatesFromPeer() const;
   /// Returns whether the daemon has a usable configuration and an endpoint. A daemon that is
--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -98,11 +99,13 @@
   void Perform(const UsageReporter::Action& action);
   Task<void> ReadStoredReports();
   Task<void> StoreReport(UsageReporter::StoreReport store);
-  Task<void> SendReport(UsageReport report);
+  void EnqueueReport(UsageReport report);
+  Task<void> SendReports();
+  void OnReportSent(UsageWindow window, DutyCallResult result);
 
   void DecideOrders();
   void SendDueOrders();
-  Task<void> SendOrder(std::pair<ServiceName, std::string> key);
+  Task<void> SendOrder(EngineOrder order);
   std::map<std::string, int> EnginesOf(const ServiceName& service);
   void OnFenced();
 
@@ -117,6 +120,9 @@
   std::map<ServiceName, EngineScaling> scalings;
   std::map<std::pair<ServiceName, std::string>, OrderSubject> orders;
   bool has_read_reports = false;
+  /// Reports to send, one after the other: all windows are one subject of the API.
+  std::deque<UsageReport> reports;
+  bool is_reporting = false;
   /// The holder as last stated in a poll, and when that began.
   std::string holder;
   std::uint64_t holder_token = 0;
@@ -144,7 +150,8 @@
       lease(kLeaseKey, InstanceId{shared.settings.name, shared.incarnation},
             LeaseOptionsOf(settings), seed),
       reporter(ReporterOptionsOf(settings)),
-      caller(shared, std::move(api), [this]() { return MaySend(); }),
+      caller(shared, std::move(api),
+             [this](std::uint64_t token) { return MaySend() && lease.FencingToken() == token; }),
       undecided_from(WallNow()) {}
 
 Task<void> SingletonDuties::State::Run() {
@@ -225,6 +232,8 @@
 }
 
 void SingletonDuties::State::OnAcquired() {
+  // A renewal that was in progress when the lease was released acquires it again.
+  if (is_releasing || SteadyNow() < compete_from) return DriveLease(Lease::Release{});
   holder = context.settings.name;
   holder_token = lease.FencingToken();
   holder_since = WallNow();
@@ -243,6 +252,7 @@
   context.metrics.SetGauge("duty_holder", {}, 0.0);
   Log(LogLevel::kInfo, "duty_lease_lost", {{"token", holder_token}});
   DriveReporter(UsageReporter::Lost{});
+  reports.clear();
   orders.clear();
 }
 
@@ -336,11 +346,7 @@
                    Spawn(context.executor,
                          [self = shared_from_this(), store]() { return self->StoreReport(store); });
                  },
-                 [this](const UsageReporter::SendReport& send) {
-                   Spawn(context.executor, [self = shared_from_this(), report = send.report]() {
-                     return self->SendReport(report);
-                   });
-                 },
+                 [this](const UsageReporter::SendReport& send) { EnqueueReport(send.report); },
                  [this](const UsageReporter::LateCounts& late) {
                    context.metrics.Count("usage_late_counts", "requests");
                    Log(LogLevel::kWarning, "usage_late_counts",
@@ -411,12 +417,25 @@
   }
 }
 
-Task<void> SingletonDuties::State::SendReport(UsageReport report) {
+void SingletonDuties::State::EnqueueReport(UsageReport report) {
+  reports.push_back(std::move(report));
+  if (std::exchange(is_reporting, true)) return;
+  Spawn(context.executor, [self = shared_from_this()]() { return self->SendReports(); });
+}
+
+Task<void> SingletonDuties::State::SendReports() {
   const std::shared_ptr<State> self = shared_from_this();
-  const UsageWindow window = report.window;
-  const DutyCallResult result =
-      co_await caller.SendUsageReport(lease.FencingToken(), std::move(report));
-  if (stopped) co_return;
+  while (!stopped && !reports.empty()) {
+    const UsageReport report = std::move(reports.front());
+    reports.pop_front();
+    const DutyCallResult result = co_await caller.SendUsageReport(lease.FencingToken(), report);
+    if (stopped) co_return;
+    OnReportSent(report.window, result);
+  }
+  is_reporting = false;
+}
+
+void SingletonDuties::State::OnReportSent(UsageWindow window, DutyCallResult result) {
   const bool is_accepted = result == DutyCallResult::kAccepted;
   DriveReporter(UsageReporter::Sent{window, is_accepted});
   if (is_accepted) last_reported = std::max(last_reported, window);
@@ -474,16 +493,15 @@
     subject.due.reset();
     subject.is_in_flight = true;
     Spawn(context.executor,
-          [self = shared_from_this(), key = key]() { return self->SendOrder(key); });
+          [self = shared_from_this(), order = subject.order]() { return self->SendOrder(order); });
   }
 }
 
-Task<void> SingletonDuties::State::SendOrder(std::pair<ServiceName, std::string> key) {
+Task<void> SingletonDuties::State::SendOrder(EngineOrder order) {
   const std::shared_ptr<State> self = shared_from_this();
   const std::uint64_t token = lease.FencingToken();
-  const EngineOrder order = orders.at(key).order;
   const DutyCallResult result = co_await caller.SendEngineOrder(token, order);
-  const auto found = orders.find(key);
+  const auto found = orders.find({order.service, order.failure_domain});
   const bool is_current = lease.IsHeld() && lease.FencingToken() == token;
   if (stopped || !is_current || found == orders.end()) co_return;
   OrderSubject& subject = found->second;
@@ -515,7 +533,10 @@
                                  PeerConnections& connections, DutyApi api, std::uint64_t seed)
     : m_state(std::make_shared<State>(context, exchange, connections, std::move(api), seed)) {}
 
-SingletonDuties::~SingletonDuties() { m_state->stopped = true; }
+SingletonDuties::~SingletonDuties() {
+  m_state->stopped = true;
+  m_state->caller.Stop();
+}
 
 void SingletonDuties::Start() {
   if (!m_state->settings.IsEnabled()) return;
