coordination: let a new holder ask before it decides a usage report

A successor decided the windows left by its predecessor at its first tick, because they were overdue, before any daemon had replied, and so stored and sent reports without counts. It also took replies to polls that did not ask for these windows as complete, dropped a decision stated by a former holder after a restore of the store for the same reason, sent a decision that it only had in memory without a row, and inherited three windows, although reports are due for 60 s after a failure of the store.

A new holder now waits up to 2.5 s for replies (half of decide_after), polls all windows that may still be reported, counts only polls of its own tenure as complete, and stores its own decisions again unless the row was read.

--- a/src/libs/coordination/usage_reporter.cpp
+++ b/src/libs/coordination/usage_reporter.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A new holder also looks after the windows that its predecessor may have left unfinished.
-constexpr UsageWindow kInheritedWindows = 3;
-
 UnixMillis Millis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -27,15 +24,23 @@
   return Millis(m_options.window_length * (window + 1));
 }
 
+/// Returns the first window that a holder may still have to report if it acquires the lease `now`.
+/// The predecessor may have left any that is not too old.
+UsageWindow UsageReporter::FirstInherited(UnixMillis now) const {
+  const UsageWindow reportable = m_options.give_up_after / m_options.window_length;
+  return WindowAt(now) - std::clamp<UsageWindow>(reportable - 1, 1, kKeptWindows - 1);
+}
+
 void UsageReporter::On(const Acquired& event, UnixMillis now, Actions&) {
   m_held = true;
+  m_acquired_at = now;
   m_undecided_from = event.undecided_from;
-  m_first = WindowAt(now) - kInheritedWindows;
+  m_first = FirstInherited(now);
   m_windows.clear();
-  for (const UsageReport& report : event.stored) m_decided[report.window] = report;
-  for (const auto& [number, report] : m_decided) {
+  for (const UsageReport& report : event.stored) {
+    m_decided[report.window] = report;
     // The predecessor may not have sent it, or not have had a reply.
-    if (number >= m_first) m_windows[number].state = State::kDecided;
+    if (report.window >= m_first) m_windows[report.window].state = State::kDecided;
   }
 }
 
@@ -58,6 +63,8 @@
     // Its row may be missing, so it is stored again before it is sent.
     if (window.state == State::kDecided) window.state = State::kCollecting;
   }
+  // Polls of an earlier tenure did not ask for all windows.
+  if (event.asked < m_acquired_at) return;
   const UnixMillis settled = event.asked - Millis(m_options.collect_after);
   for (UsageWindow number = m_first; EndOf(number) <= settled; ++number) {
     m_windows[number].replied.insert(event.reply.daemon);
@@ -92,7 +99,7 @@
   // A former holder may have reported it, and nobody knows what.
   const bool is_unknown = EndOf(number) < m_undecided_from && !m_decided.contains(number);
   if (is_unknown || now - EndOf(number) > Millis(m_options.give_up_after)) {
-    if (is_unknown && now - EndOf(number) < Millis(m_options.decide_after)) return;
+    if (is_unknown && now < DecideBy(number)) return;
     window.state = State::kFinished;
     if (!is_unknown || !window.sums.empty()) actions.emplace_back(GaveUp{number});
     return;
@@ -110,12 +117,18 @@
   actions.emplace_back(SendReport{m_decided.at(number)});
 }
 
+/// Returns when the window is decided at the latest. The windows that a new holder inherits may be
+/// overdue before it has asked anybody.
+UnixMillis UsageReporter::DecideBy(UsageWindow number) const {
+  return std::max(EndOf(number) + Millis(m_options.decide_after),
+                  m_acquired_at + Millis(m_options.collect_for));
+}
+
 bool UsageReporter::MayDecide(UsageWindow number, const Window& window, const Tick& tick,
                               UnixMillis now) const {
   if (m_decided.contains(number)) return true;
-  const UnixMillis age = now - EndOf(number);
-  if (age >= Millis(m_options.decide_after)) return true;
-  return age >= Millis(m_options.collect_after) &&
+  if (now >= DecideBy(number)) return true;
+  return now - EndOf(number) >= Millis(m_options.collect_after) &&
          std::includes(window.replied.begin(), window.replied.end(), tick.daemons.begin(),
                        tick.daemons.end());
 }
@@ -169,10 +182,13 @@
 }
 
 UsageWindow UsageReporter::FirstOpenWindow(UnixMillis now) const {
-  for (const auto& [number, window] : m_windows) {
-    if (window.state != State::kFinished) return number;
+  if (!m_held) return FirstInherited(now);
+  UsageWindow number = m_first;
+  for (; number < WindowAt(now); ++number) {
+    const auto found = m_windows.find(number);
+    if (found == m_windows.end() || found->second.state != State::kFinished) break;
   }
-  return WindowAt(now);
+  return number;
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/usage_reporter.h
+++ b/src/libs/coordination/usage_reporter.h
@@ -27,6 +27,8 @@
     Duration collect_after = std::chrono::seconds(1);
     /// The report is decided by then, whichever daemons have replied.
     Duration decide_after = std::chrono::seconds(5);
+    /// A new holder gives the daemons this long to reply, also for windows that are overdue.
+    Duration collect_for = std::chrono::milliseconds(2500);
     /// A report that was not accepted is repeated at this interval until it is too old.
     Duration repeat_interval = std::chrono::seconds(2);
     Duration give_up_after = std::chrono::seconds(60);
@@ -90,7 +92,8 @@
 
   /// Returns the decided reports of `first` and later windows that are known, for replies to polls.
   std::vector<UsageReport> Decided(UsageWindow first) const;
-  /// Returns the first window whose report is not finished.
+  /// Returns the first window whose report is not finished; before the lease is acquired, the first
+  /// one that would be of interest then.
   UsageWindow FirstOpenWindow(UnixMillis now) const;
 
  private:
@@ -117,6 +120,8 @@
 
   UsageWindow WindowAt(UnixMillis time) const;
   UnixMillis EndOf(UsageWindow window) const;
+  UsageWindow FirstInherited(UnixMillis now) const;
+  UnixMillis DecideBy(UsageWindow number) const;
   void AddSum(const UsageSum& sum, Actions& actions);
   void Advance(UsageWindow number, Window& window, const Tick& tick, UnixMillis now,
                Actions& actions);
@@ -126,6 +131,7 @@
 
   Options m_options;
   bool m_held = false;
+  UnixMillis m_acquired_at = 0;
   UnixMillis m_undecided_from = 0;
   /// First window that this holder reports.
   UsageWindow m_first = 0;
--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -56,6 +56,7 @@
   UsageReporter::Options options;
   options.window_length = settings.usage_window;
   options.decide_after = settings.usage_due / 2;
+  options.collect_for = options.decide_after / 2;
   options.collect_after = std::min(options.collect_after, settings.usage_due / 10);
   return options;
 }
