coordination: place requests by the pace that endpoints report

Engines state in their replies how long work takes at the moment, but placement knew only a factor of at least 1, measured from this daemon's own first events. Fast engines were therefore used like usual ones.

Adds `EnginePace` (median base, current factor that decays to it), kept by the endpoint directory for each process, and the datagram `PaceReport`, by which neighbours share newly learned paces at most twice a second. Where a pace is reported, backlogs and calls are scored by expected time, requests that only the engine knows count, and ties are broken at random. `PlacementRequest::fill` and `backup_fill` limit the slots and the KV cache in use. Replies of streams now report their load too. Without a pace and without fill limits nothing changes.

A fast engine outside the daemon's view on the ring counts as usual.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -1,9 +1,12 @@
 #include "coordination/endpoint_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
+#include "protocol/identifiers.h"
+
 namespace fulmarpoint {
 
 namespace {
@@ -19,6 +22,33 @@
 constexpr double kMaxSlowness = 8.0;
 constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
 
+constexpr Duration kReportedLoadDecay = std::chrono::seconds(2);
+
+constexpr double kPercent = 100.0;
+// Neighbours are told of a pace that differs from the last one by this fraction, and of any other
+// after some time, so that they do not consider it outdated.
+constexpr double kPaceDifference = 0.1;
+constexpr Duration kPaceRepetition = std::chrono::seconds(2);
+// Mean time that a neighbour holds a report back before it is sent.
+constexpr Duration kPeerPaceAge = std::chrono::milliseconds(250);
+
+std::uint16_t PercentOf(const EnginePace& pace) {
+  return static_cast<std::uint16_t>(std::lround(pace.Reported() * kPercent));
+}
+
+/// Identifies the endpoint's process between daemons.
+std::uint64_t ProcessHash(const EndpointRecord& record) {
+  return StableHash(record.id, static_cast<std::uint64_t>(record.incarnation));
+}
+
+bool IsPaceDue(const DirectoryEndpoint& endpoint, TimePoint now) {
+  const PaceSharing& sharing = endpoint.pace_sharing;
+  if (!sharing.is_due) return false;
+  if (sharing.percent == 0 || now - sharing.sent_at >= kPaceRepetition) return true;
+  const double difference = std::abs(PercentOf(endpoint.pace) - sharing.percent);
+  return difference >= kPaceDifference * sharing.percent;
+}
+
 bool MayReceive(const DirectoryEndpoint& endpoint, TimePoint now) {
   return !endpoint.IsDraining() && now >= endpoint.NextRequestAt() && !endpoint.HasEnded(now);
 }
@@ -29,6 +59,13 @@
   return now - slowness_seen < kSlownessLifetime ? slowness : 1.0;
 }
 
+double DirectoryEndpoint::EstimatedRequests(TimePoint now) const {
+  const std::chrono::duration<double> age = std::max(now - load_seen, Duration::zero());
+  const double left = std::exp(-age / std::chrono::duration<double>(kReportedLoadDecay));
+  const double reported = static_cast<double>(load.running) + static_cast<double>(load.waiting);
+  return std::max(static_cast<double>(Requests()), reported * left);
+}
+
 void EndpointUsage::Add(const EndpointUse& use) {
   pending_prefill_tokens += use.pending_prefill_tokens;
   kv_cache_tokens += use.kv_cache_tokens;
@@ -65,6 +102,9 @@
   endpoint.own_failure.reset();
   endpoint.latest_failure.reset();
   endpoint.load = EndpointLoad{};
+  endpoint.load_seen = TimePoint{};
+  endpoint.pace = EnginePace();
+  endpoint.pace_sharing = PaceSharing();
 }
 
 void EndpointDirectory::PutRestored(EndpointRecord record, TimePoint now) {
@@ -228,9 +268,42 @@
   endpoint.slowness_seen = now;
 }
 
-void EndpointDirectory::OnLoad(const EndpointId& id, const EndpointLoad& load) {
-  const auto found = m_endpoints.find(id);
-  if (found != m_endpoints.end()) found->second.load = load;
+void EndpointDirectory::OnLoad(const EndpointRecord& record, const EndpointLoad& load,
+                               TimePoint at) {
+  const auto found = m_endpoints.find(record.id);
+  if (found == m_endpoints.end()) return;
+  DirectoryEndpoint& endpoint = found->second;
+  const bool is_same_process = endpoint.record.incarnation == record.incarnation;
+  if (!is_same_process || at < endpoint.load_seen) return;
+  endpoint.load = load;
+  endpoint.load_seen = at;
+  if (!load.pace) return;
+  endpoint.pace.OnReport(*load.pace, at);
+  endpoint.pace_sharing.is_due = endpoint.pace.HasReport();
+}
+
+void EndpointDirectory::OnPeerPace(const EndpointPace& pace, TimePoint now) {
+  const auto found = m_by_process.find(pace.process);
+  if (found == m_by_process.end()) return;
+  found->second->pace.OnReport(pace.percent / kPercent, now - kPeerPaceAge);
+}
+
+std::vector<EndpointPace> EndpointDirectory::TakeNewPaces(TimePoint now) {
+  std::vector<DirectoryEndpoint*> due;
+  for (auto& [id, endpoint] : m_endpoints) {
+    if (IsPaceDue(endpoint, now)) due.push_back(&endpoint);
+  }
+  // Those that do not fit are among the first next time.
+  std::stable_sort(due.begin(), due.end(), [](const auto* one, const auto* other) {
+    return one->pace_sharing.sent_at < other->pace_sharing.sent_at;
+  });
+  if (due.size() > kMaxPaceEntries) due.resize(kMaxPaceEntries);
+  std::vector<EndpointPace> paces;
+  for (DirectoryEndpoint* endpoint : due) {
+    endpoint->pace_sharing = {false, PercentOf(endpoint->pace), now};
+    paces.push_back({ProcessHash(endpoint->record), endpoint->pace_sharing.percent});
+  }
+  return paces;
 }
 
 void EndpointDirectory::AddUse(const EndpointUse& use) {
@@ -279,6 +352,13 @@
   return staying;
 }
 
+bool EndpointDirectory::ReportsPace(const ServiceName& service) const {
+  const auto found = m_by_service.find(service);
+  if (found == m_by_service.end()) return false;
+  return std::any_of(found->second.begin(), found->second.end(),
+                     [](const auto& entry) { return entry.second->pace.HasReport(); });
+}
+
 std::optional<TimePoint> EndpointDirectory::NextCoolDownEnd(const ServiceName& service,
                                                             TimePoint now) const {
   std::optional<TimePoint> next;
@@ -376,6 +456,7 @@
   const EndpointRecord& record = endpoint.record;
   m_by_service[record.service][record.id] = &endpoint;
   m_by_address[record.address][record.id] = &endpoint;
+  m_by_process[ProcessHash(record)] = &endpoint;
 }
 
 void EndpointDirectory::RemoveFromIndexes(const EndpointRecord& record) {
@@ -387,6 +468,7 @@
   };
   remove(m_by_service, record.service);
   remove(m_by_address, record.address);
+  m_by_process.erase(ProcessHash(record));
 }
 
 void EndpointDirectory::StartCoolDown(const EndpointId& id, TimePoint until) {
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -8,8 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "coordination/engine_pace.h"
 #include "coordination/version_choice.h"
 #include "protocol/endpoint_record.h"
+#include "protocol/pace_report.h"
 #include "protocol/relay_messages.h"
 #include "utils/time.h"
 
@@ -38,6 +40,15 @@
   void Remove(const EndpointUse& use);
 };
 
+/// What the neighbours have been told of an endpoint's pace.
+struct PaceSharing {
+  /// This daemon has received a report from the endpoint that the neighbours do not know.
+  bool is_due = false;
+  /// What was last sent, and when; 0 if nothing was.
+  std::uint16_t percent = 0;
+  TimePoint sent_at{};
+};
+
 /// State of an endpoint as known to this daemon.
 struct DirectoryEndpoint {
   EndpointRecord record;
@@ -45,8 +56,12 @@
   /// reports.
   EndpointUsage own;
   EndpointUsage peers;
-  /// Load reported with the latest response.
+  /// Load reported with the latest response, at `load_seen`.
   EndpointLoad load;
+  TimePoint load_seen{};
+  /// From the reports to this daemon and its neighbours.
+  EnginePace pace;
+  PaceSharing pace_sharing;
   /// Prefill time relative to that of the other endpoints of the service, as recently measured by
   /// this daemon, last at `slowness_seen`.
   double slowness = 1.0;
@@ -87,6 +102,9 @@
   }
   std::int64_t KvCacheTokens() const { return own.kv_cache_tokens + peers.kv_cache_tokens; }
   int Requests() const { return own.requests + peers.requests; }
+  /// Returns the estimated number of requests of all daemons: the higher of `Requests()` and the
+  /// reported number, of which less counts the older the report is.
+  double EstimatedRequests(TimePoint now) const;
   /// Returns `slowness`, or 1 if it was not measured recently.
   double RecentSlowness(TimePoint now) const;
 };
@@ -151,7 +169,14 @@
   /// The first event of a stream took `ratio` times as long as expected from the service's
   /// endpoints.
   void OnFirstEvent(const EndpointId& id, double ratio, TimePoint now);
-  void OnLoad(const EndpointId& id, const EndpointLoad& load);
+  /// The process of `record` stated its load in a reply that arrived at `at`. The same reply may be
+  /// passed more than once. Ignored if the endpoint is now another process.
+  void OnLoad(const EndpointRecord& record, const EndpointLoad& load, TimePoint at);
+  /// A neighbour has learned the pace of an endpoint. Ignored if the process is unknown.
+  void OnPeerPace(const EndpointPace& pace, TimePoint now);
+  /// Returns at most `kMaxPaceEntries` paces that this daemon has learned and the neighbours do not
+  /// know, and marks them as known to them.
+  std::vector<EndpointPace> TakeNewPaces(TimePoint now);
 
   void AddUse(const EndpointUse& use);
   void RemoveUse(const EndpointUse& use);
@@ -167,6 +192,8 @@
   /// Returns whether all endpoints of `service` that stay have stated that they want no request
   /// before `until`; false if there is none.
   bool IsUnwanted(const ServiceName& service, TimePoint until, TimePoint now) const;
+  /// Returns whether an endpoint of `service` that the directory holds has reported its pace.
+  bool ReportsPace(const ServiceName& service) const;
   /// Returns when the first of the endpoints of `service` that get no requests now may receive them
   /// again; nothing if there is none.
   std::optional<TimePoint> NextCoolDownEnd(const ServiceName& service, TimePoint now) const;
@@ -223,6 +250,8 @@
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
   Index m_by_address;
+  /// By the identification of the process in a `PaceReport`.
+  std::map<std::uint64_t, DirectoryEndpoint*> m_by_process;
   std::map<std::string, std::vector<EndpointUse>> m_peer_uses;
 };
 
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -43,6 +43,11 @@
   std::int64_t engine_kv_cache_tokens = 0;
   /// Limit on concurrent requests of an endpoint; 0 if unlimited.
   int max_requests = 0;
+  /// Usual time to process the prompt; zero if unknown.
+  Duration prefill_time{};
+  /// Selects among engines with almost equal times; differs between requests. 0 if the first in
+  /// the ranking is selected. Applies only to engines that report their pace.
+  std::uint64_t tie_seed = 0;
   /// Absent if requests may use an engine regardless of its slots.
   std::optional<FillLimit> fill;
   /// Limit for KV cache backups; absent if they may use an engine's whole KV cache.
@@ -50,7 +55,9 @@
 };
 
 /// Chooses the endpoint for a request to an application engine: the one with the fewest requests
-/// per slot, and among equals one in this daemon's failure domain. Returns null if there is none.
+/// per slot, and among equals one in this daemon's failure domain. If an endpoint reports its pace,
+/// the one with the shortest expected time: requests per slot, with this one, times the pace.
+/// Returns null if there is none within the limits.
 /// Thread-safe if each thread uses its own `random`.
 const DirectoryEndpoint* PlaceCall(const std::vector<const DirectoryEndpoint*>& endpoints,
                                    const PlacementRequest& request, Random& random);
--- a/src/libs/protocol/relay_datagram.h
+++ b/src/libs/protocol/relay_datagram.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "protocol/crash_messages.h"
+#include "protocol/pace_report.h"
 #include "protocol/prompt_location_messages.h"
 #include "protocol/relay_heartbeat.h"
 #include "protocol/rollout_messages.h"
@@ -14,8 +15,8 @@
 namespace fulmarpoint {
 
 /// Messages between daemons over UDP.
-using RelayDatagram =
-    std::variant<RelayHeartbeat, PromptLocationUpdate, CrashMessage, BadVersionNotice, UsageCopy>;
+using RelayDatagram = std::variant<RelayHeartbeat, PromptLocationUpdate, CrashMessage,
+                                   BadVersionNotice, UsageCopy, PaceReport>;
 
 /// Heartbeats are truncated to the size of a datagram. Thread-safe.
 std::string EncodeDatagram(RelayDatagram datagram);
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -314,7 +314,7 @@
       OnEndpointFailed("stray answer: " + error.message());
       co_return TryResult::kMayHaveRun;
     }
-    ReportEndpointState(m_context, m_request, m_endpoint, reply_fields);
+    ReportEndpointState(m_context, m_request, m_endpoint, reply_fields, SteadyNow());
     const TryResult end = ClassifyHead(reply_fields);
     if (end != TryResult::kAnswered) co_return end;
     if (m_watch) m_watch->OnProgress();
@@ -327,7 +327,6 @@
     }
     EndWatch();
     m_context.endpoints.OnSuccess(m_endpoint.id);
-    if (reply_fields.load) m_context.endpoints.OnLoad(m_endpoint.id, *reply_fields.load);
     ReportCompletedAttempt(m_context, m_request, m_endpoint, m_reply.status >= 500,
                            SteadyNow() - m_attempt_started);
     m_pool.PutIdle(m_endpoint.id, std::move(m_connection), m_reply, m_connections.idle,
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay/peer_exchange.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -29,6 +30,8 @@
 // An endpoint failure is included in heartbeats for this long.
 constexpr Duration kFailureReportPeriod = std::chrono::milliseconds(500);
 
+constexpr Duration kPaceReportInterval = std::chrono::milliseconds(500);
+
 std::vector<EndpointUse> UsesOf(const std::vector<RelayedStream>& streams) {
   std::vector<EndpointUse> uses;
   for (const RelayedStream& stream : streams) {
@@ -47,6 +50,8 @@
   Task<void> SendLoop();
   Task<void> ReceiveLoop();
   void SendAll();
+  void SendPaces(TimePoint now);
+  void OnPaceReport(const PaceReport& report, TimePoint now);
   void OnDatagram(const Datagram& datagram);
   void OnHeartbeat(const RelayHeartbeat& heartbeat, TimePoint now);
   void LogReachability();
@@ -62,6 +67,7 @@
   /// When the last heartbeat of each peer arrived, also of peers that have left the directory
   /// since.
   std::map<std::string, TimePoint> last_heartbeats;
+  TimePoint paces_sent_at{};
   bool stopped = false;
 };
 
@@ -75,6 +81,7 @@
     if (stopped) break;
     if (SteadyNow() - before > kProcessPauseThreshold) OnProcessPause(SteadyNow());
     SendAll();
+    SendPaces(SteadyNow());
     LogReachability();
     ReleaseUsesOfDepartedPeers(SteadyNow());
   }
@@ -113,6 +120,27 @@
   }
 }
 
+/// Sends the neighbours the paces that this daemon has newly learned.
+void PeerExchange::State::SendPaces(TimePoint now) {
+  if (now - paces_sent_at < kPaceReportInterval) return;
+  PaceReport report{context.endpoints.TakeNewPaces(now)};
+  if (report.paces.empty()) return;
+  paces_sent_at = now;
+  const std::string bytes = EncodeDatagram(std::move(report));
+  for (const PeerRecord& peer : context.peers.HeartbeatPeers()) {
+    const std::error_code error = socket.Send(peer.peer_address, bytes);
+    context.metrics.Count("pace_reports", error ? "send_failed" : "sent");
+  }
+}
+
+void PeerExchange::State::OnPaceReport(const PaceReport& report, TimePoint now) {
+  context.metrics.Count("pace_reports", "received");
+  const std::size_t count = std::min(report.paces.size(), kMaxPaceEntries);
+  for (std::size_t index = 0; index < count; ++index) {
+    context.endpoints.OnPeerPace(report.paces[index], now);
+  }
+}
+
 void PeerExchange::State::OnDatagram(const Datagram& datagram) {
   const std::optional<RelayDatagram> received = DecodeRelayDatagram(datagram.data);
   if (!received) {
@@ -137,6 +165,10 @@
     context.duties->OnCopy(*copy);
     return;
   }
+  if (const PaceReport* report = std::get_if<PaceReport>(&*received)) {
+    OnPaceReport(*report, now);
+    return;
+  }
   OnHeartbeat(std::get<RelayHeartbeat>(*received), now);
 }
 
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -22,6 +22,13 @@
   return table != nullptr && endpoints.Size() > 0 && freshness.Permits(BootNow());
 }
 
+Duration RelayContext::ExpectedPrefillTime(const ServiceName& service,
+                                           std::int64_t prompt_tokens) const {
+  const auto found = m_prefill_rates.find(service);
+  if (found == m_prefill_rates.end()) return Duration::zero();
+  return found->second.EstimateTimeToFirstEvent(prompt_tokens).value_or(Duration::zero());
+}
+
 std::vector<const DirectoryEndpoint*> RelayContext::UsableFor(const ServiceName& service,
                                                               const VersionChoice& choice) const {
   std::vector<const DirectoryEndpoint*> usable = endpoints.Usable(service, SteadyNow());
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -46,6 +46,8 @@
   void OnEndpointFailure(const EndpointId& id);
   /// Returns the estimator of the prefill rate of a service's engines.
   PrefillRateEstimator& PrefillRate(const ServiceName& service) { return m_prefill_rates[service]; }
+  /// Returns the expected time in which a service's engines process a prompt; zero if unknown.
+  Duration ExpectedPrefillTime(const ServiceName& service, std::int64_t prompt_tokens) const;
   /// Counts the first attempt of a request to a service.
   void OnFirstAttempt(const ServiceName& service);
   /// Takes one retry from the service's quota. If this daemon's quota is used up, it first tries to
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -125,9 +125,11 @@
 }
 
 void ReportEndpointState(RelayContext& context, const RelayedRequest& request,
-                         const EndpointRecord& endpoint, const EndpointResponseFields& answer) {
+                         const EndpointRecord& endpoint, const EndpointResponseFields& answer,
+                         TimePoint answered_at) {
   if (answer.misdirected) return;
   const TimePoint now = SteadyNow();
+  if (answer.load) context.endpoints.OnLoad(endpoint, *answer.load, answered_at);
   if (answer.retry_after) {
     context.endpoints.OnRetryAfter(endpoint, now + *answer.retry_after, now);
   }
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -73,9 +73,11 @@
 Task<std::error_code> ConnectEndpoint(RelayContext& context, HttpClientExchange& connection,
                                       std::string address, Duration timeout);
 
-/// Records what an endpoint states about itself in a reply to the request.
+/// Records what an endpoint states about itself in a reply to the request, which arrived at
+/// `answered_at`.
 void ReportEndpointState(RelayContext& context, const RelayedRequest& request,
-                         const EndpointRecord& endpoint, const EndpointResponseFields& answer);
+                         const EndpointRecord& endpoint, const EndpointResponseFields& answer,
+                         TimePoint answered_at);
 
 /// Records that an endpoint failed a request in the directory, the heartbeats and the log.
 void ReportEndpointFailure(RelayContext& context, const RelayedRequest& request,
--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -66,6 +66,7 @@
     co_return;
   }
   m_answer = wire.decode_answer(m_reply.status, m_reply.headers);
+  m_answered_at = SteadyNow();
   const bool is_refusal = m_answer.not_run || m_answer.misdirected;
   if (m_answer.request_id != request_id && !(m_answer.request_id.empty() && is_refusal)) {
     Finish(StreamAttemptEnd::kBroken, "answer to another request: " + m_answer.request_id);
--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -69,6 +69,8 @@
   /// The reply's status and headers, and for `kAnswered` its body.
   HttpReply& Reply() { return m_reply; }
   const EndpointResponseFields& Answer() const { return m_answer; }
+  /// Returns when `Answer()` arrived.
+  TimePoint AnsweredAt() const { return m_answered_at; }
   const EndpointRecord& Endpoint() const { return m_endpoint; }
   AttemptTiming Timing() const;
   /// Returns when the first event arrived; nothing if none has.
@@ -88,6 +90,7 @@
   ByteReservation m_memory;
   HttpReply m_reply;
   EndpointResponseFields m_answer;
+  TimePoint m_answered_at{};
   EventSplitter m_splitter;
   std::deque<ArrivedEvent> m_events;
   std::size_t m_queued_bytes = 0;
--- a/src/libs/relay/stream_placement.cpp
+++ b/src/libs/relay/stream_placement.cpp
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "protocol/identifiers.h"
+
 namespace fulmarpoint {
 
 std::optional<EndpointRecord> StreamPlacement::ChooseEngine() const {
@@ -38,6 +40,8 @@
   placement.ring = m_context.peers.View();
   placement.prompt_tokens = fields.prompt_tokens;
   placement.kv_cache_tokens = fields.KvCacheTokens();
+  placement.prefill_time = m_context.ExpectedPrefillTime(m_request.service, fields.prompt_tokens);
+  placement.tie_seed = StableHash(fields.request_id, m_context.incarnation);
   placement.max_requests =
       m_context.ConnectionShareOf(*m_request.table, m_request.service).requests;
   const EngineCapacity* capacity = Capacity();
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -383,7 +383,8 @@
 
 /// Forwards the events that have arrived.
 Task<Step> StreamSession::ForwardEvents() {
-  ReportEndpointState(m_context, m_request, m_attempt->Endpoint(), m_attempt->Answer());
+  ReportEndpointState(m_context, m_request, m_attempt->Endpoint(), m_attempt->Answer(),
+                      m_attempt->AnsweredAt());
   std::string bytes;
   bool has_gap = false;
   while (m_attempt->HasEvent() && !has_gap) {
