--- a/src/libs/coordination/engine_pace.cpp
+++ b/src/libs/coordination/engine_pace.cpp
@@ -51,9 +51,9 @@
 
 void EnginePace::AddSample(double pace, TimePoint at) {
   m_samples.push_back(pace);
-  if (m_samples.size() > kMaxSamples) m_samples.pop_front();
+  if (m_samples.size() > kMaxSamples) m_samples.erase(m_samples.begin());
   m_sampled_at = at;
-  std::vector<double> values(m_samples.begin(), m_samples.end());
+  std::vector<double> values = m_samples;
   // A single report may come from a disturbance, so it has only half the weight.
   if (values.size() == 1) values.push_back(1.0);
   m_median = Median(std::move(values));
--- a/src/libs/coordination/engine_pace.h
+++ b/src/libs/coordination/engine_pace.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
+#include <vector>
 
 #include "utils/time.h"
 
@@ -35,7 +35,7 @@
 
   /// Spaced by a minimum time, so that a disturbance in which many requests end does not displace
   /// what was reported before it.
-  std::deque<double> m_samples;
+  std::vector<double> m_samples;
   TimePoint m_sampled_at{};
   double m_median = 1.0;
   double m_reported = 1.0;
