--- a/src/tools/fulmarpointctl/commands.cpp
+++ b/src/tools/fulmarpointctl/commands.cpp
@@ -93,6 +93,8 @@
       {"members", "", "the daemons in the view of one of them", 0, 0, ShowMembers},
       {"report burn", "[FILE.html]", "error budget consumption, merged from the given daemons", 0,
        1, ReportBurn},
+      {"duties", "", "who performs the singleton duties; --daemon names metrics addresses", 0, 0,
+       ShowDuties},
       {"endpoints", "", "health and load of the endpoints", 0, 0, ShowEndpoints},
       {"requests explain", "ID", "decisions about a request, with reasons", 1, 1, ExplainRequest},
       {"logs explain", "ID [FILE...]",
--- a/src/tools/fulmarpointctl/report_commands.cpp
+++ b/src/tools/fulmarpointctl/report_commands.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "duties_report.h"
 #include "protocol/burn_report.h"
 #include "table_printer.h"
 
@@ -74,4 +75,33 @@
   return kSuccess;
 }
 
+int ShowDuties(const CommandContext& context) {
+  nlohmann::json statuses = nlohmann::json::array();
+  nlohmann::json missing = nlohmann::json::array();
+  AdminResponse last;
+  for (const std::string& daemon : context.daemons) {
+    // The metrics are public, so the operator's key is not sent there.
+    AdminClient client({daemon}, "", context.timeout);
+    last = client.Send("GET", "/duties");
+    if (last.delivery != Delivery::kResponded) {
+      missing.push_back(daemon);
+      continue;
+    }
+    const int status = ReportFailure(last);
+    if (status != kSuccess) return status;
+    // A daemon of a build without duties answers with its metrics; its row has no values.
+    nlohmann::json duties = ParseBody(last);
+    duties["daemon"] = daemon;
+    statuses.push_back(std::move(duties));
+  }
+  if (statuses.empty()) return ReportFailure(last);
+  if (context.json) {
+    std::cout << nlohmann::json{{"daemons", statuses}, {"missing", missing}}.dump() << "\n";
+    return kSuccess;
+  }
+  if (!missing.empty()) std::cout << "missing: " << FormatList(missing) << "\n\n";
+  std::cout << FormatDuties(statuses);
+  return kSuccess;
+}
+
 }  // namespace fulmarpoint::ctl
