relay: move the engine orders out of the singleton duties

Cause: singleton_duties.cpp did three jobs.

Change: EngineOrders decides the orders and when each is sent; SingletonDuties keeps lease, polling, reports and the sending. A test orders engines through two daemons and leaves the first calls without a reply. Two tests use a longer lease, because a daemon that is not scheduled for a second would lose it.

--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -1,22 +1,19 @@
 #include "relay/singleton_duties.h"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
-#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
-#include "coordination/engine_scaling.h"
-#include "coordination/fleet_demand.h"
 #include "coordination/lease.h"
 #include "coordination/rendezvous_owner.h"
 #include "coordination/usage_reporter.h"
 #include "protocol/relay_datagram.h"
 #include "relay/duty_caller.h"
+#include "relay/engine_orders.h"
 #include "relay/lease_rows.h"
 #include "relay/peer_exchange.h"
 #include "utils/logging.h"
@@ -39,9 +36,6 @@
 // longer.
 constexpr Duration kPollPeriod = std::chrono::seconds(1);
 constexpr Duration kPollPeriodPerDaemon = std::chrono::milliseconds(10);
-// A call without a reply may be executed seconds later, so its order is repeated after that.
-constexpr Duration kLateExecution = std::chrono::seconds(8);
-constexpr Duration kOrderRepeatInterval = std::chrono::seconds(2);
 
 Lease::Options LeaseOptionsOf(const DutySettings& settings) {
   Lease::Options options;
@@ -64,16 +58,6 @@
 }  // namespace
 
 struct SingletonDuties::State : std::enable_shared_from_this<SingletonDuties::State> {
-  /// The latest order for the engines of a service in a failure domain.
-  struct OrderSubject {
-    EngineOrder order;
-    bool is_in_flight = false;
-    /// A call got no reply since the last accepted one.
-    bool has_unanswered = false;
-    /// When the order is sent; nothing if no call is needed.
-    std::optional<TimePoint> due;
-  };
-
   State(RelayContext& shared, PeerExchange& peer_exchange, PeerConnections& peer_connections,
         DutyApi api, std::uint64_t seed);
 
@@ -103,10 +87,8 @@
   Task<void> SendReports();
   void OnReportSent(UsageWindow window, DutyCallResult result);
 
-  void DecideOrders();
-  void SendDueOrders();
+  void SendOrders();
   Task<void> SendOrder(EngineOrder order);
-  std::map<std::string, int> EnginesOf(const ServiceName& service);
   void OnFenced();
 
   RelayContext& context;
@@ -115,10 +97,8 @@
   const DutySettings settings;
   Lease lease;
   UsageReporter reporter;
-  FleetDemand demand;
+  EngineOrders orders;
   DutyCaller caller;
-  std::map<ServiceName, EngineScaling> scalings;
-  std::map<std::pair<ServiceName, std::string>, OrderSubject> orders;
   bool has_read_reports = false;
   /// Reports to send, one after the other: all windows are one subject of the API.
   std::deque<UsageReport> reports;
@@ -134,8 +114,6 @@
   UnixMillis undecided_from = 0;
   /// Latest epoch of the store that is known.
   std::uint64_t known_epoch = 0;
-  /// Failure domains that had engines of the service.
-  std::map<ServiceName, std::set<std::string>> failure_domains;
   TimePoint last_copies{};
   bool is_releasing = false;
   /// Performs the duties. A lease that is released as soon as it is acquired does not count.
@@ -152,6 +130,7 @@
       lease(kLeaseKey, InstanceId{shared.settings.name, shared.incarnation},
             LeaseOptionsOf(settings), seed),
       reporter(ReporterOptionsOf(settings)),
+      orders(shared),
       caller(shared, std::move(api),
              [this](std::uint64_t token) { return MaySend() && lease.FencingToken() == token; }),
       undecided_from(WallNow()) {}
@@ -167,8 +146,7 @@
     SendCopies();
     if (!lease.IsHeld()) continue;
     if (has_read_reports) DriveReporter(UsageReporter::Tick{Daemons()});
-    DecideOrders();
-    SendDueOrders();
+    if (settings.orders_engines) SendOrders();
   }
 }
 
@@ -243,8 +221,7 @@
   context.metrics.SetGauge("duty_holder", {}, 1.0);
   Log(LogLevel::kInfo, "duty_lease_acquired", {{"token", holder_token}});
   has_read_reports = false;
-  scalings.clear();
-  orders.clear();
+  orders.Clear();
   Spawn(context.executor, [self = shared_from_this()]() { return self->PollLoop(); });
   if (!settings.reports_usage) return;
   Spawn(context.executor, [self = shared_from_this()]() { return self->ReadStoredReports(); });
@@ -257,7 +234,7 @@
   Log(LogLevel::kInfo, "duty_lease_lost", {{"token", holder_token}});
   DriveReporter(UsageReporter::Lost{});
   reports.clear();
-  orders.clear();
+  orders.Clear();
 }
 
 /// The API has seen the token of a later holder.
@@ -311,7 +288,7 @@
 
 void SingletonDuties::State::OnReply(const DutyPollReply& reply, UnixMillis asked,
                                      TimePoint asked_steady) {
-  demand.OnReply(reply, asked_steady);
+  orders.OnReply(reply, asked_steady);
   if (has_read_reports) DriveReporter(UsageReporter::Collected{reply, asked});
 }
 
@@ -352,7 +329,7 @@
                  },
                  [this](const UsageReporter::SendReport& send) { EnqueueReport(send.report); },
                  [this](const UsageReporter::LateCounts& late) {
-                   context.metrics.Count("usage_late_counts", "requests");
+                   context.metrics.Count("usage_late_counts", {}, late.requests);
                    Log(LogLevel::kWarning, "usage_late_counts",
                        {{"window", late.window}, {"requests", late.requests}});
                  },
@@ -447,57 +424,11 @@
   if (result == DutyCallResult::kFenced) OnFenced();
 }
 
-/// Returns the number of engines in each failure domain that has or had some.
-std::map<std::string, int> SingletonDuties::State::EnginesOf(const ServiceName& service) {
-  std::map<std::string, int> engines;
-  std::set<std::string>& domains = failure_domains[service];
-  for (const std::string& domain : domains) engines[domain] = 0;
-  for (const DirectoryEndpoint* endpoint : context.endpoints.Staying(service, SteadyNow())) {
-    const std::string& domain = endpoint->record.failure_domain;
-    domains.insert(domain);
-    ++engines[domain];
-  }
-  return engines;
-}
-
-void SingletonDuties::State::DecideOrders() {
-  if (!settings.orders_engines || !context.table) return;
-  const std::set<std::string> daemons = Daemons();
-  demand.Retain(daemons);
-  const TimePoint now = SteadyNow();
-  for (const RelayService& service : context.table->Configuration().services) {
-    if (!service.engine || !service.scale) continue;
-    const EngineScaling::Limits limits{service.scale->min, service.scale->max,
-                                       service.scale->boot_time, service.engine->slots,
-                                       service.engine->kv_cache_tokens};
-    EngineScaling& scaling = scalings.try_emplace(service.name, limits).first->second;
-    scaling.SetLimits(limits);
-    const EngineScaling::Demand current = demand.DemandFor(service.name, daemons, now);
-    scaling.Observe(current, now);
-    for (const EngineScaling::Order& order : scaling.Decide(EnginesOf(service.name), now)) {
-      OrderSubject& subject = orders[{service.name, order.failure_domain}];
-      subject.order = {service.name, order.failure_domain, order.desired};
-      subject.due = now;
-      Log(LogLevel::kInfo, "engines_ordered",
-          {{"service", service.name},
-           {"failure_domain", order.failure_domain},
-           {"desired", order.desired},
-           {"reason", order.reason},
-           {"prompt_tokens_per_s", std::lround(current.prompt_tokens_per_second)},
-           {"requests", std::lround(current.requests)}});
-    }
-  }
-}
-
-void SingletonDuties::State::SendDueOrders() {
-  const TimePoint now = SteadyNow();
-  for (auto& [key, subject] : orders) {
-    const bool is_due = subject.due && *subject.due <= now && !subject.is_in_flight;
-    if (!is_due) continue;
-    subject.due.reset();
-    subject.is_in_flight = true;
+void SingletonDuties::State::SendOrders() {
+  orders.Decide(Daemons());
+  for (const EngineOrder& order : orders.TakeDue()) {
     Spawn(context.executor,
-          [self = shared_from_this(), order = subject.order]() { return self->SendOrder(order); });
+          [self = shared_from_this(), order]() { return self->SendOrder(order); });
   }
 }
 
@@ -505,32 +436,9 @@
   const std::shared_ptr<State> self = shared_from_this();
   const std::uint64_t token = lease.FencingToken();
   const DutyCallResult result = co_await caller.SendEngineOrder(token, order);
-  const auto found = orders.find({order.service, order.failure_domain});
-  const bool is_current = lease.IsHeld() && lease.FencingToken() == token;
-  if (stopped || !is_current || found == orders.end()) co_return;
-  OrderSubject& subject = found->second;
-  subject.is_in_flight = false;
-  const TimePoint now = SteadyNow();
-  const auto send_again_at = [&subject](TimePoint at) {
-    subject.due = subject.due ? std::min(*subject.due, at) : at;
-  };
-  switch (result) {
-    case DutyCallResult::kAccepted:
-      if (std::exchange(subject.has_unanswered, false)) send_again_at(now + kLateExecution);
-      break;
-    case DutyCallResult::kFenced:
-      OnFenced();
-      break;
-    case DutyCallResult::kUnknown:
-      subject.has_unanswered = true;
-      send_again_at(now + kOrderRepeatInterval);
-      break;
-    case DutyCallResult::kThrottled:
-    case DutyCallResult::kRefused:
-    case DutyCallResult::kNotSent:
-      send_again_at(now + kOrderRepeatInterval);
-      break;
-  }
+  if (stopped || !lease.IsHeld() || lease.FencingToken() != token) co_return;
+  orders.OnSent(order, result);
+  if (result == DutyCallResult::kFenced) OnFenced();
 }
 
 SingletonDuties::SingletonDuties(RelayContext& context, PeerExchange& exchange,
@@ -578,10 +486,10 @@
 std::string SingletonDuties::StatusJson() const {
   const State& state = *m_state;
   nlohmann::json orders = nlohmann::json::array();
-  for (const auto& [key, subject] : state.orders) {
-    orders.push_back({{"service", key.first},
-                      {"failure_domain", key.second},
-                      {"desired", subject.order.desired}});
+  for (const EngineOrder& order : state.orders.Latest()) {
+    orders.push_back({{"service", order.service},
+                      {"failure_domain", order.failure_domain},
+                      {"desired", order.desired}});
   }
   return nlohmann::json{{"enabled", state.settings.IsEnabled()},
                         {"holder", state.holder},
--- a/tests/auto/platform/tst_singleton_duties.cpp
+++ b/tests/auto/platform/tst_singleton_duties.cpp
@@ -20,7 +20,11 @@
 constexpr char kLeaseTable[] = "fulmarpoint-leases";
 constexpr char kLeaseRow[] = "duties";
 constexpr Duration kLeaseTime = std::chrono::seconds(1);
+// For tests in which one daemon must not lose the lease, or the other must acquire it first.
+constexpr Duration kLongLeaseTime = std::chrono::seconds(3);
 constexpr Duration kWindow = std::chrono::seconds(2);
+// Time within which traffic must bring about an order.
+constexpr Duration kTrafficLimit = std::chrono::seconds(15);
 // The epoch of the store is in the bits of a fencing token above these.
 constexpr int kTokenVersionBits = 40;
 
@@ -187,6 +191,7 @@
 Task<void> RefusedHolderGivesUp(PlatformWorld& world) {
   DutyApiStandin api(world.loop.GetExecutor());
   world.settings.duties = UsageDuty(api);
+  world.settings.duties.lease_time = kLongLeaseTime;
   co_await StartPair(world);
   api.SetBehaviour(DutyApiBehaviour::kFence);
   co_await PlatformWorld::WaitFor([&api]() { return !api.Calls().empty(); });
@@ -247,6 +252,7 @@
   constexpr std::size_t kCalls = 5;
   DutyApiStandin api(world.loop.GetExecutor());
   world.settings.duties = UsageDuty(api);
+  world.settings.duties.lease_time = kLongLeaseTime;
   world.settings.duties.usage_window = std::chrono::milliseconds(500);
   world.settings.duties.usage_due = std::chrono::seconds(1);
   co_await StartPair(world);
@@ -280,6 +286,43 @@
   AssertNoViolation(api);
 }
 
+/// Returns the configuration of `PlatformWorld` with limits for the engines of service "drafts".
+std::string ScaledConfiguration() {
+  std::string text = PlatformWorld::Configuration(2);
+  const std::string before = R"("engine":{"slots":8)";
+  text.insert(text.find(before), R"("scale":{"min":2,"max":6,"bootS":1.0},)");
+  return text;
+}
+
+Task<void> EnginesAreOrdered(PlatformWorld& world) {
+  DutyApiStandin api(world.loop.GetExecutor());
+  world.settings.duties = UsageDuty(api);
+  world.settings.duties.reports_usage = false;
+  world.settings.duties.orders_engines = true;
+  world.AddEndpoint("drafts", "b");
+  co_await StartPair(world);
+  world.store->Put("op", "config", ScaledConfiguration());
+  api.SetBehaviour(DutyApiBehaviour::kIgnore);
+  const TimePoint limit = SteadyNow() + kTrafficLimit;
+  const auto has_ordered = [&api](const char* domain) {
+    return std::any_of(api.Calls().begin(), api.Calls().end(), [domain](const DutyApiCall& call) {
+      return call.subject == std::string("/scale/drafts/") + domain;
+    });
+  };
+  while (!has_ordered("a") || !has_ordered("b")) {
+    cr_assert(SteadyNow() < limit, "no engines were ordered");
+    co_await world.Send("POST", "/stream/x", kStreamHeaders);
+  }
+  for (const DutyApiCall& call : api.Calls()) {
+    cr_assert_eq(nlohmann::json::parse(call.body).at("desired"), 2, "%s", call.body.c_str());
+  }
+  api.SetBehaviour(DutyApiBehaviour::kExecute);
+  co_await PlatformWorld::WaitFor([&api]() { return api.CallsWith(200).size() >= 2; });
+  const std::vector<DutyApiCall> accepted = api.CallsWith(200);
+  cr_assert_neq(accepted[0].subject, accepted[1].subject);
+  AssertNoViolation(api);
+}
+
 Task<void> StatusNamesTheHolder(PlatformWorld& world) {
   DutyApiStandin api(world.loop.GetExecutor());
   world.settings.duties = UsageDuty(api);
@@ -334,5 +377,9 @@
 // Guards against a successor that waits for the end of the lease after a planned stop.
 Test(singleton_duties, a_stopped_holder_releases_the_lease) { RunTest(&LeaseIsReleasedByAStop); }
 
+// Guards against orders outside the limits, for one failure domain only, or given up when the API
+// does not reply.
+Test(singleton_duties, engines_are_ordered_and_orders_repeated) { RunTest(&EnginesAreOrdered); }
+
 // Guards against operators that cannot see who performs the duties.
 Test(singleton_duties, the_status_names_the_holder) { RunTest(&StatusNamesTheHolder); }
