coordination: observe again after a gap and do not alternate orders of engines

After a time without figures, for example of a store or network failure, the first new figure was enough to remove engines, as the peak of the past boot time was unknown. The demand of the past was kept for ever once requests had ended and no rate of prompts was known. Late first events raised the order by a quarter at each tick, up to the maximum within a second, while the engines of the first order were still starting. In steady load each failure domain's order went up and down by one engine several times a minute.

--- a/src/libs/coordination/engine_scaling.cpp
+++ b/src/libs/coordination/engine_scaling.cpp
@@ -24,6 +24,8 @@
 // One order removes at most this share of a failure domain's engines, in case the figures are
 // wrong; the next follows when its effect shows.
 constexpr double kMaxShrinkShare = 0.5;
+// Fewer engines are not worth an order, because chance changes the demand by as much.
+constexpr double kMinShrinkShare = 0.1;
 // Prompts arrive in clusters, so their rate is averaged over about two seconds.
 constexpr Duration kRateAveragingTime = std::chrono::seconds(2);
 // First events also wait for other prompts, so the fastest measured time counts for an engine. It
@@ -54,8 +56,10 @@
   m_token_rate +=
       (demand.prompt_tokens_per_second - m_token_rate) * SampleWeight(elapsed, kRateAveragingTime);
   ObserveTokenTime(std::chrono::duration<double>(demand.token_time).count(), elapsed);
-  if (BusyEngines(demand) <= 0.0) return;
-  if (m_history.empty()) m_observed_since = now;
+  const bool has_had_traffic = !m_history.empty() || BusyEngines(demand) > 0.0;
+  if (!has_had_traffic) return;
+  const bool is_first_after_gap = m_history.empty() || elapsed > kMaxDemandAge;
+  if (is_first_after_gap) m_observed_since = now;
   m_history.push_back({now, BusyEngines(demand)});
   while (now - m_history.front().at > Past()) m_history.pop_front();
 }
@@ -119,11 +123,16 @@
     const int current = ordered == m_ordered.end() ? listed : ordered->second.engines;
     int desired = share;
     if (m_latest->late_share > kMaxLateShare) {
-      desired = std::max(desired, static_cast<int>(std::ceil(current * kGrowthWhenLate)));
+      // Engines that were ordered and do not serve yet are not ordered again.
+      const int serving = std::min(current, listed);
+      desired = std::max(desired, static_cast<int>(std::ceil(serving * kGrowthWhenLate)));
     }
     const int floor = static_cast<int>(std::ceil(current * (1.0 - kMaxShrinkShare)));
     desired = std::clamp(std::max(desired, floor), m_limits.min_engines, m_limits.max_engines);
-    if (desired < current && !MayShrink(domain, may_shrink, now)) desired = current;
+    const bool is_worthwhile = share <= current * (1.0 - kMinShrinkShare);
+    if (desired < current && !MayShrink(domain, may_shrink && is_worthwhile, now)) {
+      desired = current;
+    }
     if (desired == current && !IsOrderDue(domain, listed, now)) continue;
     m_ordered[domain] = {desired, now};
     orders.push_back(
