tests: cover a lease holder that is paused before its send

A holder that handles no event between its decision and its send relies on Lease::MaySend alone. The tests let a successor acquire the lease meanwhile, and let a renewal's answer wait for the end of the pause.

--- a/tests/auto/coordination/tst_engine_scaling.cpp
+++ b/tests/auto/coordination/tst_engine_scaling.cpp
@@ -34,7 +34,7 @@
 struct Fleet {
   std::vector<EngineScaling::Order> Observe(const EngineScaling::Demand& demand) {
     scaling.Observe(demand, now);
-    const std::vector<EngineScaling::Order> orders = scaling.Decide(engines, now);
+    std::vector<EngineScaling::Order> orders = scaling.Decide(engines, now);
     for (const EngineScaling::Order& order : orders) {
       if (executes_orders) engines[order.failure_domain] = order.desired;
     }
--- a/tests/auto/coordination/tst_lease.cpp
+++ b/tests/auto/coordination/tst_lease.cpp
@@ -54,6 +54,26 @@
     return acquired->fencing_token;
   }
 
+  /// Reads `row` until its lease has ended, and acquires the lease with the next row version;
+  /// returns the fencing token.
+  std::uint64_t TakeOver(const TableRow& row, std::uint64_t epoch) {
+    Handle(Lease::CandidateChanged{true});
+    Handle(Lease::Start{});
+    const TimePoint limit = now + std::chrono::minutes(1);
+    for (; now < limit; now += std::chrono::milliseconds(100)) {
+      const std::optional<Lease::ReadRow> read =
+          LastOfType<Lease::ReadRow>(Handle(Lease::TimerFired{}));
+      if (!read) continue;
+      const std::optional<Lease::WriteRow> write =
+          LastOfType<Lease::WriteRow>(Handle(Lease::RowRead{read->token, true, row, epoch}));
+      if (!write) continue;
+      Handle(Lease::WriteDone{write->token, TableOutcome::kDone, row.version + 1, epoch});
+      return lease.FencingToken();
+    }
+    cr_assert(false, "the lease was never acquired");
+    return 0;
+  }
+
   /// Waits until the next renewal is due and returns its actions.
   std::vector<Lease::Action> WaitForRenewal() {
     now += Lease::Options().renew_interval;
@@ -136,3 +156,30 @@
   cr_assert_not(LastOfType<Lease::WriteRow>(actions).has_value(), "the condition is outdated");
   cr_assert(LastOfType<Lease::ReadRow>(actions).has_value());
 }
+
+// Guards against two holders that act at the same time: one was paused just before its send, after
+// all of its checks but the last, and has handled no event since.
+Test(lease, a_holder_that_was_paused_before_its_send_may_not_send) {
+  Candidate holder;
+  const std::uint64_t token = holder.Acquire({1, 500});
+  cr_assert(holder.lease.MaySend(holder.now));
+  Candidate successor;
+  const std::uint64_t later_token = successor.TakeOver({"rollout/move-1", 500, "daemon/1 1"}, 1);
+  cr_assert(successor.lease.MaySend(successor.now));
+  cr_assert(holder.lease.IsHeld(), "it has not noticed the pause");
+  cr_assert_not(holder.lease.MaySend(successor.now));
+  cr_assert_gt(later_token, token, "a late call of the paused holder is refused");
+}
+
+// Guards against a renewal that was answered before a pause and is handled after it, as if the
+// lease began with its answer.
+Test(lease, an_answer_that_is_handled_after_a_pause_does_not_permit_a_send) {
+  Candidate holder;
+  holder.Acquire({1, 500});
+  const std::optional<Lease::WriteRow> renewal =
+      LastOfType<Lease::WriteRow>(holder.WaitForRenewal());
+  cr_assert(renewal.has_value());
+  holder.now += Lease::Options().lease_time;
+  holder.Handle(Lease::WriteDone{renewal->token, TableOutcome::kDone, 501, 1});
+  cr_assert_not(holder.lease.MaySend(holder.now));
+}
