coordination: send one usage report at a time, the latest first

All windows are one subject of the platform's API, for which one call may be in flight, but each window was sent on its own. Overlapping calls also let a report become overdue behind those that are repeated after an outage. A refused token is now given up before the reporter is told, as it sends the next report at once.

The new test failed before; tst_usage_reporter passes 20 of 20. singleton_duties.cpp was compiled; no test of the relay was run.

--- a/src/libs/coordination/usage_reporter.cpp
+++ b/src/libs/coordination/usage_reporter.cpp
@@ -91,11 +91,27 @@
   for (UsageWindow number = m_first; EndOf(number) <= now; ++number) {
     Advance(number, m_windows[number], event, now, actions);
   }
+  SendNext(now, actions);
+}
+
+/// Sends the latest report that is not accepted, unless a call is in flight. Earlier ones are
+/// overdue already, or were sent by the predecessor.
+void UsageReporter::SendNext(UnixMillis now, Actions& actions) {
+  const auto is_sending = [](const auto& entry) { return entry.second.state == State::kSending; };
+  if (std::any_of(m_windows.begin(), m_windows.end(), is_sending)) return;
+  const auto is_due = [now](const auto& entry) {
+    return entry.second.state == State::kDecided && now >= entry.second.next_try;
+  };
+  const auto next = std::find_if(m_windows.rbegin(), m_windows.rend(), is_due);
+  if (next == m_windows.rend()) return;
+  next->second.state = State::kSending;
+  actions.emplace_back(SendReport{m_decided.at(next->first)});
 }
 
 void UsageReporter::Advance(UsageWindow number, Window& window, const Tick& tick, UnixMillis now,
                             Actions& actions) {
-  if (window.state == State::kFinished || now < window.next_try) return;
+  const bool is_idle = window.state != State::kFinished && window.state != State::kSending;
+  if (!is_idle || now < window.next_try) return;
   // A former holder may have reported it, and nobody knows what.
   const bool is_unknown = EndOf(number) < m_undecided_from && !m_decided.contains(number);
   if (is_unknown || now - EndOf(number) > Millis(m_options.give_up_after)) {
@@ -105,16 +121,11 @@
     return;
   }
   const bool may_store = window.state == State::kCollecting && MayDecide(number, window, tick, now);
-  if (may_store) {
-    window.state = State::kStoring;
-    const auto known = m_decided.find(number);
-    const UsageReport report = known == m_decided.end() ? ReportOf(number, window) : known->second;
-    actions.emplace_back(StoreReport{report, number - kKeptWindows});
-    return;
-  }
-  if (window.state != State::kDecided) return;
-  window.state = State::kSending;
-  actions.emplace_back(SendReport{m_decided.at(number)});
+  if (!may_store) return;
+  window.state = State::kStoring;
+  const auto known = m_decided.find(number);
+  const UsageReport report = known == m_decided.end() ? ReportOf(number, window) : known->second;
+  actions.emplace_back(StoreReport{report, number - kKeptWindows});
 }
 
 /// Returns when the window is decided at the latest. The windows that a new holder inherits may be
@@ -159,11 +170,12 @@
   found->second.next_try = now + Millis(m_options.repeat_interval);
 }
 
-void UsageReporter::On(const Sent& event, UnixMillis now, Actions&) {
+void UsageReporter::On(const Sent& event, UnixMillis now, Actions& actions) {
   const auto found = m_windows.find(event.window);
   if (found == m_windows.end() || found->second.state != State::kSending) return;
   found->second.state = event.is_accepted ? State::kFinished : State::kDecided;
   found->second.next_try = now + Millis(m_options.repeat_interval);
+  SendNext(now, actions);
 }
 
 void UsageReporter::Forget(UnixMillis now) {
--- a/src/libs/coordination/usage_reporter.h
+++ b/src/libs/coordination/usage_reporter.h
@@ -125,6 +125,7 @@
   void AddSum(const UsageSum& sum, Actions& actions);
   void Advance(UsageWindow number, Window& window, const Tick& tick, UnixMillis now,
                Actions& actions);
+  void SendNext(UnixMillis now, Actions& actions);
   bool MayDecide(UsageWindow number, const Window& window, const Tick& tick, UnixMillis now) const;
   UsageReport ReportOf(UsageWindow number, const Window& window) const;
   void Forget(UnixMillis now);
--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -418,11 +418,12 @@
   const DutyCallResult result =
       co_await caller.SendUsageReport(lease.FencingToken(), std::move(report));
   if (stopped) co_return;
+  // The reporter must not send its next report with a token that was refused.
+  if (result == DutyCallResult::kFenced) OnFenced();
   const bool is_accepted = result == DutyCallResult::kAccepted;
   DriveReporter(UsageReporter::Sent{window, is_accepted});
   if (is_accepted) last_reported = std::max(last_reported, window);
   if (is_accepted) Log(LogLevel::kInfo, "usage_reported", {{"window", window}});
-  if (result == DutyCallResult::kFenced) OnFenced();
 }
 
 /// Returns the number of engines in each failure domain that has or had some.
--- a/tests/auto/coordination/tst_usage_reporter.cpp
+++ b/tests/auto/coordination/tst_usage_reporter.cpp
@@ -375,6 +375,31 @@
   cr_assert_eq(holder.CallsFor(kWindow), calls);
 }
 
+// Guards against calls for one subject that overlap, of which one without a reply may be executed
+// last, and against a report that becomes overdue behind old ones.
+Test(usage_reporter, one_report_is_sent_at_a_time_and_the_latest_first) {
+  UsageReporter reporter{UsageReporter::Options()};
+  const auto windows_sent = [&reporter](const UsageReporter::Event& event, UnixMillis now) {
+    std::vector<UsageReporter::Action> actions;
+    reporter.Handle(event, now, actions);
+    std::vector<UsageWindow> windows;
+    for (const UsageReporter::Action& action : actions) {
+      const auto* send = std::get_if<UsageReporter::SendReport>(&action);
+      if (send != nullptr) windows.push_back(send->report.window);
+    }
+    return windows;
+  };
+  UsageReporter::Acquired acquired;
+  acquired.stored = {ReportOf(kWindow - 1, 4), ReportOf(kWindow, 5)};
+  windows_sent(acquired, kEnd);
+  using Windows = std::vector<UsageWindow>;
+  cr_assert(windows_sent(UsageReporter::Tick{}, kEnd + 250) == Windows{kWindow});
+  cr_assert(windows_sent(UsageReporter::Tick{}, kEnd + 500).empty(), "a call is in flight");
+  cr_assert(windows_sent(UsageReporter::Sent{kWindow, false}, kEnd + 700) == Windows{kWindow - 1});
+  cr_assert(windows_sent(UsageReporter::Sent{kWindow - 1, true}, kEnd + 800).empty());
+  cr_assert(windows_sent(UsageReporter::Tick{}, kEnd + 2750) == Windows{kWindow});
+}
+
 // Guards against a report by a daemon that has lost the lease.
 Test(usage_reporter, a_former_holder_acts_on_nothing) {
   Rows rows;
