--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -25,6 +25,9 @@
 constexpr double kPreferredBacklogTolerance = 1.0;
 // Times that differ by at most this fraction are almost equal.
 constexpr double kTieFraction = 0.1;
+// Random fraction of the expected time of a call that is added where paces are reported. Daemons do
+// not see each other's calls, and know the load of an endpoint only from earlier replies.
+constexpr double kCallSpread = 0.5;
 // Large enough that suspected endpoints are used only if no other has room.
 constexpr double kSuspectedPenaltyTokens = 1e9;
 
@@ -277,6 +280,7 @@
     double score = CallLoad(*endpoint, request.now, by_time);
     if (endpoint->record.failure_domain != request.failure_domain) score += 0.5 / slots;
     score += std::uniform_real_distribution<double>(0.0, 0.1 / slots)(random);
+    if (by_time) score *= std::uniform_real_distribution<double>(1.0, 1.0 + kCallSpread)(random);
     score += SuspicionPenalty(*endpoint, request);
     if (best != nullptr && score >= best_score) continue;
     best = endpoint;
