relay: let streams wait for their turn where priorities compete

Cause: a stream without an engine was rejected after an eighth of its objective, whichever polled first got the next engine, and twelve tries ended a stream although its caller still waited.

Change: services with contention control (routes with different priorities) have a StreamQueue. Only the stream whose turn it is chooses an engine; the next one is woken when an engine is chosen or a stream ends, with a poll of 50 ms. The engine's capacity is taken before the connection is open, because otherwise the next stream chose the same full engine (seen in tst_waiting_streams). Tries are counted per round. Streams that cannot begin in time, or cannot end before a planned stop, are rejected with 503. Placement gets the fill limits of the priority. Without contention control the path of a stream is unchanged.

--- a/src/libs/coordination/stream_admission.cpp
+++ b/src/libs/coordination/stream_admission.cpp
@@ -70,7 +70,8 @@
   if (found == m_waiting.end() || found->second.stream.is_committed) return std::nullopt;
   DecayTo(now);
   const std::size_t position = PositionOf(id, now);
-  const Duration wait = PredictWait(position, now);
+  // A stream whose turn it is may find an engine at once although others wait before it.
+  const Duration wait = Next(now) == id ? Duration::zero() : PredictWait(position, now);
   if (position >= m_options.max_waiting) {
     return Rejection{StreamRejectionReason::kQueueFull, wait};
   }
@@ -151,7 +152,7 @@
 Duration StreamAdmission::RetryAfter(const Stream& stream, Duration predicted_wait, TimePoint now,
                                      Random& random) {
   DecayTo(now);
-  const int steps = std::clamp(stream.priority, 0, kMaxRetryAfterSteps);
+  const int steps = std::clamp(stream.level, 0, kMaxRetryAfterSteps);
   const Duration wait =
       std::max(predicted_wait + TimeToAdmit(ExpectedReturns(stream.priority, now)),
                m_options.min_retry_after);
--- a/src/libs/coordination/stream_admission.h
+++ b/src/libs/coordination/stream_admission.h
@@ -58,6 +58,8 @@
   struct Stream {
     /// 0 is the highest.
     int priority = 0;
+    /// Position of the priority among those configured for the service; 0 is the highest.
+    int level = 0;
     /// Empty if the route needs no key.
     OrganisationId organisation;
     std::int64_t prompt_tokens = 0;
--- a/src/libs/relay/duty_counters.cpp
+++ b/src/libs/relay/duty_counters.cpp
@@ -43,6 +43,7 @@
     const auto counted = m_loads.find(service.name);
     ServiceLoad load = counted == m_loads.end() ? ServiceLoad() : counted->second;
     load.service = service.name;
+    load.waiting = static_cast<std::uint32_t>(context.StreamsWaiting(service.name));
     load.token_ns = TokenNanoseconds(context, service.name);
     for (const DirectoryEndpoint* endpoint : context.endpoints.Usable(service.name, SteadyNow())) {
       load.requests += static_cast<std::uint32_t>(endpoint->own.requests);
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -48,6 +48,16 @@
   if (on_heartbeat_payload_changed) on_heartbeat_payload_changed();
 }
 
+bool RelayContext::HasContentionControl(const RelayTable& configuration,
+                                        const ServiceName& service) const {
+  return configuration.PriorityLevels(service) > 1;
+}
+
+std::size_t RelayContext::StreamsWaiting(const ServiceName& service) const {
+  const auto found = m_stream_queues.find(service);
+  return found == m_stream_queues.end() ? 0 : found->second.admission.Waiting();
+}
+
 void RelayContext::OnFirstAttempt(const ServiceName& service) {
   RetryQuota(service).OnFirstAttempt(SteadyNow());
 }
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -17,6 +17,7 @@
 #include "coordination/version_choice.h"
 #include "relay/relay_settings.h"
 #include "relay/relay_wire.h"
+#include "relay/stream_queue.h"
 #include "transport/task.h"
 #include "utils/byte_budget.h"
 #include "utils/metrics.h"
@@ -46,6 +47,17 @@
   void OnEndpointFailure(const EndpointId& id);
   /// Returns the estimator of the prefill rate of a service's engines.
   PrefillRateEstimator& PrefillRate(const ServiceName& service) { return m_prefill_rates[service]; }
+  /// Returns whether streams to a service wait for engines in order of urgency: its streams have
+  /// different priorities.
+  bool HasContentionControl(const RelayTable& configuration, const ServiceName& service) const;
+  /// Returns the queue of the streams to a service that wait for an engine. The service must have
+  /// contention control. The reference stays valid.
+  StreamQueue& StreamQueueFor(const ServiceName& service) { return m_stream_queues[service]; }
+  StreamAdmission& StreamAdmissionFor(const ServiceName& service) {
+    return StreamQueueFor(service).admission;
+  }
+  /// Returns the number of streams to a service that wait for an engine.
+  std::size_t StreamsWaiting(const ServiceName& service) const;
   /// Counts the first attempt of a request to a service.
   void OnFirstAttempt(const ServiceName& service);
   /// Takes one retry from the service's quota. If this daemon's quota is used up, it first tries to
@@ -103,6 +115,7 @@
  private:
   std::map<ServiceName, FleetRetryQuota> m_retry_quotas;
   std::map<ServiceName, PrefillRateEstimator> m_prefill_rates;
+  std::map<ServiceName, StreamQueue> m_stream_queues;
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -94,6 +94,10 @@
   return fingerprints;
 }
 
+int PriorityLevelOf(const RelayedRequest& request) {
+  return request.table->PriorityLevels(request.service) > 1 ? request.priority : 0;
+}
+
 bool MayForward(const RelayContext& context, const RelayedRequest& request) {
   return request.organisation.empty() || context.freshness.Permits(request.arrived_boot);
 }
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -60,6 +60,10 @@
 /// for the same model that share the part.
 std::vector<Fingerprint> PartFingerprintsOf(const CallerFields& fields);
 
+/// Returns the position of the request's priority among those of the service's streams; 0 is the
+/// highest, and the only one unless routes with different priorities lead to the service.
+int PriorityLevelOf(const RelayedRequest& request);
+
 /// Returns whether the request may be sent to an endpoint: its key, if any, was confirmed valid
 /// when it arrived. The confirmation also covers later attempts of the same request.
 bool MayForward(const RelayContext& context, const RelayedRequest& request);
--- a/src/libs/relay/stream_placement.cpp
+++ b/src/libs/relay/stream_placement.cpp
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "coordination/stream_admission.h"
+
 namespace fulmarpoint {
 
 std::optional<EndpointRecord> StreamPlacement::ChooseEngine() const {
@@ -42,6 +44,11 @@
       m_context.ConnectionShareOf(*m_request.table, m_request.service).requests;
   const EngineCapacity* capacity = Capacity();
   if (capacity != nullptr) placement.engine_kv_cache_tokens = capacity->kv_cache_tokens;
+  if (m_context.HasContentionControl(*m_request.table, m_request.service)) {
+    const int level = m_may_use_reserve ? 0 : PriorityLevelOf(m_request);
+    placement.fill = StreamAdmission::FillLimitOf(level);
+    placement.backup_fill = StreamAdmission::BackupFillLimit();
+  }
   if (fields.prompt.empty()) return placement;
   placement.prompt = fields.prompt.back().id;
   placement.preferred = m_context.streams.FindPromptHolder(placement.prompt, now);
--- a/src/libs/relay/stream_placement.h
+++ b/src/libs/relay/stream_placement.h
@@ -22,6 +22,10 @@
   bool IsExcluded(const EndpointId& engine) const { return m_excluded.count(engine) > 0; }
   void ClearExcluded() { m_excluded.clear(); }
 
+  /// Sets whether the stream may use the capacity that contention control reserves for more urgent
+  /// ones.
+  void SetMayUseReserve(bool may_use_reserve) { m_may_use_reserve = may_use_reserve; }
+
   /// Returns the engine for the next attempt; nothing if none has capacity.
   std::optional<EndpointRecord> ChooseEngine() const;
   /// Returns the engine that receives the KV cache backup of the attempt at `engine`; nothing if
@@ -36,6 +40,7 @@
   const RelayContext& m_context;
   const RelayedRequest& m_request;
   std::set<EndpointId> m_excluded;
+  bool m_may_use_reserve = false;
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -16,6 +16,7 @@
 #include "relay/stream_attempt.h"
 #include "relay/stream_engine_usage.h"
 #include "relay/stream_placement.h"
+#include "relay/waiting_stream.h"
 #include "transport/notification.h"
 #include "utils/logging.h"
 
@@ -29,8 +30,12 @@
 constexpr Duration kNoEngineRetryDelay = std::chrono::milliseconds(50);
 // Interval of the requests for a retry of a stream that has left a silent engine.
 constexpr Duration kRetryRequestInterval = std::chrono::milliseconds(300);
-// Limit on the engines tried, including those that rejected the stream or were unreachable.
+// Limit on the engines tried, including those that rejected the stream or were unreachable. With
+// contention control, the limit of a round.
 constexpr int kMaxEndpointTries = 12;
+// With contention control, the pause between rounds grows from `kNoEngineRetryDelay` to this,
+// because most engines may be unreachable for seconds.
+constexpr Duration kMaxRoundPause = std::chrono::milliseconds(200);
 // A stream that no engine accepts is rejected after this fraction of its latency objective, so that
 // the caller can still try another daemon.
 constexpr int kRejectAfterDivisor = 8;
@@ -58,7 +63,12 @@
  private:
   Task<void> FindPromptOfResumedStream();
   Task<Step> StartAttempt();
+  Task<Step> StartAttemptInTurn();
+  Task<Step> StartAttemptAt(const EndpointRecord& engine);
+  Task<Step> PauseBetweenRounds();
+  Task<void> AnswerRejection(const StreamAdmission::Rejection& rejection);
   void ReadmitEngines();
+  bool HasTriesLeft() const { return m_endpoint_tries < kMaxEndpointTries; }
   bool MayStartAttempt() const;
   Task<bool> TakeRetry();
   Task<std::shared_ptr<HttpClientExchange>> ConnectTo(const EndpointRecord& engine);
@@ -96,6 +106,9 @@
   StreamPlacement m_placement;
   /// The KV cache backup of the current or last attempt. Shared with the task that requests it.
   std::shared_ptr<KvCacheBackup> m_backup;
+  /// Place in the service's queue; absent without contention control. Outlives `m_usage`, because
+  /// it wakes the next stream once this one has released its engine.
+  std::optional<WaitingStream> m_waiting;
   StreamEngineUsage m_usage;
   bool m_head_sent = false;
   bool m_stale = false;
@@ -108,6 +121,7 @@
   std::int64_t m_backlog_tokens = 0;
   TimePoint m_attempt_started{};
   int m_endpoint_tries = 0;
+  Duration m_round_pause = kNoEngineRetryDelay;
   int m_sends = 0;
   /// A retry was taken from the quota for the next attempt.
   bool m_has_retry = false;
@@ -128,7 +142,11 @@
       m_wake(std::make_shared<Notification>(context.executor)),
       m_placement(context, m_request),
       m_backup(NewBackup()),
-      m_usage(context, m_request.fields) {}
+      m_usage(context, m_request.fields) {
+  if (m_context.HasContentionControl(*m_request.table, m_request.service)) {
+    m_waiting.emplace(context, m_request, m_wake);
+  }
+}
 
 StreamSession::~StreamSession() {
   if (m_attempt) m_attempt->Cancel();
@@ -179,6 +197,7 @@
     co_await AnswerFailure();
     co_return Step::kEnd;
   }
+  if (m_waiting) co_return co_await StartAttemptInTurn();
   const std::optional<EndpointRecord> engine = ChooseEngine();
   if (!engine) {
     const TimePoint wait_until =
@@ -193,6 +212,75 @@
     co_await m_wake->WaitFor(kNoEngineRetryDelay);
     co_return Step::kContinue;
   }
+  co_return co_await StartAttemptAt(*engine);
+}
+
+/// Waits for the stream's turn and then starts an attempt, unless no engine has capacity. Rejects
+/// the stream if it cannot begin in time.
+Task<Step> StreamSession::StartAttemptInTurn() {
+  m_stale = !MayForward(m_context, m_request);
+  if (m_stale) {
+    co_await AnswerFailure();
+    co_return Step::kEnd;
+  }
+  WaitingStream::State state;
+  state.is_resumed = m_continuation.HasDelivered() || m_request.fields.last_event.has_value();
+  state.has_backup = HasBackup();
+  state.is_committed = m_head_sent;
+  m_waiting->Enter(state);
+  const std::optional<StreamAdmission::Rejection> rejection = m_waiting->CheckRejection();
+  if (rejection) {
+    co_await AnswerRejection(*rejection);
+    co_return Step::kEnd;
+  }
+  if (!m_waiting->HasTurn()) {
+    m_waiting->OnWaiting();
+    co_await m_wake->WaitFor(kNoEngineRetryDelay);
+    co_return Step::kContinue;
+  }
+  m_placement.SetMayUseReserve(m_waiting->MayUseReserve());
+  const std::optional<EndpointRecord> engine = HasTriesLeft() ? ChooseEngine() : std::nullopt;
+  if (!engine) co_return co_await PauseBetweenRounds();
+  // The next stream chooses while this one connects, so the engine's capacity is taken before.
+  m_usage.Set(engine->id, "", HasBackup());
+  m_waiting->OnEngineChosen();
+  const Step step = co_await StartAttemptAt(*engine);
+  if (m_attempt) co_return step;
+  m_usage.Clear();
+  if (step == Step::kContinue) m_waiting->OnNotPlaced(Duration::zero());
+  co_return step;
+}
+
+/// No engine is left to try: lets other streams choose and tries all engines again after a pause.
+Task<Step> StreamSession::PauseBetweenRounds() {
+  m_waiting->OnWaiting();
+  ReadmitEngines();
+  m_waiting->OnNotPlaced(m_round_pause);
+  // Only rounds in which engines were tried in vain make the pause longer; without a free engine,
+  // the stream looks for one at each poll.
+  const Duration pause = m_round_pause;
+  m_round_pause = m_endpoint_tries == 0 ? kNoEngineRetryDelay : std::min(2 * pause, kMaxRoundPause);
+  m_endpoint_tries = 0;
+  co_await m_wake->WaitFor(pause);
+  co_return Step::kContinue;
+}
+
+/// Rejects a stream that has not run; one that may have run fails as after its last attempt.
+Task<void> StreamSession::AnswerRejection(const StreamAdmission::Rejection& rejection) {
+  const Duration retry_after = m_waiting->OnRejected(rejection);
+  if (m_continuation.Attempts() > 0 || m_failed_attempt) {
+    co_await AnswerFailure();
+  } else if (rejection.reason == StreamRejectionReason::kStopping) {
+    co_await Answer(RelayProblem(ResultCode::kDraining, "use another daemon", kRetryAfterNoEngine),
+                    RequestOutcome::kRefused);
+  } else {
+    co_await Answer(RelayProblem(ResultCode::kOverloaded, "no engine is free in time", retry_after),
+                    RequestOutcome::kRefused);
+  }
+}
+
+/// Connects to the engine and sends the request, if a retry is allowed where it was sent before.
+Task<Step> StreamSession::StartAttemptAt(const EndpointRecord& engine) {
   const bool may_send = co_await TakeRetry();
   // The engine that it has left may go on, so a stream that was moved from it does not end for lack
   // of a retry.
@@ -200,15 +288,20 @@
     co_await m_wake->WaitFor(kRetryRequestInterval);
     co_return Step::kContinue;
   }
+  const bool may_wait = m_waiting && !m_head_sent && m_continuation.Attempts() == 0;
+  if (!may_send && may_wait) {
+    co_await m_wake->WaitFor(kRetryRequestInterval);
+    co_return Step::kContinue;
+  }
   if (!may_send) {
     co_await AnswerFailure();
     co_return Step::kEnd;
   }
   ++m_endpoint_tries;
-  std::shared_ptr<HttpClientExchange> connection = co_await ConnectTo(*engine);
+  std::shared_ptr<HttpClientExchange> connection = co_await ConnectTo(engine);
   if (!connection || m_exchange.ClientDisconnected()) co_return Step::kContinue;
   m_stale = !MayForward(m_context, m_request);
-  if (!m_stale) BeginAttempt(*engine, std::move(connection));
+  if (!m_stale) BeginAttempt(engine, std::move(connection));
   co_return Step::kContinue;
 }
 
@@ -223,7 +316,7 @@
 }
 
 bool StreamSession::MayStartAttempt() const {
-  return m_continuation.MayStartAttempt() && m_endpoint_tries < kMaxEndpointTries &&
+  return m_continuation.MayStartAttempt() && (m_waiting || HasTriesLeft()) &&
          (m_is_harmless || !m_context.poison_requests->IsQuarantined(m_request));
 }
 
@@ -259,6 +352,7 @@
                                               m_context.reply_memory);
   ++m_sends;
   m_has_retry = false;
+  if (m_waiting) m_waiting->OnPlaced();
   m_attempt_started = SteadyNow();
   const bool is_counted = m_context.duty_counters != nullptr && !m_from_backup;
   if (is_counted) {
@@ -425,6 +519,10 @@
   const AttemptTiming timing = m_attempt->Timing();
   ReportCompletedAttempt(m_context, m_request, m_attempt->Endpoint(), false, timing.first_event,
                          timing.interval);
+  // A stream that the caller resumed here began elsewhere, so its time is not that of a whole one.
+  if (m_waiting && m_head_sent && !m_request.fields.last_event) {
+    m_waiting->OnCompleted(SteadyNow() - m_request.arrived - m_first_event);
+  }
   const int status = m_attempt->Reply().status;
   if (!m_head_sent) {
     co_await m_exchange.StartStream(status, EndToEndHeaders(m_attempt->Reply().headers));
@@ -441,6 +539,7 @@
   const EndpointId engine = m_attempt->Endpoint().id;
   if (answer.not_run || answer.misdirected) {
     m_continuation.OnAttemptRejected();
+    if (m_waiting) m_waiting->OnPlacementRejected();
     // An engine that misses the backup stays eligible; it may run the stream without it.
     const bool backup_missing = m_from_backup && !answer.misdirected;
     if (answer.misdirected) m_context.endpoints.OnMisdirected(engine, SteadyNow());
--- a/tests/auto/coordination/tst_stream_admission.cpp
+++ b/tests/auto/coordination/tst_stream_admission.cpp
@@ -172,6 +172,7 @@
   StreamAdmission::Stream StreamOf(const Caller& caller) const {
     StreamAdmission::Stream stream;
     stream.priority = caller.kind.priority;
+    stream.level = caller.kind.priority;
     stream.organisation = caller.kind.organisation;
     stream.prompt_tokens = 1000;
     stream.is_resumed = caller.is_resumed;
@@ -341,6 +342,7 @@
                                    Duration objective) {
   StreamAdmission::Stream stream;
   stream.priority = priority;
+  stream.level = priority;
   stream.organisation = organisation;
   stream.prompt_tokens = 1000;
   stream.latest_objective_start = kStart + objective;
