--- a/tests/auto/coordination/tst_stream_admission.cpp
+++ b/tests/auto/coordination/tst_stream_admission.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -19,6 +20,7 @@
 constexpr Duration kFirstEventTime = std::chrono::milliseconds(300);
 constexpr Duration kFormerRetryAfter = std::chrono::milliseconds(200);
 constexpr int kFormerRejectDivisor = 8;
+constexpr std::uint64_t kSeed = 1;
 
 /// The rule by which streams get engines.
 enum class Rule {
@@ -142,7 +144,7 @@
     for (const CallerKind& kind : m_kinds) {
       std::poisson_distribution<int> arrivals(kind.per_second *
                                               std::chrono::duration<double>(kTick).count());
-      for (int left = arrivals(m_random); left > 0; --left) {
+      for (int left = arrivals(m_arrivals_random); left > 0; --left) {
         Caller caller;
         caller.kind = kind;
         caller.deadline = m_now + kind.timeout;
@@ -295,7 +297,9 @@
   std::vector<CallerKind> m_kinds;
   std::function<int(Duration)> m_capacity;
   TimePoint m_now{};
-  Random m_random{1};
+  /// Arrivals are the same for both rules.
+  Random m_arrivals_random{kSeed};
+  Random m_random{kSeed};
   StreamAdmission m_admission;
   Waiting m_waiting;
   std::deque<Caller> m_running;
--- a/tests/auto/platform/tst_waiting_streams.cpp
+++ b/tests/auto/platform/tst_waiting_streams.cpp
@@ -47,7 +47,8 @@
   bool has_ended = false;
 };
 
-void SendInBackground(PlatformWorld& world, Sent& sent, std::string target, std::string prompt) {
+void SendInBackground(PlatformWorld& world, Sent& sent, const std::string& target,
+                      const std::string& prompt) {
   Spawn(world.loop.GetExecutor(), [&world, &sent, target, prompt]() -> Task<void> {
     sent.result = co_await world.Send("POST", target, LargeStream(prompt));
     sent.has_ended = true;
