coordination: limit requests to endpoints that have just started or recovered

An idle endpoint attracts the requests of all daemons whose load data is stale, so one that starts slowly or with an empty cache is overloaded at once, and one that replies with errors attracts most requests.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -65,6 +65,7 @@
   endpoint.own_failure.reset();
   endpoint.latest_failure.reset();
   endpoint.load = EndpointLoad{};
+  endpoint.ramp.OnStarted(now);
 }
 
 void EndpointDirectory::PutRestored(EndpointRecord record, TimePoint now) {
@@ -123,6 +124,7 @@
   if (found == m_endpoints.end()) return;
   DirectoryEndpoint& endpoint = found->second;
   endpoint.own_failure = now;
+  endpoint.ramp.OnFailed(now);
   Suspect(endpoint, now);
   // Failures during the cool-down count as the same failure, because concurrent requests fail
   // together.
@@ -176,6 +178,8 @@
 
 void EndpointDirectory::OnRejected(const EndpointId& id, TimePoint now) {
   StartCoolDown(id, now + kRejectionCoolDown);
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnRejected(now);
 }
 
 void EndpointDirectory::OnSuccess(const EndpointId& id) {
@@ -226,6 +230,7 @@
   endpoint.slowness =
       endpoint.RecentSlowness(now) * (1 - kSlownessSampleWeight) + sample * kSlownessSampleWeight;
   endpoint.slowness_seen = now;
+  endpoint.ramp.OnReply(ratio, now);
 }
 
 void EndpointDirectory::OnLoad(const EndpointId& id, const EndpointLoad& load) {
@@ -233,6 +238,21 @@
   if (found != m_endpoints.end()) found->second.load = load;
 }
 
+void EndpointDirectory::OnRequestSent(const EndpointId& id, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnSent(now);
+}
+
+void EndpointDirectory::OnCallLatency(const EndpointId& id, double ratio, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnReply(ratio, now);
+}
+
+void EndpointDirectory::OnErrorReply(const EndpointId& id, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnFailed(now);
+}
+
 void EndpointDirectory::AddUse(const EndpointUse& use) {
   const auto found = m_endpoints.find(use.endpoint);
   if (found != m_endpoints.end()) found->second.own.Add(use);
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/endpoint_ramp.h"
 #include "coordination/version_choice.h"
 #include "protocol/endpoint_record.h"
 #include "protocol/relay_messages.h"
@@ -75,6 +76,10 @@
   /// the row is still there then.
   TimePoint doubted_until{};
 
+  /// Limits this daemon's requests after a start or a recovery; used for services with contention
+  /// control.
+  EndpointRamp ramp;
+
   /// Returns whether the process has ended as far as is known.
   bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
   bool IsDraining() const { return record.draining || is_leaving; }
@@ -152,6 +157,13 @@
   /// endpoints.
   void OnFirstEvent(const EndpointId& id, double ratio, TimePoint now);
   void OnLoad(const EndpointId& id, const EndpointLoad& load);
+  /// This daemon sent the endpoint a request. Needed for `DirectoryEndpoint::ramp` only, as are the
+  /// next two.
+  void OnRequestSent(const EndpointId& id, TimePoint now);
+  /// A call took `ratio` times as long as usual for the service.
+  void OnCallLatency(const EndpointId& id, double ratio, TimePoint now);
+  /// The endpoint replied with a server error.
+  void OnErrorReply(const EndpointId& id, TimePoint now);
 
   void AddUse(const EndpointUse& use);
   void RemoveUse(const EndpointUse& use);
