coordination: test the ramp filter's fallback and rejections strictly

Two checks of tst_endpoint_ramp_filter passed with the fallback to all endpoints, or the report of rejections, taken out. They now fail then.

--- a/tests/auto/coordination/tst_endpoint_ramp_filter.cpp
+++ b/tests/auto/coordination/tst_endpoint_ramp_filter.cpp
@@ -91,7 +91,6 @@
   cr_assert_not(MayUse(directory, "e0", OneDaemon(), kLater));
   directory.OnCallLatency("e0", 1.0, kLater);
   cr_assert(MayUse(directory, "e0", OneDaemon(), kLater));
-  directory.AddUse({"e0", 0, 0, true});
   directory.OnRejected("e0", kLater);
   const TimePoint after_rejection = kLater + std::chrono::milliseconds(150);
   cr_assert(directory.IsUsable("e0", after_rejection));
@@ -103,6 +102,9 @@
   EndpointDirectory directory;
   AddSteady(directory, 1);
   directory.OnErrorReply("e0", kLater);
+  directory.OnRequestSent("e0", kLater);
+  const DirectoryEndpoint& endpoint = *directory.Find("e0");
+  cr_assert_not(endpoint.ramp.MayTake(0, RampConditions{16, 1, true, 1.0}, kLater));
   cr_assert(MayUse(directory, "e0", OneDaemon(), kLater));
   cr_assert(WithoutRampLimited({}, OneDaemon(), kLater).empty());
 }
