coordination: count an endpoint as returned for a limited time only

An endpoint that a daemon does not use stays in its ramp or failure for as long as the daemon has no reply from it. In a large fleet most of a service's endpoints would have counted as just returned, so that no limit would ever have applied.

--- a/src/libs/coordination/endpoint_ramp.cpp
+++ b/src/libs/coordination/endpoint_ramp.cpp
@@ -76,6 +76,7 @@
   if (m_phase == RampPhase::kFailed && !m_probe_sent_at) return;
   if (Phase(now) == RampPhase::kSteady) m_failures = 0;
   m_phase = RampPhase::kFailed;
+  m_failed_at = now;
   m_probe_sent_at.reset();
   m_next_probe_at = now + ProbeDelay();
   m_failures = std::min(kMaxProbeDoublings, m_failures + 1);
@@ -90,6 +91,19 @@
   return is_over ? RampPhase::kSteady : m_phase;
 }
 
+bool EndpointRamp::HasReturnedRecently(TimePoint now) const {
+  switch (Phase(now)) {
+    case RampPhase::kSteady:
+      return false;
+    case RampPhase::kFailed:
+      return now - m_failed_at < m_options.longest_time;
+    case RampPhase::kRamping:
+      break;
+  }
+  const Duration time = m_first_sent_at ? m_options.longest_time : m_options.judgement_time;
+  return now - m_started_at < time;
+}
+
 bool EndpointRamp::IsRampOver(TimePoint now) const {
   const bool is_judged = now - m_judged_since >= m_options.judgement_time;
   const bool are_mostly_good = m_good_replies > 0 && m_good_replies >= m_slow_replies;
--- a/src/libs/coordination/endpoint_ramp.h
+++ b/src/libs/coordination/endpoint_ramp.h
@@ -75,6 +75,9 @@
   void OnFailed(TimePoint now);
 
   RampPhase Phase(TimePoint now) const;
+  /// Returns whether the endpoint started, failed or recovered recently. An endpoint that this
+  /// daemon does not use is not counted for longer, although it stays in its phase.
+  bool HasReturnedRecently(TimePoint now) const;
   /// Returns how many requests of this daemon may be in progress at the endpoint; nothing if they
   /// are not limited.
   std::optional<int> Limit(const RampConditions& conditions, TimePoint now) const;
@@ -106,6 +109,7 @@
   std::optional<TimePoint> m_first_sent_at;
   /// False for a new process that this daemon has had no reply from.
   bool m_has_reply = false;
+  TimePoint m_failed_at{};
   /// Failures without a completed ramp between them.
   int m_failures = 0;
   TimePoint m_next_probe_at{};
--- a/src/libs/coordination/endpoint_ramp_filter.cpp
+++ b/src/libs/coordination/endpoint_ramp_filter.cpp
@@ -18,11 +18,19 @@
   return !fleet.new_version.empty() && endpoint.record.version == fleet.new_version;
 }
 
-/// Returns whether the endpoint's ramp may limit requests.
-bool HasReturned(const DirectoryEndpoint& endpoint, const RampFleet& fleet, TimePoint now) {
+bool HasRamp(const DirectoryEndpoint& endpoint, const RampFleet& fleet, TimePoint now) {
   return !IsExempt(endpoint, fleet) && endpoint.ramp.Phase(now) != RampPhase::kSteady;
 }
 
+double ReturnedShare(const std::vector<const DirectoryEndpoint*>& endpoints, const RampFleet& fleet,
+                     TimePoint now) {
+  const auto returned =
+      std::count_if(endpoints.begin(), endpoints.end(), [&](const DirectoryEndpoint* endpoint) {
+        return !IsExempt(*endpoint, fleet) && endpoint->ramp.HasReturnedRecently(now);
+      });
+  return static_cast<double>(returned) / static_cast<double>(endpoints.size());
+}
+
 std::size_t NearDaemons(const RampFleet& fleet) {
   if (!fleet.ring) return fleet.daemons;
   const double share = 2 * kNearDistances * fleet.ring->visible_distance;
@@ -53,13 +61,13 @@
 
 std::vector<const DirectoryEndpoint*> WithoutRampLimited(
     const std::vector<const DirectoryEndpoint*>& endpoints, const RampFleet& fleet, TimePoint now) {
-  const auto returned = std::count_if(
+  const bool has_ramps = std::any_of(
       endpoints.begin(), endpoints.end(),
-      [&](const DirectoryEndpoint* endpoint) { return HasReturned(*endpoint, fleet, now); });
-  if (returned == 0) return endpoints;
+      [&](const DirectoryEndpoint* endpoint) { return HasRamp(*endpoint, fleet, now); });
+  if (!has_ramps) return endpoints;
   RampConditions conditions;
   conditions.near_daemons = NearDaemons(fleet);
-  conditions.returned_share = static_cast<double>(returned) / static_cast<double>(endpoints.size());
+  conditions.returned_share = ReturnedShare(endpoints, fleet, now);
   const std::set<const DirectoryEndpoint*> near =
       fleet.ring ? NearEndpoints(endpoints, *fleet.ring) : std::set<const DirectoryEndpoint*>();
   std::vector<const DirectoryEndpoint*> admitted;
--- a/tests/auto/coordination/ramp_fleet.cpp
+++ b/tests/auto/coordination/ramp_fleet.cpp
@@ -56,9 +56,9 @@
 
 double Microseconds(Duration duration) { return static_cast<double>(duration.count()); }
 
-bool IsRamping(const RampPolicy& policy, TimePoint now) {
+bool HasReturnedRecently(const RampPolicy& policy, TimePoint now) {
   const EndpointRamp* ramp = std::get_if<EndpointRamp>(&policy);
-  return ramp != nullptr && ramp->Phase(now) != RampPhase::kSteady;
+  return ramp != nullptr && ramp->HasReturnedRecently(now);
 }
 
 class Simulation {
@@ -235,7 +235,7 @@
     for (std::size_t i = 0; i < views.size(); ++i) {
       if (m_now < views[i].cool_down_until) continue;
       usable.push_back(i);
-      if (IsRamping(views[i].ramp, m_now)) ++returned;
+      if (HasReturnedRecently(views[i].ramp, m_now)) ++returned;
     }
     if (usable.empty()) {
       for (std::size_t i = 0; i < views.size(); ++i) usable.push_back(i);
