--- a/tests/auto/coordination/tst_endpoint_ramp_fleet.cpp
+++ b/tests/auto/coordination/tst_endpoint_ramp_fleet.cpp
@@ -189,6 +189,8 @@
   const RampFleetResult none = Run(ErrorReplies(), Policy::kNone, "error replies");
   const RampFleetResult ramp = Run(ErrorReplies(), Policy::kRamp, "error replies");
   const RampFleetResult gradient = Run(ErrorReplies(), Policy::kGradient, "error replies");
+  Run(ErrorReplies(), Policy::kFixed, "error replies");
+  Run(ErrorReplies(), Policy::kDoubling, "error replies");
   cr_assert_leq(ramp.failed * 4, none.failed);
   cr_assert_leq(ramp.failed * 4, gradient.failed, "few are in progress, so no limit on them helps");
   cr_assert_geq(ramp.on_time * 2, none.on_time * 3);
@@ -235,6 +237,8 @@
 Test(endpoint_ramp_fleet, a_restart_at_usual_load_makes_fewer_requests_late) {
   const RampFleetResult none = Run(Restart(), Policy::kNone, "restart");
   const RampFleetResult ramp = Run(Restart(), Policy::kRamp, "restart");
+  Run(Restart(), Policy::kFixed, "restart");
+  Run(Restart(), Policy::kDoubling, "restart");
   Run(Restart(), Policy::kGradient, "restart");
   cr_assert_lt(ramp.late, none.late);
   cr_assert_gt(ramp.on_time, none.on_time);
