--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -105,6 +105,7 @@
   endpoint.load_seen = TimePoint{};
   endpoint.pace = EnginePace();
   endpoint.pace_sharing = PaceSharing();
+  endpoint.ramp.OnStarted(now);
 }
 
 void EndpointDirectory::PutRestored(EndpointRecord record, TimePoint now) {
@@ -163,6 +164,7 @@
   if (found == m_endpoints.end()) return;
   DirectoryEndpoint& endpoint = found->second;
   endpoint.own_failure = now;
+  endpoint.ramp.OnFailed(now);
   Suspect(endpoint, now);
   // Failures during the cool-down count as the same failure, because concurrent requests fail
   // together.
@@ -216,6 +218,8 @@
 
 void EndpointDirectory::OnRejected(const EndpointId& id, TimePoint now) {
   StartCoolDown(id, now + kRejectionCoolDown);
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnRejected(now);
 }
 
 void EndpointDirectory::OnSuccess(const EndpointId& id) {
@@ -266,6 +270,7 @@
   endpoint.slowness =
       endpoint.RecentSlowness(now) * (1 - kSlownessSampleWeight) + sample * kSlownessSampleWeight;
   endpoint.slowness_seen = now;
+  endpoint.ramp.OnReply(ratio, now);
 }
 
 void EndpointDirectory::OnLoad(const EndpointRecord& record, const EndpointLoad& load,
@@ -306,6 +311,21 @@
   return paces;
 }
 
+void EndpointDirectory::OnRequestSent(const EndpointId& id, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnSent(now);
+}
+
+void EndpointDirectory::OnCallLatency(const EndpointId& id, double ratio, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnReply(ratio, now);
+}
+
+void EndpointDirectory::OnErrorReply(const EndpointId& id, TimePoint now) {
+  const auto found = m_endpoints.find(id);
+  if (found != m_endpoints.end()) found->second.ramp.OnFailed(now);
+}
+
 void EndpointDirectory::AddUse(const EndpointUse& use) {
   const auto found = m_endpoints.find(use.endpoint);
   if (found != m_endpoints.end()) found->second.own.Add(use);
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/endpoint_ramp.h"
 #include "coordination/engine_pace.h"
 #include "coordination/version_choice.h"
 #include "protocol/endpoint_record.h"
@@ -90,6 +91,10 @@
   /// the row is still there then.
   TimePoint doubted_until{};
 
+  /// Limits this daemon's requests after a start or a recovery; used for services with contention
+  /// control.
+  EndpointRamp ramp;
+
   /// Returns whether the process has ended as far as is known.
   bool HasEnded(TimePoint now) const { return is_displaced || (gone_at && *gone_at <= now); }
   bool IsDraining() const { return record.draining || is_leaving; }
@@ -177,6 +182,13 @@
   /// Returns at most `kMaxPaceEntries` paces that this daemon has learned and the neighbours do not
   /// know, and marks them as known to them.
   std::vector<EndpointPace> TakeNewPaces(TimePoint now);
+  /// This daemon sent the endpoint a request. Needed for `DirectoryEndpoint::ramp` only, as are the
+  /// next two.
+  void OnRequestSent(const EndpointId& id, TimePoint now);
+  /// A call took `ratio` times as long as usual for the service.
+  void OnCallLatency(const EndpointId& id, double ratio, TimePoint now);
+  /// The endpoint replied with a server error.
+  void OnErrorReply(const EndpointId& id, TimePoint now);
 
   void AddUse(const EndpointUse& use);
   void RemoveUse(const EndpointUse& use);
