tests: let the engine order test fail without the repeat of a call

Cause: with the repeat taken out the test passed, because the scaling decided the same order again after eight seconds. Change: engines take 30 s to start in the test, so no order is decided again. Result: without the repeat the test fails; with it tst_singleton_duties, 13 tests, passes.

--- a/tests/auto/platform/tst_singleton_duties.cpp
+++ b/tests/auto/platform/tst_singleton_duties.cpp
@@ -287,10 +287,11 @@
 }
 
 /// Returns the configuration of `PlatformWorld` with limits for the engines of service "drafts".
+/// New engines start so slowly that no order is decided again within the test.
 std::string ScaledConfiguration() {
   std::string text = PlatformWorld::Configuration(2);
   const std::string before = R"("engine":{"slots":8)";
-  text.insert(text.find(before), R"("scale":{"min":2,"max":6,"bootS":1.0},)");
+  text.insert(text.find(before), R"("scale":{"min":2,"max":6,"bootS":30.0},)");
   return text;
 }
 
