relay: queue streams by urgency also where engines report that they are uneven

Contention control was on only for services whose routes have different priorities. Engines that share their machines lose capacity without notice, so their streams are queued too.

--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -57,7 +57,7 @@
 
 bool RelayContext::HasContentionControl(const RelayTable& configuration,
                                         const ServiceName& service) const {
-  return configuration.PriorityLevels(service) > 1;
+  return configuration.PriorityLevels(service) > 1 || endpoints.ReportsPace(service);
 }
 
 std::size_t RelayContext::StreamsWaiting(const ServiceName& service) const {
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -50,7 +50,7 @@
   /// Returns the expected time in which a service's engines process a prompt; zero if unknown.
   Duration ExpectedPrefillTime(const ServiceName& service, std::int64_t prompt_tokens) const;
   /// Returns whether streams to a service wait for engines in order of urgency: its streams have
-  /// different priorities.
+  /// different priorities, or its engines report that they are uneven.
   bool HasContentionControl(const RelayTable& configuration, const ServiceName& service) const;
   /// Returns the queue of the streams to a service that wait for an engine. The service must have
   /// contention control. The reference stays valid.
