relay: queue streams only where the option asks for it; ramp engines that report a pace

Cause, from the counters: each daemon sees the streams of ten others, so the waiting streams of 72 daemons fill the engines that are left beyond their KV cache. It stays an option, off by default, until engines' own load decides.

--- a/src/libs/coordination/engine_scaling.cpp
+++ b/src/libs/coordination/engine_scaling.cpp
@@ -25,7 +25,7 @@
 // wrong; the next follows when its effect shows.
 constexpr double kMaxShrinkShare = 0.5;
 // Fewer engines are not worth an order, because chance changes the demand by as much.
-constexpr double kMinShrinkShare = 0.1;
+constexpr double kMinShrinkShare = 0.15;
 // Prompts arrive in clusters, so their rate is averaged over about two seconds.
 constexpr Duration kRateAveragingTime = std::chrono::seconds(2);
 // First events also wait for other prompts, so the fastest measured time counts for an engine. It
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coordination/endpoint_ramp_filter.h"
 #include "relay/relay_rollouts.h"
 
 namespace fulmarpoint {
@@ -31,6 +32,18 @@
 
 std::vector<const DirectoryEndpoint*> RelayContext::UsableFor(const ServiceName& service,
                                                               const VersionChoice& choice) const {
+  std::vector<const DirectoryEndpoint*> usable = UsableForVersion(service, choice);
+  const RelayService* configured = table ? table->FindService(service) : nullptr;
+  const bool is_ramped =
+      configured != nullptr && configured->engine && endpoints.ReportsPace(service);
+  if (!is_ramped) return usable;
+  const RampFleet fleet{peers.Size() + 1, peers.View(),
+                        choice.use_new_version ? choice.version : VersionName()};
+  return WithoutRampLimited(usable, fleet, SteadyNow());
+}
+
+std::vector<const DirectoryEndpoint*> RelayContext::UsableForVersion(
+    const ServiceName& service, const VersionChoice& choice) const {
   std::vector<const DirectoryEndpoint*> usable = endpoints.Usable(service, SteadyNow());
   if (choice.version.empty()) return usable;
   const auto admits = [&](const VersionChoice& wanted) {
@@ -57,7 +70,8 @@
 
 bool RelayContext::HasContentionControl(const RelayTable& configuration,
                                         const ServiceName& service) const {
-  return configuration.PriorityLevels(service) > 1 || endpoints.ReportsPace(service);
+  return settings.queues_streams &&
+         (configuration.PriorityLevels(service) > 1 || endpoints.ReportsPace(service));
 }
 
 std::size_t RelayContext::StreamsWaiting(const ServiceName& service) const {
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -49,8 +49,8 @@
   PrefillRateEstimator& PrefillRate(const ServiceName& service) { return m_prefill_rates[service]; }
   /// Returns the expected time in which a service's engines process a prompt; zero if unknown.
   Duration ExpectedPrefillTime(const ServiceName& service, std::int64_t prompt_tokens) const;
-  /// Returns whether streams to a service wait for engines in order of urgency: its streams have
-  /// different priorities, or its engines report that they are uneven.
+  /// Returns whether streams to a service wait for engines in order of urgency: the settings allow
+  /// it, and its streams have different priorities or its engines report that they are uneven.
   bool HasContentionControl(const RelayTable& configuration, const ServiceName& service) const;
   /// Returns the queue of the streams to a service that wait for an engine. The service must have
   /// contention control. The reference stays valid.
@@ -115,6 +115,9 @@
   std::function<Task<bool>(ServiceName service)> borrow_retry_quota;
 
  private:
+  std::vector<const DirectoryEndpoint*> UsableForVersion(const ServiceName& service,
+                                                         const VersionChoice& choice) const;
+
   std::map<ServiceName, FleetRetryQuota> m_retry_quotas;
   std::map<ServiceName, PrefillRateEstimator> m_prefill_rates;
   std::map<ServiceName, StreamQueue> m_stream_queues;
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -402,6 +402,7 @@
   applied.peer_address = current.peer_address;
   applied.metrics_address = current.metrics_address;
   applied.duties = current.duties;
+  applied.queues_streams = current.queues_streams;
   if (applied == current) return;
   current = applied;
   const std::shared_ptr<const RelayTable>& table = m_state->context.table;
--- a/src/libs/relay/relay_settings.h
+++ b/src/libs/relay/relay_settings.h
@@ -64,6 +64,10 @@
   /// replicate its tables from them.
   std::size_t min_daemons_for_peer_replication = 12;
   DutySettings duties;
+  /// Streams wait for engines in order of urgency where they compete for them, instead of being
+  /// rejected after a fraction of their objective. Experimental: in a fleet in which daemons do not
+  /// see each other's streams, the engines that are left after a loss receive too many.
+  bool queues_streams = false;
 
   bool operator==(const RelaySettings&) const = default;
 };
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -288,11 +288,6 @@
     co_await m_wake->WaitFor(kRetryRequestInterval);
     co_return Step::kContinue;
   }
-  const bool may_wait = m_waiting && !m_head_sent && m_continuation.Attempts() == 0;
-  if (!may_send && may_wait) {
-    co_await m_wake->WaitFor(kRetryRequestInterval);
-    co_return Step::kContinue;
-  }
   if (!may_send) {
     co_await AnswerFailure();
     co_return Step::kEnd;
@@ -354,6 +349,7 @@
   m_has_retry = false;
   if (m_waiting) m_waiting->OnPlaced();
   m_attempt_started = SteadyNow();
+  m_context.endpoints.OnRequestSent(engine.id, m_attempt_started);
   const bool is_counted = m_context.duty_counters != nullptr && !m_from_backup;
   if (is_counted) {
     m_context.duty_counters->OnPromptSent(m_request.service, m_request.fields.prompt_tokens);
@@ -563,6 +559,7 @@
   }
   ReportCompletedAttempt(m_context, m_request, m_attempt->Endpoint(), status >= 500,
                          Duration::zero());
+  if (status >= 500) m_context.endpoints.OnErrorReply(engine, SteadyNow());
   if (status >= 500 && m_continuation.MayStartAttempt()) {
     m_failed_attempt = m_attempt;
     AbandonAttempt("status " + std::to_string(status), AttemptLoss::kNone);
--- a/tests/auto/platform/tst_waiting_streams.cpp
+++ b/tests/auto/platform/tst_waiting_streams.cpp
@@ -37,6 +37,7 @@
   std::string streams = configuration.substr(less_urgent);
   Replace(streams, "\"priority\":1", "\"priority\":2");
   world.store->Put("op", "config", configuration.substr(0, less_urgent) + streams);
+  world.settings.queues_streams = true;
   world.StartDaemon();
   co_await PlatformWorld::WaitFor([&world]() { return world.daemon->IsServing(); });
 }
