coordination: keep the ranking by prompt where all daemons see each other

The random choice among almost equal engines, meant for daemons that receive nothing from each other, also applied in fleets that rank the engines by prompt. There its random part exceeded the distance between two ranks, so that a resumed stream could miss the engine that has its prompt cached. It now applies only on the ring. The test of the random choice uses a ring, and a new one fails without this rule.

--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -234,7 +234,10 @@
 
 /// Returns an addition to the endpoint's time that makes the choice among almost equal ones random.
 double TieTokens(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
-  if (request.tie_seed == 0 || !endpoint.pace.HasReport()) return 0.0;
+  // Daemons that all exchange heartbeats see each other's choices, and keep to the ranking by
+  // prompt, by which a resumed stream finds the engine that has its prompt cached.
+  const bool is_ranked_by_prompt = !request.ring;
+  if (request.tie_seed == 0 || is_ranked_by_prompt || !endpoint.pace.HasReport()) return 0.0;
   const double draw = static_cast<double>(StableHash(endpoint.record.id, request.tie_seed)) /
                       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   return draw * kTieFraction * static_cast<double>(request.prompt_tokens);
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -46,7 +46,7 @@
   /// Usual time to process the prompt; zero if unknown.
   Duration prefill_time{};
   /// Selects among engines with almost equal times; differs between requests. 0 if the first in
-  /// the ranking is selected. Applies only to engines that report their pace.
+  /// the ranking is selected. Applies only with `ring`, to engines that report their pace.
   std::uint64_t tie_seed = 0;
   /// Absent if requests may use an engine regardless of its slots.
   std::optional<FillLimit> fill;
--- a/tests/auto/coordination/tst_pace_placement.cpp
+++ b/tests/auto/coordination/tst_pace_placement.cpp
@@ -109,13 +109,15 @@
 // Guards against daemons that all select the same of several equal engines, and against a random
 // choice where engines report no pace.
 Test(pace_placement, almost_equal_engines_are_selected_at_random_if_they_report_a_pace) {
-  Fleet fleet(4);
+  constexpr std::size_t kEngines = 40;
+  Fleet fleet(kEngines);
   PlacementRequest request = Request();
+  request.ring = RingView{0.5, 0.1};
   const std::string first = IdOf(PlaceStream(fleet.Pointers(), request));
   for (request.tie_seed = 1; request.tie_seed < 200; ++request.tie_seed) {
     cr_assert(IdOf(PlaceStream(fleet.Pointers(), request)) == first);
   }
-  for (std::size_t index = 0; index < 4; ++index) fleet.SetPace(index, 1.0);
+  for (std::size_t index = 0; index < kEngines; ++index) fleet.SetPace(index, 1.0);
   std::map<std::string, int> counts;
   for (request.tie_seed = 1; request.tie_seed < 200; ++request.tie_seed) {
     ++counts[IdOf(PlaceStream(fleet.Pointers(), request))];
@@ -123,6 +125,18 @@
   cr_assert_geq(counts.size(), 3u);
 }
 
+// Guards against a resumed stream that misses the engine that has its prompt cached: daemons that
+// all exchange heartbeats rank the engines for a prompt in the same order.
+Test(pace_placement, the_ranking_by_prompt_is_kept_where_all_daemons_see_each_other) {
+  Fleet fleet(4);
+  for (std::size_t index = 0; index < 4; ++index) fleet.SetPace(index, 1.0);
+  PlacementRequest request = Request();
+  const std::string first = IdOf(PlaceStream(fleet.Pointers(), request));
+  for (request.tie_seed = 1; request.tie_seed < 200; ++request.tie_seed) {
+    cr_assert(IdOf(PlaceStream(fleet.Pointers(), request)) == first);
+  }
+}
+
 // Guards against less urgent requests that take the last slots and KV cache, which more urgent ones
 // need.
 Test(pace_placement, the_fill_limit_leaves_room_for_more_urgent_requests) {
