--- a/src/libs/coordination/endpoint_ramp_filter.cpp
+++ b/src/libs/coordination/endpoint_ramp_filter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <utility>
@@ -24,7 +25,7 @@
 
 double ReturnedShare(const std::vector<const DirectoryEndpoint*>& endpoints, const RampFleet& fleet,
                      TimePoint now) {
-  const auto returned =
+  const std::ptrdiff_t returned =
       std::count_if(endpoints.begin(), endpoints.end(), [&](const DirectoryEndpoint* endpoint) {
         return !IsExempt(*endpoint, fleet) && endpoint->ramp.HasReturnedRecently(now);
       });
