--- a/src/libs/relay/duty_api.h
+++ b/src/libs/relay/duty_api.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
 
 #include "protocol/duty_messages.h"
 #include "transport/http_client.h"
+#include "utils/enum_names.h"
 
 namespace fulmarpoint {
 
@@ -23,6 +25,15 @@
   kUnknown,
 };
 
+inline constexpr std::array<EnumName<DutyCallResult>, 6> kDutyCallResultNames = {{
+    {DutyCallResult::kAccepted, "accepted"},
+    {DutyCallResult::kFenced, "fenced"},
+    {DutyCallResult::kThrottled, "throttled"},
+    {DutyCallResult::kRefused, "refused"},
+    {DutyCallResult::kNotSent, "not_sent"},
+    {DutyCallResult::kUnknown, "unanswered"},
+}};
+
 /// Who makes a call.
 struct DutyIdentity {
   std::string name;
--- a/src/libs/relay/duty_caller.cpp
+++ b/src/libs/relay/duty_caller.cpp
@@ -21,24 +21,6 @@
   return {context.settings.name, fencing_token};
 }
 
-const char* NameOfResult(DutyCallResult result) {
-  switch (result) {
-    case DutyCallResult::kAccepted:
-      return "accepted";
-    case DutyCallResult::kFenced:
-      return "fenced";
-    case DutyCallResult::kThrottled:
-      return "throttled";
-    case DutyCallResult::kRefused:
-      return "refused";
-    case DutyCallResult::kNotSent:
-      return "not_sent";
-    case DutyCallResult::kUnknown:
-      break;
-  }
-  return "unanswered";
-}
-
 }  // namespace
 
 Task<DutyCallResult> DutyCaller::SendUsageReport(std::uint64_t fencing_token, UsageReport report) {
@@ -83,10 +65,12 @@
     result = error ? DutyCallResult::kUnknown : m_api.decode_result(reply.status);
     reason = error ? error.message() : "status " + std::to_string(reply.status);
   }
-  m_context.metrics.Count("duty_calls", NameOfResult(result));
+  m_context.metrics.Count("duty_calls", NameOf(kDutyCallResultNames, result));
   if (result != DutyCallResult::kAccepted) {
     Log(LogLevel::kWarning, "duty_call_failed",
-        {{"subject", subject}, {"result", NameOfResult(result)}, {"reason", reason}});
+        {{"subject", subject},
+         {"result", NameOf(kDutyCallResultNames, result)},
+         {"reason", reason}});
   }
   co_return result;
 }
