duties: end the lease with the first reply of a restored store

Two different reports could be accepted for one window: a holder that reads the stored reports, or stores one, from a store that was restored a moment ago took the missing row for a window without a report, and sent its own counts until its next renewal showed the epoch. Found by a reader of the change, by reading; the window is a third of the lease time, and the watches of the tables usually close it earlier, so no test fails without the change. Now each reply's epoch is looked at before the reply is used. tst_singleton_duties passes (13).

--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -81,6 +81,7 @@
 
   void DriveReporter(const UsageReporter::Event& event);
   void Perform(const UsageReporter::Action& action);
+  bool KeepsLease(std::uint64_t token, const StoreReply& reply);
   Task<void> ReadStoredReports();
   Task<void> StoreReport(UsageReporter::StoreReport store);
   Task<void> SendReport(UsageReport report);
@@ -338,6 +339,17 @@
              action);
 }
 
+/// Returns whether the lease under which a call to the store was made is still held. The reply may
+/// be the first of a later epoch, in which it is not.
+bool SingletonDuties::State::KeepsLease(std::uint64_t token, const StoreReply& reply) {
+  if (stopped) return false;
+  if (reply.status != StoreStatus::kUnknown) {
+    NoteEpoch(reply.position.epoch);
+    DriveLease(Lease::EpochSeen{reply.position.epoch});
+  }
+  return lease.IsHeld() && lease.FencingToken() == token;
+}
+
 /// Reads what former holders have decided. Nothing is reported before.
 Task<void> SingletonDuties::State::ReadStoredReports() {
   const std::shared_ptr<State> self = shared_from_this();
@@ -346,7 +358,7 @@
       context.duty_counters->Ledger().WindowAt(WallNow()) - UsageReporter::kKeptWindows;
   while (!stopped && lease.IsHeld() && lease.FencingToken() == token) {
     const StoreReply reply = co_await ReadRowsFrom(context.store, kUsageTable, RowKeyOf(first));
-    if (stopped || !lease.IsHeld() || lease.FencingToken() != token) co_return;
+    if (!KeepsLease(token, reply)) co_return;
     if (reply.status != StoreStatus::kOk) {
       co_await Sleep(kTickInterval);
       continue;
@@ -366,6 +378,7 @@
 Task<void> SingletonDuties::State::StoreReport(UsageReporter::StoreReport store) {
   const std::shared_ptr<State> self = shared_from_this();
   const UsageWindow window = store.report.window;
+  const std::uint64_t token = lease.FencingToken();
   if (!MaySend()) {
     DriveReporter(UsageReporter::StoreFailed{window});
     co_return;
@@ -382,7 +395,7 @@
   expired.key = RowKeyOf(store.expired);
   transaction.removes.push_back(std::move(expired));
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
-  if (stopped) co_return;
+  if (!KeepsLease(token, reply)) co_return;
   std::optional<UsageReport> stored;
   if (reply.status == StoreStatus::kOk) stored = store.report;
   if (reply.status == StoreStatus::kConflict) {
