endpoint directory: share the pace of a reply once

A daemon told its neighbours the pace at the start of a stream again every two seconds while the stream lasted, as if it were new, so that an old disturbance replaced what they had learned since. Cause: the head of the same reply is passed to the directory with each event, and an equal time of arrival counted as a new report. Found by a reader of the change; the new test failed before (the same reply was shared after 3 s) and passes now.

Tried and reverted: the age of a report in the message in place of a fixed 250 ms.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -24,13 +24,14 @@
 
 constexpr Duration kReportedLoadDecay = std::chrono::seconds(2);
 
+// Mean time that a neighbour holds a report back before it is sent.
+constexpr Duration kPeerPaceAge = std::chrono::milliseconds(250);
+
 constexpr double kPercent = 100.0;
 // Neighbours are told of a pace that differs from the last one by this fraction, and of any other
 // after some time, so that they do not consider it outdated.
 constexpr double kPaceDifference = 0.1;
 constexpr Duration kPaceRepetition = std::chrono::seconds(2);
-// Mean time that a neighbour holds a report back before it is sent.
-constexpr Duration kPeerPaceAge = std::chrono::milliseconds(250);
 
 std::uint16_t PercentOf(const EnginePace& pace) {
   return static_cast<std::uint16_t>(std::lround(pace.Reported() * kPercent));
@@ -279,7 +280,7 @@
   if (found == m_endpoints.end()) return;
   DirectoryEndpoint& endpoint = found->second;
   const bool is_same_process = endpoint.record.incarnation == record.incarnation;
-  if (!is_same_process || at < endpoint.load_seen) return;
+  if (!is_same_process || at <= endpoint.load_seen) return;
   endpoint.load = load;
   endpoint.load_seen = at;
   if (!load.pace) return;
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -175,7 +175,7 @@
   /// endpoints.
   void OnFirstEvent(const EndpointId& id, double ratio, TimePoint now);
   /// The process of `record` stated its load in a reply that arrived at `at`. The same reply may be
-  /// passed more than once. Ignored if the endpoint is now another process.
+  /// passed more than once and counts once. Ignored if the endpoint is now another process.
   void OnLoad(const EndpointRecord& record, const EndpointLoad& load, TimePoint at);
   /// A neighbour has learned the pace of an endpoint. Ignored if the process is unknown.
   void OnPeerPace(const EndpointPace& pace, TimePoint now);
--- a/tests/auto/coordination/tst_engine_pace.cpp
+++ b/tests/auto/coordination/tst_engine_pace.cpp
@@ -172,6 +172,21 @@
   cr_assert_not(receiver.ReportsPace("chat"));
 }
 
+// Guards against a report that replaces fresher ones at the neighbours, because the reply in which
+// it was made is looked at again while its stream lasts.
+Test(engine_pace, a_reply_is_shared_once) {
+  EndpointDirectory sender;
+  const EndpointRecord record = Record("e1");
+  sender.Put(record, kStart);
+  sender.OnLoad(record, LoadWithPace(2.5), kStart);
+  cr_assert_eq(sender.TakeNewPaces(kStart).size(), 1u);
+  const TimePoint later = kStart + std::chrono::seconds(3);
+  sender.OnLoad(record, LoadWithPace(2.5), kStart);
+  cr_assert(sender.TakeNewPaces(later).empty(), "the same reply");
+  sender.OnLoad(record, LoadWithPace(2.5), later);
+  cr_assert_eq(sender.TakeNewPaces(later).size(), 1u, "a later one");
+}
+
 // Guards against fragmented datagrams, and against paces that are never sent in a large fleet.
 Test(engine_pace, a_datagram_holds_few_paces_and_the_others_follow) {
   EndpointDirectory directory;
