calls: count a request for usage at the head of its reply

Usage that was reported too late was not reported at all: a call was counted when its reply had been passed on, so that a slow caller or a long body could hold it back until the report of its window was decided, and a call whose caller had left was never counted. It is now counted at the head of the reply, dated when it was sent, and also if the caller leaves while it runs. Found by a reader of the change, by reading; tst_singleton_duties (13) and tst_calls pass.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -162,7 +162,7 @@
     const TryResult end = co_await TryEndpoint();
     m_context.endpoints.RemoveUse(use);
     m_connection.reset();
-    if (end == TryResult::kAnswered || end == TryResult::kMayHaveRun) CountBegun();
+    if (end == TryResult::kMayHaveRun || end == TryResult::kCallerGone) CountBegun();
     if (end == TryResult::kCallerGone) break;
     if (end == TryResult::kAnswered) co_return;
     if (m_stale) break;
@@ -184,7 +184,7 @@
   co_await RespondWithFailure();
 }
 
-/// Counts the request once, when its first attempt that may have run was sent.
+/// Counts the request once, as begun when its first attempt that may have run was sent.
 void CallSession::CountBegun() {
   const bool is_counted = m_context.duty_counters != nullptr && m_attempts > 0 && !m_is_counted;
   if (!is_counted) return;
@@ -317,6 +317,7 @@
     ReportEndpointState(m_context, m_request, m_endpoint, reply_fields, SteadyNow());
     const TryResult end = ClassifyHead(reply_fields);
     if (end != TryResult::kAnswered) co_return end;
+    CountBegun();
     if (m_watch) m_watch->OnProgress();
     m_memory.Release();
     error = co_await m_connection->ReadBody(m_reply.body, kMaxReplyBytes, TimeLeft(), &m_memory);
