usage ledger: bound the copies that neighbours keep

With some sixty organisations a copy no longer fitted a datagram without fragments, and with a few thousand it could not be sent at all, though it counted as sent: the loss of a daemon would have lost its counts. Copies are now divided into messages of 32 counts. Windows that are no longer kept also lose their mark as changed, which grew without end in a daemon that orders engines but reports no usage. Of the two new tests the second passes also without the change, because unsent marks of dropped windows give no sums; it states the bound of what is sent. tst_usage_ledger and tst_singleton_duties (13) pass.

--- a/src/libs/coordination/usage_ledger.cpp
+++ b/src/libs/coordination/usage_ledger.cpp
@@ -1,6 +1,8 @@
 #include "coordination/usage_ledger.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <utility>
 
 namespace fulmarpoint {
 
@@ -41,6 +43,7 @@
   }
   Counts& counts = m_own[window];
   RemoveOldest(m_own, kMaxWindows);
+  m_changed.erase(m_changed.begin(), m_changed.lower_bound(m_own.begin()->first));
   const bool is_full = counts.size() >= kMaxOrganisations && !counts.contains(organisation);
   if (is_full) {
     ++m_dropped;
@@ -101,4 +104,18 @@
   return sums;
 }
 
+std::vector<UsageCopy> UsageLedger::CopiesOf(const std::vector<UsageSum>& sums) {
+  std::vector<UsageCopy> copies;
+  for (const UsageSum& sum : sums) {
+    for (std::size_t first = 0; first < sum.usage.size(); first += kMaxCopyOrganisations) {
+      const std::size_t last = std::min(first + kMaxCopyOrganisations, sum.usage.size());
+      UsageSum part{sum.daemon, sum.incarnation, sum.window, {}};
+      part.usage.assign(sum.usage.begin() + static_cast<std::ptrdiff_t>(first),
+                        sum.usage.begin() + static_cast<std::ptrdiff_t>(last));
+      copies.push_back({{std::move(part)}});
+    }
+  }
+  return copies;
+}
+
 }  // namespace fulmarpoint
--- a/src/libs/coordination/usage_ledger.h
+++ b/src/libs/coordination/usage_ledger.h
@@ -22,6 +22,8 @@
   static constexpr std::size_t kMaxWindows = 12;
   /// Organisations that are counted in a window.
   static constexpr std::size_t kMaxOrganisations = 4096;
+  /// Counts in a message to a neighbour.
+  static constexpr std::size_t kMaxCopyOrganisations = 32;
   /// Daemons whose sums are kept.
   static constexpr std::size_t kMaxDaemons = 16;
 
@@ -42,6 +44,9 @@
   std::vector<UsageSum> Sums(UsageWindow first) const;
   /// Returns this daemon's sums that have changed since the last call, to be sent to neighbours.
   std::vector<UsageSum> TakeChanged();
+  /// Divides sums into messages of at most `kMaxCopyOrganisations` counts each, so that none is
+  /// fragmented. The parts of a sum may arrive in any order. Thread-safe.
+  static std::vector<UsageCopy> CopiesOf(const std::vector<UsageSum>& sums);
   /// Requests that were not counted because of a limit.
   std::uint64_t Dropped() const { return m_dropped; }
 
--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -301,12 +301,13 @@
   const TimePoint now = SteadyNow();
   if (!settings.reports_usage || now - last_copies < kCopyInterval) return;
   last_copies = now;
-  UsageCopy copy{context.duty_counters->Ledger().TakeChanged()};
-  if (copy.sums.empty()) return;
-  const std::string bytes = EncodeDatagram(std::move(copy));
-  const std::vector<PeerRecord> neighbours = context.peers.HeartbeatPeers();
-  for (std::size_t i = 0; i < std::min(kCopyHolders, neighbours.size()); ++i) {
-    exchange.Send(neighbours[i].peer_address, bytes);
+  const std::vector<UsageSum> changed = context.duty_counters->Ledger().TakeChanged();
+  if (changed.empty()) return;
+  std::vector<PeerRecord> holders = context.peers.HeartbeatPeers();
+  holders.resize(std::min(kCopyHolders, holders.size()));
+  for (UsageCopy& copy : UsageLedger::CopiesOf(changed)) {
+    const std::string bytes = EncodeDatagram(std::move(copy));
+    for (const PeerRecord& peer : holders) exchange.Send(peer.peer_address, bytes);
   }
 }
 
--- a/tests/auto/coordination/tst_usage_ledger.cpp
+++ b/tests/auto/coordination/tst_usage_ledger.cpp
@@ -149,3 +149,29 @@
   cr_assert_eq(CountOf(ledger, {"daemon-" + std::to_string(daemons), 1}, 100 + daemons, "huka270"),
                1u);
 }
+
+// Guards against copies that are lost because they do not fit into a datagram.
+Test(usage_ledger, copies_of_many_organisations_are_divided) {
+  UsageLedger lost = LedgerOf("lost");
+  constexpr std::size_t kOrganisations = 100;
+  for (std::size_t i = 0; i < kOrganisations; ++i) {
+    lost.OnBegun("organisation-" + std::to_string(i), 7 * kWindowMs);
+  }
+  const std::vector<UsageCopy> copies = UsageLedger::CopiesOf(lost.TakeChanged());
+  cr_assert_eq(copies.size(), 4u);
+  UsageLedger neighbour = LedgerOf("neighbour");
+  for (const UsageCopy& copy : copies) {
+    cr_assert_leq(copy.sums.front().usage.size(), UsageLedger::kMaxCopyOrganisations);
+    neighbour.OnCopy(copy);
+  }
+  cr_assert(neighbour.Sums(0).front().usage == lost.Sums(0).front().usage);
+}
+
+// Guards against marks of dropped windows that are kept for ever by a daemon that sends no copies.
+Test(usage_ledger, only_kept_windows_count_as_changed) {
+  UsageLedger ledger = LedgerOf("a");
+  for (UsageWindow window = 0; window < 100; ++window) {
+    ledger.OnBegun("huka270", window * kWindowMs);
+  }
+  cr_assert_eq(ledger.TakeChanged().size(), UsageLedger::kMaxWindows);
+}
