--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -201,6 +201,9 @@
   cr_assert_not(duties("cloud.address=10.200.0.70:8181\ncloud.duties=\n").IsEnabled());
   cr_assert_not(duties("cloud.address=10.200.0.70:8181\ncloud.duties=unknown\n").IsEnabled());
   cr_assert_not(duties("cloud.duties=usage_report\n").IsEnabled());
+  const DutySettings spaced =
+      duties("cloud.address=10.200.0.70:8181\ncloud.duties=usage_report, autoscale\n");
+  cr_assert(spaced.reports_usage && spaced.orders_engines, "with a space after the comma");
   const DutySettings enabled = duties(
       "cloud.address=10.200.0.70:8181\ncloud.duties=usage_report,autoscale\n"
       "cloud.dutyPerS=20.0\nbounds.leaseMs=4000\nbounds.reportWindowS=5\nbounds.usageLateS=9\n");
