engine orders: know failure domains that were lost with the holder

A failure domain that is lost together with the holder got no engines any more, and the reserve was reckoned without it: the next holder had never seen its engines. Every daemon now notes the domains when it is polled. Also, a holder that wakes after its successor has polled it logs its own token when it gives the lease up, and not the successor's.

--- a/src/libs/relay/engine_orders.cpp
+++ b/src/libs/relay/engine_orders.cpp
@@ -23,6 +23,7 @@
 
 void EngineOrders::Decide(const std::set<std::string>& daemons) {
   if (!m_context.table) return;
+  ObserveFailureDomains();
   const TimePoint now = SteadyNow();
   m_demand.Retain(daemons);
   for (const RelayService& service : m_context.table->Configuration().services) {
@@ -58,15 +59,27 @@
        {"requests", std::lround(demand.requests)}});
 }
 
+void EngineOrders::ObserveFailureDomains() {
+  if (!m_context.table) return;
+  for (const RelayService& service : m_context.table->Configuration().services) {
+    if (!service.engine || !service.scale) continue;
+    std::set<std::string>& domains = m_failure_domains[service.name];
+    for (const DirectoryEndpoint* endpoint :
+         m_context.endpoints.Staying(service.name, SteadyNow())) {
+      domains.insert(endpoint->record.failure_domain);
+    }
+  }
+}
+
 /// Returns the number of engines in each failure domain that has or had some.
-std::map<std::string, int> EngineOrders::EnginesOf(const ServiceName& service, TimePoint now) {
+std::map<std::string, int> EngineOrders::EnginesOf(const ServiceName& service,
+                                                   TimePoint now) const {
   std::map<std::string, int> engines;
-  std::set<std::string>& domains = m_failure_domains[service];
-  for (const std::string& domain : domains) engines[domain] = 0;
+  const auto domains = m_failure_domains.find(service);
+  if (domains == m_failure_domains.end()) return engines;
+  for (const std::string& domain : domains->second) engines[domain] = 0;
   for (const DirectoryEndpoint* endpoint : m_context.endpoints.Staying(service, now)) {
-    const std::string& domain = endpoint->record.failure_domain;
-    domains.insert(domain);
-    ++engines[domain];
+    ++engines[endpoint->record.failure_domain];
   }
   return engines;
 }
--- a/src/libs/relay/engine_orders.h
+++ b/src/libs/relay/engine_orders.h
@@ -25,6 +25,9 @@
 
   /// A daemon replied to a poll that was sent at `asked`.
   void OnReply(const DutyPollReply& reply, TimePoint asked) { m_demand.OnReply(reply, asked); }
+  /// Notes the failure domains that have engines. Call it on every daemon from time to time: a
+  /// later holder must know a domain whose engines are lost, because it orders engines there too.
+  void ObserveFailureDomains();
   /// Decides what the load of `daemons`, the names of all that are listed, needs.
   void Decide(const std::set<std::string>& daemons);
   /// Returns the orders to send now. Each of their subjects is not due again before `OnSent`.
@@ -51,7 +54,7 @@
   void DecideFor(const RelayService& service, const std::set<std::string>& daemons, TimePoint now);
   void SetOrder(const ServiceName& service, const EngineScaling::Order& order,
                 const EngineScaling::Demand& demand, TimePoint now);
-  std::map<std::string, int> EnginesOf(const ServiceName& service, TimePoint now);
+  std::map<std::string, int> EnginesOf(const ServiceName& service, TimePoint now) const;
 
   RelayContext& m_context;
   FleetDemand m_demand;
--- a/src/libs/relay/singleton_duties.cpp
+++ b/src/libs/relay/singleton_duties.cpp
@@ -102,6 +102,8 @@
   /// The holder as last stated in a poll, and when that began.
   std::string holder;
   std::uint64_t holder_token = 0;
+  /// Of the lease that this daemon holds or held last.
+  std::uint64_t own_token = 0;
   UnixMillis holder_since = 0;
   UsageWindow last_reported = 0;
   /// A daemon that lost the lease lets others act before it competes again.
@@ -212,7 +214,8 @@
   if (is_releasing || SteadyNow() < compete_from) return DriveLease(Lease::Release{});
   is_holder = true;
   holder = context.settings.name;
-  holder_token = lease.FencingToken();
+  own_token = lease.FencingToken();
+  holder_token = own_token;
   holder_since = WallNow();
   context.metrics.SetGauge("duty_holder", {}, 1.0);
   Log(LogLevel::kInfo, "duty_lease_acquired", {{"token", holder_token}});
@@ -227,7 +230,7 @@
   compete_from = SteadyNow() + settings.lease_time;
   if (!std::exchange(is_holder, false)) return;
   context.metrics.SetGauge("duty_holder", {}, 0.0);
-  Log(LogLevel::kInfo, "duty_lease_lost", {{"token", holder_token}});
+  Log(LogLevel::kInfo, "duty_lease_lost", {{"token", own_token}});
   DriveReporter(UsageReporter::Lost{});
   orders.Clear();
 }
@@ -469,6 +472,7 @@
     state.holder_token = poll.fencing_token;
     state.holder_since = WallNow();
   }
+  if (state.settings.orders_engines) state.orders.ObserveFailureDomains();
   return state.OwnReply(poll);
 }
 
@@ -495,7 +499,7 @@
                         {"holder", state.holder},
                         {"fencing_token", state.holder_token},
                         {"since_unix_ms", state.holder_since},
-                        {"is_holder", state.lease.IsHeld()},
+                        {"is_holder", state.is_holder},
                         {"last_reported_window", state.last_reported},
                         {"orders", std::move(orders)}}
       .dump();
