--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -91,8 +91,8 @@
   /// the row is still there then.
   TimePoint doubted_until{};
 
-  /// Limits this daemon's requests after a start or a recovery; used for services with contention
-  /// control.
+  /// Limits this daemon's requests after a start or a recovery; applied to services whose engines
+  /// report their pace.
   EndpointRamp ramp;
 
   /// Returns whether the process has ended as far as is known.
--- a/src/libs/coordination/endpoint_ramp.cpp
+++ b/src/libs/coordination/endpoint_ramp.cpp
@@ -57,8 +57,7 @@
     return;
   }
   ++m_good_replies;
-  // One more for each good reply doubles the limit each time all requests in progress are
-  // answered. Doubling it for each reply would multiply it by 2^n for n answered requests.
+  // Adding one for each good reply doubles the limit in each round of replies.
   m_limit = std::min(kMaxLimit, m_limit + 1);
 }
 
--- a/src/libs/coordination/engine_scaling.cpp
+++ b/src/libs/coordination/engine_scaling.cpp
@@ -10,8 +10,8 @@
 // Older figures say nothing about the next seconds.
 constexpr Duration kMaxDemandAge = std::chrono::seconds(3);
 constexpr double kMinCoverage = 0.9;
-// Engines are busy for this share of the time at the highest demand, so that a burst of two thirds
-// more still fits.
+// Share of the time for which engines are busy at the highest demand. Leaves room for demand that
+// doubles while new engines start.
 constexpr double kTargetUtilization = 0.45;
 // KV cache may be used up to a higher share than processing time, because backups of streams that
 // are needed less give way.
--- a/src/libs/coordination/stream_admission.cpp
+++ b/src/libs/coordination/stream_admission.cpp
@@ -23,6 +23,8 @@
 constexpr int kMaxRetryAfterSteps = 3;
 // Callers ignore a Retry-After above this fraction of the time that they have left.
 constexpr int kMaxRetryAfterDivisor = 3;
+// Share of an engine's slots and KV cache that each priority may fill. The rest is kept for more
+// urgent streams, and that of backups for all streams.
 constexpr std::array<double, 3> kFillLimits = {1.0, 0.85, 0.7};
 constexpr double kBackupFillLimit = 0.6;
 
--- a/src/libs/relay/engine_orders.cpp
+++ b/src/libs/relay/engine_orders.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-// A call without a reply may be executed seconds later, so its order is repeated after that.
+// Longest delay with which a call without a reply may still be executed. Its order is repeated
+// after that.
 constexpr Duration kLateExecution = std::chrono::seconds(8);
 constexpr Duration kRepeatInterval = std::chrono::seconds(2);
 
--- a/src/libs/relay/peer_registration.cpp
+++ b/src/libs/relay/peer_registration.cpp
@@ -13,8 +13,8 @@
 namespace {
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
-// A row that is still there after this time, in which the neighbours of its daemon may remove it,
-// is that of a daemon that lives.
+// A row that is still there after this time is that of a daemon that lives: its neighbours remove
+// the others within a few checks, wherever most of them hear each other.
 constexpr Duration kEndedTime = std::chrono::seconds(12);
 constexpr Duration kInitialBackoff = std::chrono::milliseconds(100);
 constexpr Duration kMaxBackoff = std::chrono::seconds(2);
--- a/src/libs/relay/waiting_stream.cpp
+++ b/src/libs/relay/waiting_stream.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-// A caller leaves after a pause of four times the objective, but waits at least 2 s; after a
-// longer time for services with slow events.
-constexpr Duration kMinPatience = std::chrono::seconds(2);
-constexpr int kPatienceObjectives = 4;
-constexpr int kPatienceEventGaps = 8;
+// A caller leaves a stream without events after the longest of 2 s, four times the objective and
+// eight times the event gap objective.
+constexpr Duration kMinCallerTimeout = std::chrono::seconds(2);
+constexpr int kCallerTimeoutObjectives = 4;
+constexpr int kCallerTimeoutEventGaps = 8;
 // The run time is estimated from the maximum output, and most streams are shorter, so the estimate
 // takes at most this fraction of the time until the deadline.
 constexpr int kMaxRunTimeDivisor = 2;
@@ -142,8 +142,9 @@
 StreamAdmission::Stream WaitingStream::MakeStream(const State& state) const {
   const RelayRoute& route = *m_request.route;
   const Duration first_event = ExpectedFirstEvent();
-  const Duration patience = std::max({kMinPatience, kPatienceObjectives * route.latency_objective,
-                                      kPatienceEventGaps * route.event_gap_objective});
+  const Duration caller_timeout =
+      std::max({kMinCallerTimeout, kCallerTimeoutObjectives * route.latency_objective,
+                kCallerTimeoutEventGaps * route.event_gap_objective});
   StreamAdmission::Stream stream;
   stream.priority = m_request.priority;
   stream.level = PriorityLevelOf(m_request);
@@ -154,7 +155,8 @@
   stream.is_committed = state.is_committed;
   stream.latest_objective_start = m_request.arrived + route.latency_objective - first_event;
   stream.latest_useful_start =
-      std::min(m_request.deadline - ExpectedRunTime(), m_request.arrived + patience) - first_event;
+      std::min(m_request.deadline - ExpectedRunTime(), m_request.arrived + caller_timeout) -
+      first_event;
   stream.deadline = m_request.deadline;
   return stream;
 }
