stream log: say what arrived from the engine and what ended its reply

A stream that 'ends as complete after piece k of n' has three possible causes, and request_end could not tell them apart: it had the last event that the caller got only. It now has the last event that arrived (last_arrived) and what marked the end of the engine's reply (framing), and relay_stream_ends counts completed attempts by framing. Events dropped in the daemon show as last_event below last_arrived; a reset read as an end shows as framing=close with both equal and below the engine's own count. No decision changes.

--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -1,5 +1,6 @@
 #include "relay/stream_attempt.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace fulmarpoint {
@@ -103,7 +104,9 @@
       m_events.push_back({m_splitter.Take(), now});
       if (m_event_count++ == 0) m_first_arrival = now;
       m_last_arrival = now;
-      m_queued_bytes += m_events.back().event.bytes.size();
+      const RawEvent& event = m_events.back().event;
+      m_queued_bytes += event.bytes.size();
+      if (event.id) m_last_arrived_event = std::max(m_last_arrived_event, event.id);
     }
     if (arrived) Wake();
   }
--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -72,6 +72,11 @@
   /// Returns when `Answer()` arrived.
   TimePoint AnsweredAt() const { return m_answered_at; }
   const EndpointRecord& Endpoint() const { return m_endpoint; }
+  /// Returns what marks the end of the reply's body. Precondition: the attempt has ended as
+  /// `kComplete`.
+  ReplyFraming Framing() const { return m_connection->Framing(); }
+  /// Returns the highest number of an event that has arrived, taken or not; nothing if none has.
+  const std::optional<std::uint64_t>& LastArrivedEvent() const { return m_last_arrived_event; }
   AttemptTiming Timing() const;
   /// Returns when the first event arrived; nothing if none has.
   std::optional<TimePoint> FirstEventAt() const;
@@ -98,6 +103,7 @@
   TimePoint m_first_arrival{};
   TimePoint m_last_arrival{};
   int m_event_count = 0;
+  std::optional<std::uint64_t> m_last_arrived_event;
   std::optional<StreamAttemptEnd> m_end;
   std::string m_reason;
   bool m_cancelled = false;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -128,6 +128,10 @@
   int m_resumes = 0;
   /// Time from the arrival of the request to its first event; zero until then.
   Duration m_first_event{};
+  /// Of the attempt that completed the stream: what marked the end of its reply, and the last event
+  /// that arrived. Logged, so that events lost here can be told from an engine that ended early.
+  std::string_view m_framing = "none";
+  std::optional<std::uint64_t> m_last_arrived_event;
   /// An attempt with an engine's error reply, forwarded if no other engine succeeds.
   std::shared_ptr<StreamAttempt> m_failed_attempt;
 };
@@ -521,6 +525,9 @@
     m_waiting->OnCompleted(SteadyNow() - m_request.arrived - m_first_event);
   }
   const int status = m_attempt->Reply().status;
+  m_framing = NameOf(kReplyFramingNames, m_attempt->Framing());
+  m_context.metrics.Count("relay_stream_ends", m_framing);
+  m_last_arrived_event = m_attempt->LastArrivedEvent();
   if (!m_head_sent) {
     co_await m_exchange.StartStream(status, EndToEndHeaders(m_attempt->Reply().headers));
   }
@@ -709,6 +716,8 @@
                 {{"runs", m_continuation.Attempts()},
                  {"resumes", m_resumes},
                  {"last_event", m_continuation.LastEvent().value_or(0)},
+                 {"last_arrived", m_last_arrived_event.value_or(0)},
+                 {"framing", m_framing},
                  {"first_ms", m_first_event.count() / 1000},
                  {"longest_pause_ms", m_continuation.LongestGap().count() / 1000}});
 }
--- a/src/libs/transport/http_client_exchange.cpp
+++ b/src/libs/transport/http_client_exchange.cpp
@@ -130,6 +130,12 @@
 
 bool HttpClientExchange::HasReplyBegun() const { return m_state->connection.reply_begun; }
 
+ReplyFraming HttpClientExchange::Framing() const {
+  const HttpEventStream::Connection::Parser& parser = *m_state->connection.parser;
+  if (parser.chunked()) return ReplyFraming::kChunked;
+  return parser.need_eof() ? ReplyFraming::kConnectionClose : ReplyFraming::kLength;
+}
+
 bool HttpClientExchange::BodyDone() const {
   return m_state->connection.parser && m_state->connection.BodyDone();
 }
--- a/src/libs/transport/http_client_exchange.h
+++ b/src/libs/transport/http_client_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -8,9 +9,19 @@
 #include "transport/http_message.h"
 #include "transport/task.h"
 #include "utils/byte_budget.h"
+#include "utils/enum_names.h"
 
 namespace fulmarpoint {
 
+/// What marks the end of a reply's body.
+enum class ReplyFraming { kLength, kChunked, kConnectionClose };
+
+inline constexpr std::array<EnumName<ReplyFraming>, 3> kReplyFramingNames = {{
+    {ReplyFraming::kLength, "length"},
+    {ReplyFraming::kChunked, "chunked"},
+    {ReplyFraming::kConnectionClose, "close"},
+}};
+
 /// An HTTP/1.1 client connection that exposes the steps of an exchange: the reply can be read while
 /// the request is still being sent, and `Close()` makes a step in progress complete with an error.
 /// Must be used on one strand.
@@ -45,6 +56,8 @@
   /// can be reserved from `memory`, which must outlive the call.
   Task<std::error_code> ReadBody(std::string& body, std::size_t max_bytes, Duration timeout,
                                  ByteReservation* memory = nullptr);
+  /// Returns what marks the end of the body. Precondition: `ReadHead()` has succeeded.
+  ReplyFraming Framing() const;
   /// Returns whether the reply has been read completely.
   bool BodyDone() const;
   /// Returns whether another request may be sent: request and reply are complete, the server keeps
