relay: end a stream only after all events that arrived were delivered

Cause: StreamAttempt reads the engine's reply into a queue and sets its end while StreamSession waits for a slow caller to take the last write; when that returned, Run looked at the end first, finished the caller's reply and dropped what was queued. A failed attempt lost the events that had arrived before the failure in the same way.

StreamAttempt::End() now reports an end only once the queue has been taken, so no user of it can drop events, and Run forwards events that arrived during a write before it checks for a stall, which would have taken the slow caller for a silent engine.

Ruled out for this symptom: the close of the daemon's own connection (no last chunk, or a reset for HTTP/1.0 callers).

--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -61,9 +61,9 @@
 
   bool HasEvent() const { return !m_events.empty(); }
   ArrivedEvent TakeEvent();
-  /// Nothing while the attempt is in progress. Events that arrived before the end can still be
-  /// taken.
-  const std::optional<StreamAttemptEnd>& End() const { return m_end; }
+  /// Nothing while the attempt is in progress, or as long as events that arrived before its end are
+  /// still to be taken.
+  std::optional<StreamAttemptEnd> End() const { return HasEvent() ? std::nullopt : m_end; }
   /// Why the attempt broke.
   const std::string& Reason() const { return m_reason; }
   /// The reply's status and headers, and for `kAnswered` its body.
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -176,7 +176,8 @@
       continue;
     }
     step = co_await ForwardEvents();
-    if (step == Step::kEnd || !m_attempt) continue;
+    // More events may have arrived while the caller was slow to take the last ones.
+    if (step == Step::kEnd || !m_attempt || m_attempt->HasEvent()) continue;
     if (m_attempt->End()) {
       step = co_await OnAttemptEnd();
       continue;
--- a/tests/auto/platform/endpoint_standin.cpp
+++ b/tests/auto/platform/endpoint_standin.cpp
@@ -34,8 +34,9 @@
   return {{"Content-Type", "text/event-stream"}, {kRequestId, request_id}, {kSeal, "seal-" + id}};
 }
 
-std::string EventText(int number) {
-  return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+std::string EventText(int number, std::size_t padding = 0) {
+  return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) +
+         std::string(padding, '.') + "\n\n";
 }
 
 }  // namespace
@@ -162,6 +163,7 @@
   const std::string after = HeaderOf(exchange.Request(), "Last-Event-Id");
   const int first = after.empty() ? 1 : std::stoi(after) + 1;
   sent = 0;
+  has_finished_stream = false;
   for (int number = first; number <= total_events && !exchange.ClientDisconnected(); ++number) {
     const bool reached = sent == events_before_fault;
     if (reached && behaviour == EndpointBehaviour::kStall) {
@@ -180,10 +182,11 @@
       HttpReply head = WithExtraHeaders({200, StreamHeaders(request_id, m_id), ""});
       co_await exchange.StartStream(200, std::move(head.headers));
     }
-    co_await exchange.WriteChunk(EventText(number));
+    co_await exchange.WriteChunk(EventText(number, event_padding));
     co_await Sleep(event_interval);
   }
   if (exchange.Started()) co_await exchange.FinishStream();
+  has_finished_stream = true;
 }
 
 Task<void> EndpointStandin::WaitUntilCallerDisconnected(HttpExchange& exchange) {
--- a/tests/auto/platform/endpoint_standin.h
+++ b/tests/auto/platform/endpoint_standin.h
@@ -76,8 +76,12 @@
   int events_before_fault = 0;
   Duration pause{};
   int total_events = 10;
+  /// Bytes by which each event is longer than those of `AllEvents()`.
+  std::size_t event_padding = 0;
   /// Events sent on the latest stream so far.
   int sent = 0;
+  /// The latest stream was sent whole.
+  bool has_finished_stream = false;
   Duration event_interval = std::chrono::milliseconds(2);
   std::vector<SeenRequest> seen;
   /// Target addresses of the KV cache backups requested, and names of the backups released.
