endpoint reachability: decide whether a daemon is cut off from all endpoints

EndpointReachability concludes from new connections: two different endpoints that fail without a success in between cause probes of three others, of other services and failure domains; if these fail too and two domains are concerned, the daemon is isolated. Two different endpoints that accept end it. Weighed: reports of peers (they cannot say what this daemon reaches), replies on kept connections (these outlive the path), periodic probes (priced, and a lost engine must cause none).

--- /dev/null
+++ b/src/libs/coordination/endpoint_reachability.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/identifiers.h"
+#include "utils/time.h"
+
+namespace fulmarpoint {
+
+/// An endpoint that may be probed.
+struct ReachabilityCandidate {
+  EndpointId id;
+  std::string service;
+  std::string failure_domain;
+};
+
+/// Decides whether this daemon is isolated: partitioned from all endpoints, although callers may
+/// still reach it. The evidence is new connections only, because kept ones can outlive the path by
+/// which new ones would come. Not thread-safe.
+class EndpointReachability {
+ public:
+  struct Options {
+    /// Different endpoints that must fail without a success in between before others are probed. A
+    /// single lost endpoint causes no probe.
+    std::size_t failures_before_probes = 2;
+    /// Different endpoints that must fail without a success in between, of two failure domains if
+    /// there are two, before the daemon is isolated. All known ones if there are fewer.
+    std::size_t failures_before_isolation = 3;
+    /// Different endpoints that must accept connections in a row before the isolation ends, so that
+    /// a lossy path does not end it each time.
+    std::size_t successes_before_recovery = 2;
+    /// Failures count together if they are not farther apart.
+    Duration failure_window = std::chrono::seconds(2);
+    /// Endpoints probed at once when the daemon may be isolated.
+    std::size_t probes_per_suspicion = 3;
+    /// Least time between probes.
+    Duration probe_interval = std::chrono::milliseconds(250);
+  };
+
+  EndpointReachability() = default;
+  explicit EndpointReachability(Options options) : m_options(options) {}
+
+  /// A new connection to the endpoint was accepted.
+  void OnConnected(const EndpointId& endpoint);
+  /// A new connection was refused or not accepted in time.
+  void OnConnectFailed(const ReachabilityCandidate& endpoint, TimePoint now);
+
+  /// Returns the endpoints to connect to now, whose results are to be reported like those of other
+  /// connections. `known` are the endpoints that are expected to accept connections.
+  std::vector<EndpointId> TakeProbes(const std::vector<ReachabilityCandidate>& known,
+                                     TimePoint now);
+  /// Returns when to call `TakeProbes()` again if nothing else happens; nothing if no probe will be
+  /// due.
+  std::optional<TimePoint> NextProbe() const;
+
+  bool IsIsolated() const { return m_isolated_since.has_value(); }
+  /// Returns when the failures began that led to the isolation; nothing if not isolated.
+  const std::optional<TimePoint>& IsolatedSince() const { return m_isolated_since; }
+  /// Returns the number of different endpoints that have failed since the last success.
+  std::size_t FailedEndpoints() const { return m_failures.size(); }
+
+ private:
+  struct Failure {
+    std::string service;
+    std::string failure_domain;
+    TimePoint at{};
+  };
+
+  void ForgetOldFailures(TimePoint now);
+  void CheckIsolation(const std::vector<ReachabilityCandidate>& known);
+  std::vector<EndpointId> ChooseSuspicionProbes(
+      const std::vector<ReachabilityCandidate>& known) const;
+  const ReachabilityCandidate& NextRecoveryProbe(const std::vector<ReachabilityCandidate>& known);
+
+  Options m_options;
+  /// Latest failure of each endpoint that has failed since the last success.
+  std::map<EndpointId, Failure> m_failures;
+  TimePoint m_first_failure{};
+  /// Probes that have neither failed nor succeeded.
+  std::set<EndpointId> m_pending_probes;
+  std::optional<TimePoint> m_last_probe;
+  std::optional<TimePoint> m_isolated_since;
+  /// Endpoints that have accepted connections since the last failure; while isolated.
+  std::set<EndpointId> m_recovered;
+  std::size_t m_known_count = 0;
+  /// The endpoint probed last while isolated.
+  EndpointId m_rotation;
+};
+
+}  // namespace fulmarpoint
