relay: send callers of an isolated daemon to the others

Cause: a failed connection was a matter of one endpoint, so a daemon without any path went on calling itself ready, its peers and it itself named it in lookups, and each request tried up to twelve engines before its rejection, on a connection that stayed open. The class: a component advertises itself by its own liveness instead of by what it can serve.

ReachabilityMonitor probes as EndpointReachability asks and reports a change. An isolated daemon is not ready in its heartbeats, says so in its row where not all daemons are neighbours, leaves lookups (its own too) and readiness while another daemon is available, rejects at once with Retry-After 0.02 s and closes the connection, and cuts a silent stream that may be resumed so that its caller goes on elsewhere. While all are isolated, lookups name those that became so last. What it sees meanwhile is no evidence about endpoints, versions or requests: it reports no failed endpoints and no lost attempts, and the cool-downs of these seconds end with the isolation.

Ruled out: kept connections of callers alone (lookups named the daemons all the time).

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -175,6 +175,25 @@
       id, now + std::min(m_options.max_cool_down, m_options.first_cool_down * (1 << doublings)));
 }
 
+void EndpointDirectory::OnPathRestored(TimePoint since, TimePoint now) {
+  for (auto& [id, endpoint] : m_endpoints) {
+    if (!endpoint.own_failure || *endpoint.own_failure < since) continue;
+    endpoint.failures = 0;
+    endpoint.own_failure.reset();
+    endpoint.suspected_until = TimePoint{};
+    endpoint.cool_down_until = std::min(endpoint.cool_down_until, now);
+  }
+}
+
+std::vector<ReachabilityCandidate> EndpointDirectory::ProbeCandidates(TimePoint now) const {
+  std::vector<ReachabilityCandidate> candidates;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.IsDraining() || endpoint.HasEnded(now)) continue;
+    candidates.push_back({id, endpoint.record.service, endpoint.record.failure_domain});
+  }
+  return candidates;
+}
+
 void EndpointDirectory::OnPeerFailure(const EndpointId& id, TimePoint now) {
   const auto found = m_endpoints.find(id);
   if (found != m_endpoints.end()) Suspect(found->second, now);
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/endpoint_ramp.h"
+#include "coordination/endpoint_reachability.h"
 #include "coordination/engine_pace.h"
 #include "coordination/version_choice.h"
 #include "protocol/endpoint_record.h"
@@ -155,8 +156,13 @@
 
   /// Connecting failed, the connection broke, or the endpoint stalled during a request.
   void OnFailure(const EndpointId& id, TimePoint now);
+  /// This daemon can reach endpoints again that it could not reach since `since`: the failures that
+  /// it has observed meanwhile say nothing about the endpoints.
+  void OnPathRestored(TimePoint since, TimePoint now);
   /// A peer reported a failure. The cause may be at the peer, so the endpoint is only suspected.
   void OnPeerFailure(const EndpointId& id, TimePoint now);
+  /// Returns the endpoints that are expected to accept connections.
+  std::vector<ReachabilityCandidate> ProbeCandidates(TimePoint now) const;
   /// Returns the endpoints for which this daemon observed a failure at or after `since`.
   std::vector<EndpointId> FailedSince(TimePoint since) const;
   /// Another endpoint answered at the endpoint's address. If the endpoint displaced others there,
--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -16,13 +16,14 @@
 }  // namespace
 
 std::string ToJson(const PeerRecord& record) {
-  return Json{{"name", record.name},
-              {"incarnation", record.incarnation},
-              {"peer_address", record.peer_address},
-              {"caller_address", record.caller_address},
-              {"failure_domain", record.failure_domain},
-              {"cores", record.cores}}
-      .dump();
+  Json json{{"name", record.name},
+            {"incarnation", record.incarnation},
+            {"peer_address", record.peer_address},
+            {"caller_address", record.caller_address},
+            {"failure_domain", record.failure_domain},
+            {"cores", record.cores}};
+  if (record.is_isolated) json["isolated"] = true;
+  return json.dump();
 }
 
 std::optional<PeerRecord> ParsePeerRecord(const std::string& text) {
@@ -36,6 +37,7 @@
     record.caller_address = json.at("caller_address").get<std::string>();
     record.failure_domain = json.at("failure_domain").get<std::string>();
     record.cores = json.value("cores", 0.0);
+    record.is_isolated = json.value("isolated", false);
     return record;
   } catch (const Json::exception&) {
     return std::nullopt;
@@ -57,6 +59,7 @@
   peer.has_sent_heartbeat = false;
   peer.ready = false;
   peer.leaving = false;
+  peer.last_ready.reset();
 }
 
 void PeerDirectory::MarkEnded(const std::string& name, TimePoint until) {
@@ -83,6 +86,7 @@
   peer.has_sent_heartbeat = true;
   peer.ended_until = TimePoint{};
   peer.ready = heartbeat.ready;
+  if (peer.ready) peer.last_ready = now;
   peer.leaving = heartbeat.leaving;
   if (heartbeat.payload) peer.record.caller_address = heartbeat.payload->caller_address;
   return &peer.record;
@@ -119,6 +123,7 @@
     // Daemons that are not neighbours are known only by their rows.
     if (peer.HasEnded(now)) continue;
     const bool is_neighbour = neighbours.count(name) > 0;
+    if (!is_neighbour && peer.record.is_isolated) continue;
     const bool answers = now - peer.last_heartbeat < m_options.heartbeat_timeout;
     if (is_neighbour && !(peer.has_sent_heartbeat && answers && peer.ready && !peer.leaving))
       continue;
@@ -127,6 +132,28 @@
   return addresses;
 }
 
+std::vector<std::string> PeerDirectory::RecentlyReadyAddresses(TimePoint since,
+                                                               TimePoint now) const {
+  std::vector<std::string> addresses;
+  for (const Peer* peer : RingNeighbours()) {
+    const bool is_candidate = peer->Answers(now, m_options.heartbeat_timeout) && !peer->leaving;
+    if (is_candidate && peer->last_ready && *peer->last_ready >= since) {
+      addresses.push_back(peer->record.caller_address);
+    }
+  }
+  return addresses;
+}
+
+std::optional<TimePoint> PeerDirectory::LastReadyTime(TimePoint now) const {
+  std::optional<TimePoint> latest;
+  for (const Peer* peer : RingNeighbours()) {
+    if (peer->Answers(now, m_options.heartbeat_timeout) && !peer->leaving) {
+      latest = std::max(latest, peer->last_ready);
+    }
+  }
+  return latest;
+}
+
 std::vector<std::string> PeerDirectory::LostNeighbours(TimePoint now) const {
   const std::vector<Neighbour> neighbours = RankedNeighbours();
   const auto is_heard = [&](const Neighbour& neighbour) {
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -24,6 +24,9 @@
   std::string failure_domain;
   /// Processor cores that the daemon may use.
   double cores = 0.0;
+  /// The daemon cannot reach the endpoints, so daemons that get no heartbeats of it do not name it
+  /// in lookups.
+  bool is_isolated = false;
 
   bool operator==(const PeerRecord&) const = default;
 };
@@ -75,6 +78,12 @@
   std::vector<PeerRecord> HeartbeatPeers() const;
   /// Returns the caller addresses of the other daemons that lookups may return.
   std::vector<std::string> CallerAddresses(TimePoint now) const;
+  /// Returns the caller addresses of the neighbours that were last known to be ready, if none is
+  /// any more: those that stopped being ready at or after `since`, and send heartbeats.
+  std::vector<std::string> RecentlyReadyAddresses(TimePoint since, TimePoint now) const;
+  /// Returns when the last neighbour that sends heartbeats stopped being ready; nothing if none has
+  /// been ready.
+  std::optional<TimePoint> LastReadyTime(TimePoint now) const;
   /// Returns the neighbours whose rows may be removed from the store, see
   /// `Options::removal_timeout`.
   std::vector<std::string> LostNeighbours(TimePoint now) const;
@@ -95,10 +104,15 @@
     bool has_sent_heartbeat = false;
     bool ready = false;
     bool leaving = false;
+    /// When it last said that it was ready.
+    std::optional<TimePoint> last_ready;
     /// The process counts as ended until then.
     TimePoint ended_until{};
 
     bool HasEnded(TimePoint now) const { return now < ended_until; }
+    bool Answers(TimePoint now, Duration heartbeat_timeout) const {
+      return has_sent_heartbeat && !HasEnded(now) && now - last_heartbeat < heartbeat_timeout;
+    }
   };
 
   /// A neighbour, and its place on its side of the ring; 0 is next to this daemon.
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -64,8 +64,7 @@
   if (!replacement->has_retry) co_return false;
   const std::shared_ptr<HttpClientExchange> connection =
       std::make_shared<HttpClientExchange>(context.executor, HttpClientExchange::Options());
-  const std::error_code error =
-      co_await ConnectEndpoint(context, *connection, endpoint.address, timeout);
+  const std::error_code error = co_await ConnectEndpoint(context, *connection, endpoint, timeout);
   if (error) {
     context.OnEndpointFailure(endpoint.id);
     replacement->unreachable.insert(endpoint.id);
@@ -149,7 +148,7 @@
     if (m_connection) m_connection->Close();
   });
   while (m_endpoint_tries++ < kMaxEndpointTries && TimeLeft() > Duration::zero() &&
-         !m_exchange.ClientDisconnected()) {
+         !m_exchange.ClientDisconnected() && !m_context.ShouldRedirect()) {
     if (m_replacement) {
       m_endpoint = m_replacement->endpoint;
     } else {
@@ -227,7 +226,7 @@
   m_connection =
       std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
   const std::error_code error =
-      co_await ConnectEndpoint(m_context, *m_connection, m_endpoint.address, ConnectTimeout());
+      co_await ConnectEndpoint(m_context, *m_connection, m_endpoint, ConnectTimeout());
   if (!error) co_return true;
   if (!m_exchange.ClientDisconnected()) OnEndpointFailed("connect: " + error.message());
   co_return false;
@@ -393,6 +392,7 @@
     co_await Respond(std::move(*m_failure), RequestOutcome::kEndpointFailed);
     co_return;
   }
+  if (m_context.ShouldRedirect()) m_exchange.CloseAfterReply();
   const bool late = TimeLeft() <= Duration::zero();
   if (m_may_have_run || m_attempts > 0) {
     co_await Respond(RelayProblem(late ? ResultCode::kOutcomeUnknown : ResultCode::kEndpointFailed,
--- a/src/libs/relay/caller_request_handler.cpp
+++ b/src/libs/relay/caller_request_handler.cpp
@@ -60,6 +60,7 @@
     const Rejection& rejection = *admission.rejection;
     m_context.metrics.Count("relay_requests", "not_admitted");
     LogRejection(admission.request.fields.request_id, rejection);
+    if (m_context.ShouldRedirect()) exchange.CloseAfterReply();
     co_await exchange.Respond(
         RelayProblem(rejection.code, rejection.detail, rejection.retry_after));
     co_return;
@@ -101,6 +102,11 @@
   admission.rejection = Authorize(request);
   if (admission.rejection) return admission;
   request.service = ChooseService(*request.route, m_context.random);
+  if (m_context.ShouldRedirect()) {
+    admission.rejection =
+        Rejection{ResultCode::kNoEndpoint, "use another daemon", RetryAfterOf(m_context, request)};
+    return admission;
+  }
   request.priority = PriorityOf(request);
   const Duration wait =
       std::min(request.fields.deadline.value_or(request.route->timeout), request.route->timeout);
--- a/src/libs/relay/peer_exchange.cpp
+++ b/src/libs/relay/peer_exchange.cpp
@@ -105,13 +105,16 @@
   heartbeat.sender = StableHash(context.settings.name);
   heartbeat.incarnation = context.incarnation;
   heartbeat.sequence = ++sequence;
-  heartbeat.ready = context.IsServing();
+  heartbeat.ready = context.IsServing() && !context.reachability.IsIsolated();
   heartbeat.leaving = context.leaving;
   const TimePoint now = SteadyNow();
   HeartbeatPayload payload;
   payload.caller_address = context.settings.caller_address;
   payload.streams = context.streams.Streams();
-  payload.failed_endpoints = context.endpoints.FailedSince(now - kFailureReportPeriod);
+  // An isolated daemon knows nothing about the endpoints.
+  if (!context.reachability.IsIsolated()) {
+    payload.failed_endpoints = context.endpoints.FailedSince(now - kFailureReportPeriod);
+  }
   if (schedule.MarkSentIfDue(payload, now)) heartbeat.payload = std::move(payload);
   const std::string bytes = EncodeDatagram(std::move(heartbeat));
   for (const PeerRecord& peer : context.peers.HeartbeatPeers()) {
--- a/src/libs/relay/peer_registration.cpp
+++ b/src/libs/relay/peer_registration.cpp
@@ -40,8 +40,9 @@
   Task<void> RemoveUnlessWritten(std::string name, TimePoint until);
 
   RelayContext& context;
-  const PeerRecord self;
-  const std::string value;
+  PeerRecord self;
+  /// The row's value as it should be.
+  std::string value;
   Notification wake;
   /// Row versions of the other daemons, by name.
   std::map<std::string, std::uint64_t> versions;
@@ -82,15 +83,16 @@
   StoreTransaction transaction;
   StoreRow row = RowOf(self.name);
   const bool removes = deregistering;
+  const std::string written_value = value;
   if (removes) {
     transaction.removes.push_back(std::move(row));
   } else {
-    row.value = value;
+    row.value = written_value;
     transaction.puts.push_back(std::move(row));
   }
   const StoreReply reply = co_await context.store.commit(std::move(transaction));
   const bool ok = reply.status == StoreStatus::kOk;
-  if (ok) written = !removes;
+  if (ok) written = !removes && written_value == value;
   if (ok) written_epoch = reply.position.epoch;
   Log(LogLevel::kInfo, "registration", {{"action", removes ? "remove" : "write"}, {"ok", ok}});
   co_return ok;
@@ -120,6 +122,17 @@
   Spawn(m_state->context.executor, [state = m_state]() { return state->Run(); });
 }
 
+void PeerRegistration::SetIsolated(bool is_isolated) {
+  State& state = *m_state;
+  const bool is_stated = is_isolated && state.context.peers.View().has_value();
+  if (state.self.is_isolated == is_stated) return;
+  state.self.is_isolated = is_stated;
+  state.value = ToJson(state.self);
+  if (state.deregistering) return;
+  state.written = false;
+  state.wake.Notify();
+}
+
 void PeerRegistration::Deregister() {
   m_state->deregistering = true;
   m_state->wake.Notify();
--- a/src/libs/relay/peer_registration.h
+++ b/src/libs/relay/peer_registration.h
@@ -24,6 +24,9 @@
   PeerRegistration& operator=(const PeerRegistration&) = delete;
 
   void Start();
+  /// States in this daemon's row whether it is isolated. Only fleets in which not all daemons
+  /// exchange heartbeats need that.
+  void SetIsolated(bool is_isolated);
   /// Removes this daemon's row for good.
   void Deregister();
   /// Handles a change of a row of `kPeerTable`.
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -7,6 +7,18 @@
 
 namespace fulmarpoint {
 
+namespace {
+
+/// Returns whether an error of a connection can be caused by the path to the endpoint. Others are
+/// local, such as a lack of descriptors or a caller that has left.
+bool IsPathFailure(const std::error_code& error) {
+  return error == std::errc::timed_out || error == std::errc::connection_refused ||
+         error == std::errc::connection_reset || error == std::errc::connection_aborted ||
+         error == std::errc::host_unreachable || error == std::errc::network_unreachable;
+}
+
+}  // namespace
+
 RelayContext::RelayContext(RelaySettings own_settings, RelayWire own_wire, Store own_store,
                            Executor own_executor, std::uint64_t seed)
     : settings(std::move(own_settings)),
@@ -23,6 +35,22 @@
   return table != nullptr && endpoints.Size() > 0 && freshness.Permits(BootNow());
 }
 
+bool RelayContext::ShouldRedirect() const {
+  return reachability.IsIsolated() && !peers.CallerAddresses(SteadyNow()).empty();
+}
+
+void RelayContext::OnConnectionEnded(const EndpointRecord& endpoint, const std::error_code& error) {
+  if (error && !IsPathFailure(error)) return;
+  const bool is_news = error || reachability.FailedEndpoints() > 0 || reachability.IsIsolated();
+  if (error) {
+    reachability.OnConnectFailed({endpoint.id, endpoint.service, endpoint.failure_domain},
+                                 SteadyNow());
+  } else {
+    reachability.OnConnected(endpoint.id);
+  }
+  if (is_news && on_reachability_evidence) on_reachability_evidence();
+}
+
 Duration RelayContext::ExpectedPrefillTime(const ServiceName& service,
                                            std::int64_t prompt_tokens) const {
   const auto found = m_prefill_rates.find(service);
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -4,11 +4,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "coordination/configuration_freshness.h"
 #include "coordination/connection_share.h"
 #include "coordination/endpoint_directory.h"
+#include "coordination/endpoint_reachability.h"
 #include "coordination/fleet_retry_quota.h"
 #include "coordination/peer_directory.h"
 #include "coordination/prefill_rate_estimator.h"
@@ -39,6 +41,11 @@
   /// Returns whether requests may be accepted: at least one endpoint and a usable configuration are
   /// known.
   bool IsServing() const;
+  /// Returns whether callers should use another daemon, because this one cannot reach the endpoints
+  /// and there is another one that may.
+  bool ShouldRedirect() const;
+  /// Records whether a new connection to an endpoint was accepted.
+  void OnConnectionEnded(const EndpointRecord& endpoint, const std::error_code& error);
   /// Returns the endpoints of `service` that may now receive a request with this choice of
   /// versions. The pointers are valid until the next change of `endpoints`.
   std::vector<const DirectoryEndpoint*> UsableFor(const ServiceName& service,
@@ -85,6 +92,7 @@
   /// When `table` was last confirmed to be current, on the clock `BootNow()`.
   ConfigurationFreshness freshness;
   EndpointDirectory endpoints;
+  EndpointReachability reachability;
   PeerDirectory peers;
   StreamRegistry streams;
   /// Set by the daemon once these exist.
@@ -104,6 +112,8 @@
   std::size_t requests = 0;
   /// Called when a stream of this daemon was placed or ended, or an endpoint has failed.
   std::function<void()> on_heartbeat_payload_changed;
+  /// Called when `reachability` was told of a connection and may want probes.
+  std::function<void()> on_reachability_evidence;
   /// Called when `requests` has changed.
   std::function<void()> on_requests_changed;
   /// Called when an engine reads or has read a stream's prompt.
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -15,6 +15,7 @@
 #include "relay/peer_server.h"
 #include "relay/poison_request_detector.h"
 #include "relay/prompt_finder.h"
+#include "relay/reachability_monitor.h"
 #include "relay/relay_context.h"
 #include "relay/relay_rollouts.h"
 #include "relay/relay_tables.h"
@@ -42,6 +43,8 @@
 // Interval of the checks whether callers have received their last replies before the daemon stops.
 constexpr Duration kConnectionCheckInterval = std::chrono::milliseconds(5);
 constexpr std::size_t kMaxLookupAddresses = 64;
+// Daemons that became isolated within this time of each other lost their path by the same fault.
+constexpr Duration kSameIsolationTime = std::chrono::seconds(1);
 // On the metrics address.
 constexpr std::string_view kDutiesPath = "/duties";
 
@@ -93,6 +96,7 @@
   RelayTables::Handlers TableHandlers();
   Task<void> Housekeeping();
   Task<void> AnswerLookup(HttpExchange& exchange);
+  std::vector<std::string> LookupAddresses(TimePoint now);
   Task<void> AnswerReadiness(HttpExchange& exchange);
   Task<void> AnswerMetrics(HttpExchange& exchange);
   void HandleDrain(const Drain::Event& event);
@@ -103,6 +107,10 @@
     return stop_requested + context.settings.stop_grace - kForcedStopMargin;
   }
   void LogReadiness();
+  void OnIsolationChange(bool is_isolated);
+  bool IsReady() const {
+    return context.IsServing() && !context.leaving && !context.ShouldRedirect();
+  }
 
   RelayContext context;
   EndpointConnectionPool endpoint_connections;
@@ -115,6 +123,7 @@
   RelayRollouts rollouts;
   DutyCounters duty_counters;
   SingletonDuties duties;
+  ReachabilityMonitor reachability_monitor;
   RelayTables tables;
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<PeerRegistration> registration;
@@ -143,11 +152,13 @@
       duty_counters(InstanceId{context.settings.name, context.incarnation},
                     context.settings.duties),
       duties(context, peer_exchange, peer_connections, context.wire.duties, own_seed),
+      reachability_monitor(context, [this](bool is_isolated) { OnIsolationChange(is_isolated); }),
       tables(context, peer_connections, std::move(own_sources), TableHandlers(), own_seed) {
   context.poison_requests = &poison_requests;
   context.rollouts = &rollouts;
   context.duties = &duties;
   if (context.settings.duties.IsEnabled()) context.duty_counters = &duty_counters;
+  context.on_reachability_evidence = [this]() { reachability_monitor.OnEvidence(); };
   context.on_heartbeat_payload_changed = [this]() { peer_exchange.SendHeartbeatSoon(); };
   context.borrow_retry_quota = [this](ServiceName service) {
     return retry_quotas.Borrow(std::move(service));
@@ -246,8 +257,32 @@
   }
 }
 
+/// Returns the daemons that callers may use. If all are isolated, those that became so last: none
+/// can serve requests, and callers that spread over all of them would leave the one to which the
+/// path returns first.
+std::vector<std::string> RelayDaemon::State::LookupAddresses(TimePoint now) {
+  std::vector<std::string> addresses = context.peers.CallerAddresses(now);
+  const std::optional<TimePoint> isolated_since = context.reachability.IsolatedSince();
+  if (!context.leaving && !isolated_since) addresses.push_back(context.settings.caller_address);
+  if (!addresses.empty() || !isolated_since) return addresses;
+  const std::optional<TimePoint> peers_ready = context.peers.LastReadyTime(now);
+  const TimePoint latest = std::max(peers_ready.value_or(TimePoint{}), *isolated_since);
+  const TimePoint since = latest - kSameIsolationTime;
+  addresses = context.peers.RecentlyReadyAddresses(since, now);
+  if (!context.leaving && *isolated_since >= since) {
+    addresses.push_back(context.settings.caller_address);
+  }
+  return addresses;
+}
+
+/// Callers learn of it by lookups at any daemon, so the others must know.
+void RelayDaemon::State::OnIsolationChange(bool is_isolated) {
+  peer_exchange.SendHeartbeatSoon();
+  registration->SetIsolated(is_isolated);
+}
+
 void RelayDaemon::State::LogReadiness() {
-  const bool is_ready = context.IsServing() && !context.leaving;
+  const bool is_ready = IsReady();
   if (is_ready == was_ready) return;
   was_ready = is_ready;
   const std::optional<Duration> age = context.freshness.Age(BootNow());
@@ -263,9 +298,7 @@
   }
   LookupAnswer answer;
   answer.ttl = context.settings.lookup_ttl;
-  if (context.IsServing()) answer.addresses = context.peers.CallerAddresses(SteadyNow());
-  const bool lists_self = context.IsServing() && !context.leaving;
-  if (lists_self) answer.addresses.push_back(context.settings.caller_address);
+  if (context.IsServing()) answer.addresses = LookupAddresses(SteadyNow());
   if (answer.addresses.empty()) {
     co_await exchange.Respond(RelayProblem(ResultCode::kStale, "ask another daemon"));
     co_return;
@@ -282,7 +315,7 @@
     co_await exchange.Respond(RelayProblem(ResultCode::kNotFound, "only readiness is served here"));
     co_return;
   }
-  if (context.IsServing() && !context.leaving) {
+  if (IsReady()) {
     co_await exchange.Respond(HttpReply());
   } else {
     co_await exchange.Respond(RelayProblem(ResultCode::kStale, "not ready"));
@@ -373,6 +406,7 @@
   state.registration->Start();
   state.tables.Start(std::move(own_record));
   state.duties.Start();
+  state.reachability_monitor.Start();
   Spawn(state.context.executor, [shared = m_state]() { return shared->Housekeeping(); });
   Log(LogLevel::kInfo, "started",
       {{"name", state.context.settings.name},
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -23,6 +23,10 @@
 
 // What a caller that is rejected is told to wait: until an endpoint takes requests again, if that
 // is known, but not for long, because the endpoints may take requests of other daemons meanwhile.
+// A connection that was given less time and failed does not show that the endpoint is unreachable.
+constexpr Duration kMinConclusiveTimeout = std::chrono::milliseconds(40);
+// Other daemons can serve the request at once.
+constexpr Duration kRetryAfterIsolated = std::chrono::milliseconds(20);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 // Callers that are rejected together return over a time that is this fraction of their wait.
@@ -122,9 +126,12 @@
 }
 
 Task<std::error_code> ConnectEndpoint(RelayContext& context, HttpClientExchange& connection,
-                                      std::string address, Duration timeout) {
-  const std::error_code error = co_await connection.Connect(std::move(address), timeout);
+                                      EndpointRecord endpoint, Duration timeout) {
+  const std::error_code error = co_await connection.Connect(endpoint.address, timeout);
   context.metrics.Count("endpoint_connections", error ? "failed" : "opened");
+  // A request that is about to end leaves too little time for a connection to tell anything.
+  const bool is_evidence = !error || timeout >= kMinConclusiveTimeout;
+  if (is_evidence) context.OnConnectionEnded(endpoint, error);
   co_return error;
 }
 
@@ -161,6 +168,8 @@
 
 void ReportLostAttempt(RelayContext& context, RelayedRequest& request,
                        const EndpointRecord& endpoint, const AttemptLossDetails& details) {
+  // The path was lost, which says nothing about the request, the endpoint or its version.
+  if (context.reachability.IsIsolated()) return;
   context.poison_requests->OnAttemptLost(request, endpoint, details);
   CompareVersions(context, request, endpoint, true, Duration::zero(), Duration::zero());
 }
@@ -170,6 +179,7 @@
 }
 
 Duration RetryAfterOf(RelayContext& context, const RelayedRequest& request) {
+  if (context.ShouldRedirect()) return kRetryAfterIsolated;
   const TimePoint now = SteadyNow();
   Duration wait = kMinRetryAfter;
   if (context.endpoints.Usable(request.service, now).empty()) {
--- a/src/libs/relay/relayed_request.h
+++ b/src/libs/relay/relayed_request.h
@@ -73,9 +73,10 @@
                                        const std::string& address, EndpointFields fields,
                                        TimePoint now);
 
-/// Connects to an endpoint at "ip:port" and counts the connection in the metrics.
+/// Connects to an endpoint, counts the connection in the metrics and reports it as evidence of
+/// reachability.
 Task<std::error_code> ConnectEndpoint(RelayContext& context, HttpClientExchange& connection,
-                                      std::string address, Duration timeout);
+                                      EndpointRecord endpoint, Duration timeout);
 
 /// Records what an endpoint states about itself in a reply to the request, which arrived at
 /// `answered_at`.
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -171,6 +171,11 @@
       co_await AnswerFailure();
       break;
     }
+    if (!m_attempt && m_context.ShouldRedirect()) {
+      m_exchange.CloseAfterReply();
+      co_await AnswerFailure();
+      break;
+    }
     if (!m_attempt) {
       step = co_await StartAttempt();
       continue;
@@ -332,7 +337,7 @@
   std::shared_ptr<HttpClientExchange> connection =
       std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
   const std::error_code error =
-      co_await ConnectEndpoint(m_context, *connection, engine.address, kConnectTimeout);
+      co_await ConnectEndpoint(m_context, *connection, engine, kConnectTimeout);
   if (!error) co_return connection;
   ReportEndpointFailure(m_context, m_request, engine.id, "connect: " + error.message());
   m_placement.Exclude(engine.id);
@@ -378,6 +383,11 @@
 /// Continues a stalled attempt at another engine, if there is one. Otherwise the attempt goes on:
 /// its engine may be silent for a moment only, and ending it would end the stream.
 Task<void> StreamSession::ReplaceAttempt(std::string_view reason, AttemptLoss loss) {
+  // The caller can resume at another daemon, while this one reaches no other engine.
+  if (m_context.ShouldRedirect() && m_request.route->can_resume) {
+    AbandonAttempt(reason, loss);
+    co_return;
+  }
   const EndpointId engine = m_attempt->Endpoint().id;
   m_placement.Exclude(engine);
   if (co_await TryReplaceAttempt(reason, loss)) co_return;
@@ -607,8 +617,11 @@
   const std::error_code error =
       co_await connection.Connect(attempt->Endpoint().address, kConnectTimeout);
   m_context.metrics.Count("endpoint_probes", error ? "failed" : "answered");
+  m_context.OnConnectionEnded(attempt->Endpoint(), error);
   m_continuation.OnProbeAnswered(SteadyNow());
-  const bool is_lost = error && attempt == m_attempt && !attempt->HasEvent() && !attempt->End();
+  // The connection of an attempt can outlive the path by which new ones would come.
+  const bool is_lost = error && !m_context.reachability.IsIsolated() && attempt == m_attempt &&
+                       !attempt->HasEvent() && !attempt->End();
   const std::string reason = "probe: " + error.message();
   if (is_lost) co_await ReplaceAttempt(reason, AttemptLoss::kBroken);
 }
