--- a/src/libs/protocol/relay_heartbeat.h
+++ b/src/libs/protocol/relay_heartbeat.h
@@ -57,8 +57,8 @@
   /// Start time of the process; a later one replaces the earlier process of the same name.
   std::uint64_t incarnation = 0;
   std::uint32_t sequence = 0;
-  /// The daemon has a usable configuration, an endpoint, and a path to the endpoints. Independent of
-  /// `leaving`.
+  /// The daemon has a usable configuration, an endpoint, and a path to the endpoints. Independent
+  /// of `leaving`.
   bool ready = false;
   bool leaving = false;
   /// Omitted if it was sent recently and has not changed since.
