http client: a reset during the upload does not end a reply without length

What the users saw (MIXED): an engine answered a long upload at once with 200 and no length, sent a part of its body and reset the connection while the upload was being written; the caller got the part as a complete answer. Cause: the kernel reports a reset to one call. The write of the request received it, so the read saw the end of the connection, which ends a body without length.

A body that ends with its connection now counts as complete only if the request was written whole and without an error; otherwise the read fails as reset. HttpClient writes a request whole before it reads, so a failed write already ends the exchange there.

Ruled out: a reset after the upload, which the read receives (broken_answers, 'no length, reset').

--- a/src/libs/transport/http_client_exchange.cpp
+++ b/src/libs/transport/http_client_exchange.cpp
@@ -43,6 +43,9 @@
         connection(executor, options.max_head_bytes + kBufferSlackBytes) {}
 
   Task<void> Send(HttpClientRequest request);
+  /// Like `Connection::ReadSome()`, but fails if the end of the connection may not be the end of
+  /// the reply.
+  Task<boost::system::error_code> ReadSome(std::string& data);
 
   const Executor executor;
   const Options options;
@@ -64,6 +67,16 @@
   send_failed = static_cast<bool>(error);
 }
 
+Task<boost::system::error_code> HttpClientExchange::State::ReadSome(std::string& data) {
+  const boost::system::error_code error = co_await connection.ReadSome(data);
+  // The kernel reports a reset once. If the write of the request has received it, the read sees
+  // only the end of the connection.
+  const bool was_cut =
+      connection.BodyDone() && connection.EndsWithConnection() && (sending || send_failed);
+  if (!error && was_cut) co_return boost::asio::error::connection_reset;
+  co_return error;
+}
+
 HttpClientExchange::HttpClientExchange(const Executor& executor, Options options)
     : m_state(std::make_shared<State>(executor, options)) {}
 
@@ -106,7 +119,7 @@
 
 Task<std::error_code> HttpClientExchange::ReadSome(std::string& data) {
   const std::shared_ptr<State> state = m_state;
-  co_return co_await state->connection.ReadSome(data);
+  co_return co_await state->ReadSome(data);
 }
 
 Task<std::error_code> HttpClientExchange::ReadBody(std::string& body, std::size_t max_bytes,
@@ -116,7 +129,7 @@
                                     [state]() { state->connection.Close(); });
   std::string data;
   while (!state->connection.BodyDone()) {
-    const boost::system::error_code error = co_await state->connection.ReadSome(data);
+    const boost::system::error_code error = co_await state->ReadSome(data);
     if (deadline.Expired()) co_return std::make_error_code(std::errc::timed_out);
     if (error) co_return error;
     const bool has_memory = memory == nullptr || memory->TryReserve(data.size());
@@ -133,7 +146,8 @@
 ReplyFraming HttpClientExchange::Framing() const {
   const HttpEventStream::Connection::Parser& parser = *m_state->connection.parser;
   if (parser.chunked()) return ReplyFraming::kChunked;
-  return parser.need_eof() ? ReplyFraming::kConnectionClose : ReplyFraming::kLength;
+  return m_state->connection.EndsWithConnection() ? ReplyFraming::kConnectionClose
+                                                  : ReplyFraming::kLength;
 }
 
 bool HttpClientExchange::BodyDone() const {
--- a/src/libs/transport/internal/http_client_connection.h
+++ b/src/libs/transport/internal/http_client_connection.h
@@ -31,6 +31,9 @@
   /// Reads some body bytes into `data`; `data` may stay empty before the end.
   Task<boost::system::error_code> ReadSome(std::string& data);
   bool BodyDone() const { return parser->is_done(); }
+  /// Returns whether only the end of the connection marks the end of the body. Precondition: the
+  /// head has been read.
+  bool EndsWithConnection() const { return parser->need_eof(); }
   bool KeepAlive() const { return parser->keep_alive() && buffer.size() == 0; }
   /// Returns whether the peer has neither closed the connection nor sent anything.
   bool IsOpenAndIdle();
