http client: reject replies whose status is not 200 to 599

Cause: the parser takes any three digits, and nobody checked them: 000 to 099 were passed on as the engine's final answer, 600 to 999 too. A status that is neither informational nor from 200 to 599 is now an error of the exchange, so it is handled as a broken reply: 502, or another attempt where the request allows one. 101 counts too, because no request asks for another protocol.

Evidence: broken_answers/invalid_replies_to_calls and invalid_replies_to_streams failed for the statuses 000, 042, 099, 600 and 999 and pass now.

--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -21,12 +21,12 @@
     "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "te",
     "trailer",    "transfer-encoding", "upgrade",          "content-length",     "expect"};
 
-// What a caller that is rejected is told to wait: until an endpoint takes requests again, if that
-// is known, but not for long, because the endpoints may take requests of other daemons meanwhile.
 // A connection that was given less time and failed does not show that the endpoint is unreachable.
 constexpr Duration kMinConclusiveTimeout = std::chrono::milliseconds(40);
 // Other daemons can serve the request at once.
 constexpr Duration kRetryAfterIsolated = std::chrono::milliseconds(20);
+// What a caller that is rejected is told to wait: until an endpoint takes requests again, if that
+// is known, but not for long, because the endpoints may take requests of other daemons meanwhile.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 // Callers that are rejected together return over a time that is this fraction of their wait.
--- a/src/libs/transport/http_client_connection.cpp
+++ b/src/libs/transport/http_client_connection.cpp
@@ -38,6 +38,11 @@
   return true;
 }
 
+constexpr int kMinFinalStatus = 200;
+constexpr int kMaxStatus = 599;
+
+bool IsFinalStatus(int status) { return status >= kMinFinalStatus && status <= kMaxStatus; }
+
 }  // namespace
 
 Task<boost::system::error_code> HttpEventStream::Connection::Connect(std::string to) {
@@ -88,6 +93,7 @@
     if (error) co_return error;
   } while (parser->get().result_int() / 100 == 1);
   reply.status = static_cast<int>(parser->get().result_int());
+  if (!IsFinalStatus(reply.status)) co_return http::error::bad_status;
   for (const auto& field : parser->get()) {
     reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
--- a/tests/auto/platform/tst_broken_answers.cpp
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -366,6 +366,39 @@
   return cut;
 }
 
+/// Returns whole replies with a head that is not valid HTTP/1.1, or whose framing is contradictory.
+std::vector<Answer> InvalidReplies(const std::string& content_headers) {
+  const std::string length = "Content-Length: 12\r\n";
+  std::vector<Answer> invalid;
+  const auto add = [&](const std::string& status_line, const std::string& headers,
+                       const std::string& body) {
+    const std::string head = status_line + "\r\n" + kSeal + content_headers + headers + "\r\n";
+    invalid.push_back({status_line + " " + headers, head + body, 0, "", Ending::kClose});
+  };
+  for (const char* line :
+       {"HTTP/1.1 000 None", "HTTP/1.1 042 X", "HTTP/1.1 099 X", "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/2.0 200 OK", "HTTP/1.2 200 OK", "HTTX/1.1 200 OK",
+        "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK"}) {
+    add(line, length, kBody);
+  }
+  for (const std::string& field :
+       {std::string("Bad Name: x\r\n"), std::string("Name : x\r\n"), std::string("Name\t: x\r\n"),
+        std::string("\x01Name: x\r\n"), std::string("Na\x7fme: x\r\n"), std::string(": x\r\n"),
+        std::string("Na(me: x\r\n"), std::string("Name\r\n"), std::string("X: a\x01z\r\n"),
+        std::string("X: a\x7fz\r\n"), std::string("X: a\0z\r\n", 9)}) {
+    add("HTTP/1.1 200 OK", length + field, kBody);
+    add("HTTP/1.1 200 OK", field + length, kBody);
+  }
+  for (const char* framing :
+       {"Content-Length : 12\r\n", "Content-Length: 12\r\nContent-Length: 13\r\n",
+        "Content-Length: +12\r\n", "Content-Length: -12\r\n", "Content-Length: 0x0c\r\n",
+        "Content-Length: 12, 13\r\n", "Content-Length:\r\n",
+        "Content-Length: 99999999999999999999999\r\n"}) {
+    add("HTTP/1.1 200 OK", framing, kBody);
+  }
+  return invalid;
+}
+
 std::vector<Answer> ShortStreams() {
   const std::string length = std::string(kEventStream) + "Content-Length: 12\r\n";
   std::vector<Answer> cut = CutHeads(Head("200 OK", kEventStream));
@@ -446,3 +479,28 @@
     cr_expect_geq(lost.status, 500, "%s: %s", cut.name.c_str(), lost.bytes.c_str());
   }
 }
+
+// Guards against replies with an invalid head or contradictory framing that a caller gets as the
+// endpoint's reply, and against non-idempotent calls that are sent again after one.
+Test(broken_answers, invalid_replies_to_calls) {
+  for (const Answer& invalid : InvalidReplies("")) {
+    int requests = 0;
+    const Received lost =
+        Play({"/place/x", "HTTP/1.1", kLongDeadline}, {invalid, GoodCall()}, &requests);
+    cr_expect_eq(lost.status, 502, "%s: %s", invalid.name.c_str(), lost.bytes.c_str());
+    cr_expect_eq(requests, 1, "%s: %d requests", invalid.name.c_str(), requests);
+    const Received repeated = Play({"/look/x", "HTTP/1.1", kLongDeadline}, {invalid, GoodCall()});
+    cr_expect(repeated.is_whole && repeated.body == kBody, "%s: %s", invalid.name.c_str(),
+              repeated.bytes.c_str());
+  }
+}
+
+// As above, for streams: the next engine runs them.
+Test(broken_answers, invalid_replies_to_streams) {
+  for (const char* type : {"", kEventStream}) {
+    for (const Answer& invalid : InvalidReplies(type)) {
+      CheckWholeStream(Play({"/stream/x", "HTTP/1.1", kLongDeadline}, {invalid, GoodStream()}),
+                       invalid.name);
+    }
+  }
+}
