http client: reject replies with an unknown or contradictory framing

The parser ignores transfer codings other than chunked, so a reply with 'gzip', 'gzip, chunked', 'chunked, chunked', an unknown coding, or chunks in an HTTP/1.0 reply reached the caller as a success with bytes that are not the engine's body.

A reply must have chunked as its only transfer coding, in HTTP/1.1 and without Content-Length, or no coding; others are broken replies.

Evidence: the entries with Transfer-Encoding of broken_answers/invalid_replies_to_calls and invalid_replies_to_streams failed before and pass now.

--- a/src/libs/transport/http_client_connection.cpp
+++ b/src/libs/transport/http_client_connection.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <cerrno>
@@ -38,6 +39,19 @@
   return true;
 }
 
+constexpr unsigned kHttp11 = 11;
+
+/// Returns whether the framing of the reply says where its body ends: by `chunked` as the only
+/// transfer coding, or without any coding. The parser ignores other codings, so that the coded
+/// bytes would be taken for the body.
+bool HasKnownFraming(const http::response<http::buffer_body>& reply) {
+  const std::size_t codings = reply.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  const bool is_chunked = boost::beast::iequals(reply[http::field::transfer_encoding], "chunked");
+  const bool has_length = reply.count(http::field::content_length) > 0;
+  return codings == 1 && is_chunked && !has_length && reply.version() >= kHttp11;
+}
+
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
 
@@ -94,6 +108,7 @@
   } while (parser->get().result_int() / 100 == 1);
   reply.status = static_cast<int>(parser->get().result_int());
   if (!IsFinalStatus(reply.status)) co_return http::error::bad_status;
+  if (!HasKnownFraming(parser->get())) co_return http::error::bad_transfer_encoding;
   for (const auto& field : parser->get()) {
     reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
--- a/tests/auto/platform/tst_broken_answers.cpp
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -392,10 +392,21 @@
   for (const char* framing :
        {"Content-Length : 12\r\n", "Content-Length: 12\r\nContent-Length: 13\r\n",
         "Content-Length: +12\r\n", "Content-Length: -12\r\n", "Content-Length: 0x0c\r\n",
-        "Content-Length: 12, 13\r\n", "Content-Length:\r\n",
+        "Content-Length: 12, 13\r\n", "Content-Length:\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: xchunked\r\n",
         "Content-Length: 99999999999999999999999\r\n"}) {
     add("HTTP/1.1 200 OK", framing, kBody);
   }
+  const std::string chunked_body = InChunk(kBody) + "0\r\n\r\n";
+  for (const char* framing :
+       {"Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 12\r\n",
+        "Content-Length: 12\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding : chunked\r\n"}) {
+    add("HTTP/1.1 200 OK", framing, chunked_body);
+  }
+  add("HTTP/1.0 200 OK", kChunked, chunked_body);
   return invalid;
 }
 
