http server: send no body after the reply to a HEAD request

Cause: Respond() left the body out for HEAD, WriteChunk() and FinishStream() did not. All three now ask the same question.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -383,7 +383,7 @@
   if (has_body) reply.headers.push_back({"Content-Length", std::to_string(reply.body.size())});
   if (m_connection.close_after_reply) reply.headers.push_back({"Connection", "close"});
   std::string text = internal::FormatReplyHead(reply.status, reply.headers) + "\r\n";
-  if (has_body && m_request.method != "HEAD") text += reply.body;
+  if (has_body && !IsHeadRequest()) text += reply.body;
   co_return co_await m_connection.Write(text);
 }
 
@@ -406,6 +406,7 @@
   if (!m_streaming || data.empty()) {
     co_return std::make_error_code(std::errc::operation_not_permitted);
   }
+  if (IsHeadRequest()) co_return std::error_code();
   if (!m_chunked) co_return co_await m_connection.Write(data);
   char size[20];
   const std::to_chars_result end = std::to_chars(size, size + sizeof size, data.size(), 16);
@@ -421,6 +422,7 @@
     m_connection.SetResetOnClose(false);
     co_return std::error_code();
   }
+  if (IsHeadRequest()) co_return std::error_code();
   const std::string text = "0\r\n\r\n";
   co_return co_await m_connection.Write(text);
 }
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -62,7 +62,8 @@
 
   /// Sends a complete reply. Content-Length is added.
   Task<std::error_code> Respond(HttpReply reply);
-  /// Starts a reply of unknown length. If the handler returns or the connection ends before
+  /// Starts a reply of unknown length. The reply to a HEAD request is its head only: parts of the
+  /// body are dropped. If the handler returns or the connection ends before
   /// `FinishStream()`, the client can tell that the reply is incomplete: the last chunk is missing,
   /// or, for an HTTP/1.0 client, the connection is reset.
   Task<std::error_code> StartStream(int status, HttpHeaders headers);
@@ -89,6 +90,9 @@
   HttpRequest m_request;
   bool m_started = false;
   bool m_streaming = false;
+  /// The reply to a HEAD request has no body, whatever its headers say.
+  bool IsHeadRequest() const { return m_request.method == "HEAD"; }
+
   bool m_chunked = false;
 
   friend struct Connection;
--- a/tests/auto/platform/tst_broken_answers.cpp
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -385,7 +385,7 @@
        {std::string("Bad Name: x\r\n"), std::string("Name : x\r\n"), std::string("Name\t: x\r\n"),
         std::string("\x01Name: x\r\n"), std::string("Na\x7fme: x\r\n"), std::string(": x\r\n"),
         std::string("Na(me: x\r\n"), std::string("Name\r\n"), std::string("X: a\x01z\r\n"),
-        std::string("X: a\x7fz\r\n"), std::string("X: a\0z\r\n", 9)}) {
+        std::string("X: a\x7fz\r\n"), std::string("X: a\0z\r\n", 8)}) {
     add("HTTP/1.1 200 OK", length + field, kBody);
     add("HTTP/1.1 200 OK", field + length, kBody);
   }
