poison detection: a refused connection proves no crash while the path may be lost

Attempts whose connections are reset at the start of a partition, and whose engines then refuse connections, were reported as crashes; three of them for one request or one shared part of a prompt quarantine it at all daemons. A refused connection now counts only once it is decided that the path is there: until then the detector connects again every 30 ms, every 250 ms while the daemon is isolated. Its connections are evidence of reachability like all others.

The tests of crashing requests, crash fleets and isolated daemons pass.

--- a/src/libs/coordination/endpoint_reachability.cpp
+++ b/src/libs/coordination/endpoint_reachability.cpp
@@ -48,10 +48,9 @@
   m_known_count = known.size();
   ForgetOldFailures(now);
   CheckIsolation(known);
-  const bool is_suspected = m_failures.size() >= m_options.failures_before_probes;
   const bool is_due = !m_last_probe || now - *m_last_probe >= m_options.probe_interval;
   if (known.empty() || !is_due || !m_pending_probes.empty()) return {};
-  if (!IsIsolated() && !is_suspected) return {};
+  if (!MayBeIsolated()) return {};
   std::vector<EndpointId> probes;
   if (IsIsolated()) {
     probes.push_back(NextRecoveryProbe(known).id);
@@ -65,8 +64,7 @@
 }
 
 std::optional<TimePoint> EndpointReachability::NextProbe() const {
-  const bool is_suspected = m_failures.size() >= m_options.failures_before_probes;
-  if (!IsIsolated() && !is_suspected) return std::nullopt;
+  if (!MayBeIsolated()) return std::nullopt;
   return m_last_probe ? *m_last_probe + m_options.probe_interval : TimePoint{};
 }
 
--- a/src/libs/coordination/endpoint_reachability.h
+++ b/src/libs/coordination/endpoint_reachability.h
@@ -59,6 +59,10 @@
   std::optional<TimePoint> NextProbe() const;
 
   bool IsIsolated() const { return m_isolated_since.has_value(); }
+  /// Returns whether it is open if endpoints or the path to them have failed.
+  bool MayBeIsolated() const {
+    return IsIsolated() || m_failures.size() >= m_options.failures_before_probes;
+  }
   /// Returns when the failures began that led to the isolation; nothing if not isolated.
   const std::optional<TimePoint>& IsolatedSince() const { return m_isolated_since; }
   /// Returns the number of different endpoints that have failed since the last success.
--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(120);
+// Intervals of further connections while it is open whether the endpoint or the path has failed.
+constexpr Duration kDoubtfulProbeInterval = std::chrono::milliseconds(30);
+constexpr Duration kIsolatedProbeInterval = std::chrono::milliseconds(250);
 // A terminating process closes its connections before its listening socket, so a probe without a
 // delay could still succeed.
 constexpr Duration kProbeDelay = std::chrono::milliseconds(5);
@@ -51,6 +54,8 @@
       : context(shared), exchange(peer_exchange) {}
 
   Task<void> Probe(EndpointId endpoint, std::string address);
+  Task<std::error_code> TryConnect(EndpointId endpoint, std::string address);
+  bool HasLostAttemptsAt(const EndpointId& endpoint) const;
   void ReportCrashes(const std::vector<LostAttempt>& attempts);
   bool IsGone(const EndpointProcess& process, TimePoint now) const;
   void Report(const LostAttempt& attempt, const std::vector<PeerRecord>& peers);
@@ -86,17 +91,41 @@
   bool stopped = false;
 };
 
+/// Returns the error with which a new connection to the endpoint ends.
+Task<std::error_code> PoisonRequestDetector::State::TryConnect(EndpointId endpoint,
+                                                               std::string address) {
+  const std::shared_ptr<State> self = shared_from_this();
+  HttpClientExchange connection(context.executor, HttpClientExchange::Options());
+  const std::error_code error = co_await connection.Connect(std::move(address), kProbeTimeout);
+  if (stopped) co_return error;
+  context.metrics.Count("endpoint_probes", error ? "failed" : "answered");
+  const DirectoryEndpoint* known = context.endpoints.Find(endpoint);
+  if (known != nullptr) context.OnConnectionEnded(known->record, error);
+  co_return error;
+}
+
+bool PoisonRequestDetector::State::HasLostAttemptsAt(const EndpointId& endpoint) const {
+  const std::vector<EndpointProcess> processes = lost_attempts.Processes();
+  return std::any_of(processes.begin(), processes.end(),
+                     [&](const EndpointProcess& process) { return process.endpoint == endpoint; });
+}
+
 /// Connects to the endpoint of lost attempts. Only a refused connection shows that its process is
 /// gone.
 Task<void> PoisonRequestDetector::State::Probe(EndpointId endpoint, std::string address) {
   const std::shared_ptr<State> self = shared_from_this();
   co_await Sleep(kProbeDelay);
   if (stopped) co_return;
-  HttpClientExchange connection(context.executor, HttpClientExchange::Options());
-  const std::error_code error = co_await connection.Connect(std::move(address), kProbeTimeout);
+  std::error_code error = co_await TryConnect(endpoint, address);
+  // A path that was lost refuses connections, too. Lost attempts are forgotten after some time, so
+  // this ends.
+  while (!stopped && error && context.reachability.MayBeIsolated() && HasLostAttemptsAt(endpoint)) {
+    co_await Sleep(context.reachability.IsIsolated() ? kIsolatedProbeInterval
+                                                     : kDoubtfulProbeInterval);
+    if (!stopped) error = co_await TryConnect(endpoint, address);
+  }
   if (stopped) co_return;
   probes_in_progress.erase(endpoint);
-  context.metrics.Count("endpoint_probes", error ? "failed" : "answered");
   if (!error) lost_attempts.OnAlive(endpoint);
   if (error == std::errc::connection_refused) ReportCrashes(lost_attempts.TakeCrashed(endpoint));
 }
