placement: keep within what brittle engines can reject

The relay ignored the header: it let requests wait at full engines and sent to each that a rejection had left for 100 ms only, from all daemons at once.

RejectionBudget gives each daemon its part of a brittle engine's slots and of half of N. A daemon uses more than its slots only where replies say that there is room, one more at a time, no more often than its part of the rejections allows; after a rejection it halves that and pauses as long. Where there are more daemons than an engine bears, a hash decides which use it. No request is placed to wait at a brittle engine.

Engines that are not brittle are treated as before.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -22,6 +22,9 @@
 constexpr double kMaxSlowness = 8.0;
 constexpr Duration kSlownessLifetime = std::chrono::seconds(6);
 
+// Least time between the statements of a service's endpoints that are passed on to the others.
+constexpr Duration kServiceStatementInterval = std::chrono::seconds(1);
+
 constexpr Duration kReportedLoadDecay = std::chrono::seconds(2);
 
 // Mean time that a neighbour holds a report back before it is sent.
@@ -237,9 +240,27 @@
 }
 
 void EndpointDirectory::OnRejected(const EndpointId& id, TimePoint now) {
-  StartCoolDown(id, now + kRejectionCoolDown);
   const auto found = m_endpoints.find(id);
-  if (found != m_endpoints.end()) found->second.ramp.OnRejected(now);
+  if (found == m_endpoints.end()) return;
+  DirectoryEndpoint& endpoint = found->second;
+  endpoint.rejections.OnRejected(now);
+  StartCoolDown(id,
+                now + std::max(kRejectionCoolDown, endpoint.rejections.PauseAfterRejection(now)));
+  endpoint.ramp.OnRejected(now);
+}
+
+void EndpointDirectory::OnRejectionLimit(const EndpointRecord& record, std::optional<int> limit,
+                                         std::size_t daemons, TimePoint now) {
+  const auto found = m_endpoints.find(record.id);
+  if (found == m_endpoints.end()) return;
+  DirectoryEndpoint& endpoint = found->second;
+  if (endpoint.record.incarnation != record.incarnation) return;
+  endpoint.rejections.OnStatement({limit, endpoint.record.slots, daemons, endpoint.own.requests},
+                                  now);
+  TimePoint& stated_at = m_brittle_services[record.service];
+  if (!limit || now - stated_at < kServiceStatementInterval) return;
+  stated_at = now;
+  for (auto& [id, other] : m_by_service[record.service]) other->rejections.OnServiceStatement(now);
 }
 
 void EndpointDirectory::OnSuccess(const EndpointId& id) {
@@ -302,6 +323,8 @@
   if (!is_same_process || at <= endpoint.load_seen) return;
   endpoint.load = load;
   endpoint.load_seen = at;
+  const bool has_room = load.waiting == 0 && load.running < load.slots;
+  if (has_room) endpoint.rejections.OnRoom(endpoint.own.requests, at);
   if (!load.pace) return;
   endpoint.pace.OnReport(*load.pace, at);
   endpoint.pace_sharing.is_due = endpoint.pace.HasReport();
--- a/src/libs/coordination/endpoint_directory.h
+++ b/src/libs/coordination/endpoint_directory.h
@@ -11,6 +11,7 @@
 #include "coordination/endpoint_ramp.h"
 #include "coordination/endpoint_reachability.h"
 #include "coordination/engine_pace.h"
+#include "coordination/rejection_budget.h"
 #include "coordination/version_choice.h"
 #include "protocol/endpoint_record.h"
 #include "protocol/pace_report.h"
@@ -92,6 +93,8 @@
   /// the row is still there then.
   TimePoint doubted_until{};
 
+  RejectionBudget rejections;
+
   /// Limits this daemon's requests after a start or a recovery; applied to services whose engines
   /// report their pace.
   EndpointRamp ramp;
@@ -170,6 +173,10 @@
   void OnMisdirected(const EndpointId& id, TimePoint now);
   /// The endpoint rejected a request without executing it because it is full or leaving.
   void OnRejected(const EndpointId& id, TimePoint now);
+  /// The process of `record` stated in a reply how many rejections a second it bears, or nothing.
+  /// `daemons` is the number of daemons that use the endpoint.
+  void OnRejectionLimit(const EndpointRecord& record, std::optional<int> limit, std::size_t daemons,
+                        TimePoint now);
   /// The process of `record` stated in a reply that it wants no request from this daemon until
   /// `until`.
   void OnRetryAfter(const EndpointRecord& record, TimePoint until, TimePoint now);
@@ -267,6 +274,8 @@
   std::map<EndpointId, ListedProcess> m_listed;
   std::map<EndpointId, DirectoryEndpoint> m_endpoints;
   Index m_by_service;
+  /// When an endpoint of a service last stated that it is brittle.
+  std::map<ServiceName, TimePoint> m_brittle_services;
   Index m_by_address;
   /// By the identification of the process in a `PaceReport`.
   std::map<std::uint64_t, DirectoryEndpoint*> m_by_process;
--- a/src/libs/coordination/relay_placement.cpp
+++ b/src/libs/coordination/relay_placement.cpp
@@ -80,9 +80,20 @@
   return EstimatedKvCacheTokens(endpoint, request) + tokens <= allowed;
 }
 
-/// Returns whether the request leaves the room that `request.fill` requires. An idle endpoint may
-/// take any request: one that needs more than the limit would never run otherwise.
+/// A brittle endpoint gets no request that would wait there, nor more than its share of this
+/// daemon, because one that it has no room for may crash it.
+bool FitsRejectionBudget(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
+  if (!endpoint.rejections.IsBrittle(request.now)) return true;
+  const std::uint64_t daemon = StableHash(request.daemon, StableHash(endpoint.record.id));
+  return endpoint.rejections.Admits(endpoint.own.requests, daemon, request.now) &&
+         FitsSlots(endpoint, request, FillLimit(), 1);
+}
+
+/// Returns whether the request leaves the room that `request.fill` requires. A brittle endpoint
+/// gets no request that would wait there, because one that it has no room for may crash it. An idle
+/// endpoint may take any request: one that needs more than the limit would never run otherwise.
 bool FitsFill(const DirectoryEndpoint& endpoint, const PlacementRequest& request) {
+  if (!FitsRejectionBudget(endpoint, request)) return false;
   if (!request.fill) return true;
   const bool is_idle =
       endpoint.EstimatedRequests(request.now) < 1.0 && endpoint.KvCacheTokens() == 0;
--- a/src/libs/coordination/relay_placement.h
+++ b/src/libs/coordination/relay_placement.h
@@ -21,7 +21,8 @@
 
 /// Requirements and preferences of a request for its endpoint.
 struct PlacementRequest {
-  /// Failure domain of this daemon.
+  /// Name and failure domain of this daemon.
+  std::string daemon;
   std::string failure_domain;
   /// Current time, compared with the time until which an endpoint is suspected.
   TimePoint now{};
--- a/src/libs/protocol/relay_messages.h
+++ b/src/libs/protocol/relay_messages.h
@@ -81,6 +81,9 @@
   /// The endpoint wants no request from this daemon for this long.
   std::optional<Duration> retry_after;
   std::optional<EndpointLoad> load;
+  /// The endpoint is brittle: it crashes if it has to reject more requests within a second for want
+  /// of room.
+  std::optional<int> rejection_limit;
 };
 
 }  // namespace fulmarpoint
--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -196,6 +196,7 @@
   const std::vector<const DirectoryEndpoint*> usable =
       m_context.UsableFor(m_request.service, m_request.version);
   PlacementRequest placement;
+  placement.daemon = m_context.settings.name;
   placement.failure_domain = m_context.settings.failure_domain;
   placement.now = SteadyNow();
   placement.excluded = std::move(excluded);
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -75,6 +75,18 @@
                                                      request.version, std::move(outcome));
 }
 
+void ReportRejectionLimit(RelayContext& context, const EndpointRecord& endpoint,
+                          const EndpointResponseFields& answer, TimePoint now) {
+  const DirectoryEndpoint* known = context.endpoints.Find(endpoint.id);
+  const bool was_brittle = known != nullptr && known->rejections.IsBrittle(now);
+  if (!was_brittle && !answer.rejection_limit) return;
+  context.endpoints.OnRejectionLimit(endpoint, answer.rejection_limit, context.peers.Size() + 1,
+                                     now);
+  if (was_brittle == answer.rejection_limit.has_value()) return;
+  Log(LogLevel::kInfo, was_brittle ? "endpoint_sound" : "endpoint_brittle",
+      {{"endpoint", endpoint.id}, {"rejections", answer.rejection_limit.value_or(0)}});
+}
+
 }  // namespace
 
 Fingerprint FingerprintOf(const RelayedRequest& request) {
@@ -140,6 +152,7 @@
                          TimePoint answered_at) {
   if (answer.misdirected) return;
   const TimePoint now = SteadyNow();
+  ReportRejectionLimit(context, endpoint, answer, now);
   if (answer.load) context.endpoints.OnLoad(endpoint, *answer.load, answered_at);
   if (answer.retry_after) {
     context.endpoints.OnRetryAfter(endpoint, now + *answer.retry_after, now);
--- a/src/libs/relay/stream_placement.cpp
+++ b/src/libs/relay/stream_placement.cpp
@@ -35,6 +35,7 @@
 PlacementRequest StreamPlacement::MakeRequest(TimePoint now) const {
   const CallerFields& fields = m_request.fields;
   PlacementRequest placement;
+  placement.daemon = m_context.settings.name;
   placement.failure_domain = m_context.settings.failure_domain;
   placement.now = now;
   placement.excluded = m_excluded;
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -167,6 +167,20 @@
   }
 }
 
+// Guards against a brittle endpoint that is not recognised, and against a malformed statement that
+// makes one of a sound endpoint.
+Test(relay_codec, a_brittle_endpoint_states_its_limit_in_each_reply) {
+  const RelayWire wire = platform::MakeRelayWire();
+  for (int status : {200, 500, 503}) {
+    cr_assert_eq(*wire.decode_answer(status, {{"Server-Brittle", "12"}}).rejection_limit, 12);
+  }
+  cr_assert_eq(*wire.decode_answer(200, {{"server-brittle", "0"}}).rejection_limit, 0);
+  cr_assert_not(wire.decode_answer(200, {}).rejection_limit);
+  for (const char* text : {"", "-1", "1.5", "yes", "12 ", "99999999999"}) {
+    cr_assert_not(wire.decode_answer(200, {{"Server-Brittle", text}}).rejection_limit, "%s", text);
+  }
+}
+
 // Guards against load reports that are dropped because an endpoint states more than is known, and
 // against a pace that no endpoint can have.
 Test(relay_codec, load_reports_may_have_a_pace_and_more_figures) {
