lookups: while all daemons are isolated, count those that are no neighbours too

A daemon that is no neighbour now counts from the time at which its row says that it is isolated. Two tests of tst_peer_directory.

--- a/src/libs/coordination/peer_directory.cpp
+++ b/src/libs/coordination/peer_directory.cpp
@@ -49,6 +49,8 @@
   Peer& peer = m_peers[record.name];
   m_names_by_hash[StableHash(record.name)] = record.name;
   const bool is_new = peer.record.name.empty() || peer.record.incarnation != record.incarnation;
+  // Of a daemon that is no neighbour only its row says when it stopped being ready.
+  if (!is_new && record.is_isolated && !peer.record.is_isolated) peer.last_ready = now;
   peer.record = record;
   peer.ended_until = TimePoint{};
   if (!is_new || record.incarnation <= peer.incarnation) return;
@@ -132,26 +134,26 @@
   return addresses;
 }
 
-std::vector<std::string> PeerDirectory::RecentlyReadyAddresses(TimePoint since,
-                                                               TimePoint now) const {
-  std::vector<std::string> addresses;
-  for (const Peer* peer : RingNeighbours()) {
-    const bool is_candidate = peer->Answers(now, m_options.heartbeat_timeout) && !peer->leaving;
-    if (is_candidate && peer->last_ready && *peer->last_ready >= since) {
-      addresses.push_back(peer->record.caller_address);
-    }
+PeerDirectory::LastReady PeerDirectory::LastReadyDaemons(Duration period, TimePoint own,
+                                                         TimePoint now) const {
+  std::set<std::string> neighbours;
+  for (const Peer* peer : RingNeighbours()) neighbours.insert(peer->record.name);
+  std::vector<const Peer*> candidates;
+  TimePoint latest = own;
+  for (const auto& [name, peer] : m_peers) {
+    const bool is_neighbour = neighbours.count(name) > 0;
+    const bool answers = peer.has_sent_heartbeat && !peer.leaving &&
+                         now - peer.last_heartbeat < m_options.heartbeat_timeout;
+    if (peer.HasEnded(now) || !peer.last_ready || (is_neighbour && !answers)) continue;
+    candidates.push_back(&peer);
+    latest = std::max(latest, *peer.last_ready);
   }
-  return addresses;
-}
-
-std::optional<TimePoint> PeerDirectory::LastReadyTime(TimePoint now) const {
-  std::optional<TimePoint> latest;
-  for (const Peer* peer : RingNeighbours()) {
-    if (peer->Answers(now, m_options.heartbeat_timeout) && !peer->leaving) {
-      latest = std::max(latest, peer->last_ready);
-    }
+  LastReady last;
+  last.includes_self = latest - own <= period;
+  for (const Peer* peer : candidates) {
+    if (latest - *peer->last_ready <= period) last.addresses.push_back(peer->record.caller_address);
   }
-  return latest;
+  return last;
 }
 
 std::vector<std::string> PeerDirectory::LostNeighbours(TimePoint now) const {
--- a/src/libs/coordination/peer_directory.h
+++ b/src/libs/coordination/peer_directory.h
@@ -78,12 +78,14 @@
   std::vector<PeerRecord> HeartbeatPeers() const;
   /// Returns the caller addresses of the other daemons that lookups may return.
   std::vector<std::string> CallerAddresses(TimePoint now) const;
-  /// Returns the caller addresses of the neighbours that were last known to be ready, if none is
-  /// any more: those that stopped being ready at or after `since`, and send heartbeats.
-  std::vector<std::string> RecentlyReadyAddresses(TimePoint since, TimePoint now) const;
-  /// Returns when the last neighbour that sends heartbeats stopped being ready; nothing if none has
-  /// been ready.
-  std::optional<TimePoint> LastReadyTime(TimePoint now) const;
+  /// Daemons that stopped being ready, and whether this one is among those that did so last.
+  struct LastReady {
+    std::vector<std::string> addresses;
+    bool includes_self = false;
+  };
+  /// Returns the caller addresses of the daemons that stopped being ready last: within `period`
+  /// before the last of them, which may be this daemon at `own`. For lookups while none is ready.
+  LastReady LastReadyDaemons(Duration period, TimePoint own, TimePoint now) const;
   /// Returns the neighbours whose rows may be removed from the store, see
   /// `Options::removal_timeout`.
   std::vector<std::string> LostNeighbours(TimePoint now) const;
@@ -104,15 +106,12 @@
     bool has_sent_heartbeat = false;
     bool ready = false;
     bool leaving = false;
-    /// When it last said that it was ready.
+    /// When it was last known to be ready.
     std::optional<TimePoint> last_ready;
     /// The process counts as ended until then.
     TimePoint ended_until{};
 
     bool HasEnded(TimePoint now) const { return now < ended_until; }
-    bool Answers(TimePoint now, Duration heartbeat_timeout) const {
-      return has_sent_heartbeat && !HasEnded(now) && now - last_heartbeat < heartbeat_timeout;
-    }
   };
 
   /// A neighbour, and its place on its side of the ring; 0 is next to this daemon.
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -265,14 +265,12 @@
   const std::optional<TimePoint> isolated_since = context.reachability.IsolatedSince();
   if (!context.leaving && !isolated_since) addresses.push_back(context.settings.caller_address);
   if (!addresses.empty() || !isolated_since) return addresses;
-  const std::optional<TimePoint> peers_ready = context.peers.LastReadyTime(now);
-  const TimePoint latest = std::max(peers_ready.value_or(TimePoint{}), *isolated_since);
-  const TimePoint since = latest - kSameIsolationTime;
-  addresses = context.peers.RecentlyReadyAddresses(since, now);
-  if (!context.leaving && *isolated_since >= since) {
-    addresses.push_back(context.settings.caller_address);
+  PeerDirectory::LastReady last =
+      context.peers.LastReadyDaemons(kSameIsolationTime, *isolated_since, now);
+  if (last.includes_self && !context.leaving) {
+    last.addresses.push_back(context.settings.caller_address);
   }
-  return addresses;
+  return std::move(last.addresses);
 }
 
 /// Callers learn of it by lookups at any daemon, so the others must know.
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -272,3 +272,48 @@
     }
   }
 }
+
+// Guards against lookups that name a daemon which cannot reach any endpoint, where its heartbeats
+// do not arrive, and against a row that says nothing of it.
+Test(peer_directory, isolated_daemons_that_are_no_neighbours_are_left_out) {
+  PeerDirectory::Options options;
+  options.max_neighbours = 0;
+  PeerDirectory peers("self", options);
+  peers.Put(Record("p"), kStart);
+  cr_assert_eq(peers.CallerAddresses(kStart).size(), 1u);
+  PeerRecord isolated = Record("p");
+  isolated.is_isolated = true;
+  const std::optional<PeerRecord> read = ParsePeerRecord(ToJson(isolated));
+  cr_assert(read && *read == isolated);
+  peers.Put(*read, At(100));
+  cr_assert_eq(peers.CallerAddresses(At(100)).size(), 0u);
+  peers.Put(*ParsePeerRecord(ToJson(Record("p"))), At(200));
+  cr_assert_eq(peers.CallerAddresses(At(200)).size(), 1u);
+}
+
+// Guards against callers that spread over daemons which cannot serve them, away from the one that
+// was ready last, while no daemon is ready.
+Test(peer_directory, the_daemons_that_were_ready_last_are_known) {
+  PeerDirectory::Options options;
+  options.max_neighbours = 0;
+  PeerDirectory peers("self", options);
+  for (const char* name : {"early", "late", "ready"}) peers.Put(Record(name), kStart);
+  const auto isolate = [&peers](const std::string& name, TimePoint at) {
+    PeerRecord record = Record(name);
+    record.is_isolated = true;
+    peers.Put(record, at);
+  };
+  isolate("early", At(0));
+  isolate("late", At(5000));
+  const Duration period = std::chrono::seconds(1);
+  PeerDirectory::LastReady last = peers.LastReadyDaemons(period, At(100), At(6000));
+  cr_assert_eq(last.addresses.size(), 1u);
+  cr_assert_eq(last.addresses[0], "late:8740");
+  cr_assert_not(last.includes_self);
+  last = peers.LastReadyDaemons(period, At(5900), At(6000));
+  cr_assert_eq(last.addresses.size(), 1u);
+  cr_assert(last.includes_self);
+  last = peers.LastReadyDaemons(period, At(9000), At(9000));
+  cr_assert_eq(last.addresses.size(), 0u);
+  cr_assert(last.includes_self);
+}
