tests: a caller that pauses is not a silent engine

Looked for beside the first matter: the daemon stops reading when its queue for a slow caller is full. The test guards against a second attempt because of that; it passes without a change of the code.

--- a/tests/auto/platform/tst_slow_callers.cpp
+++ b/tests/auto/platform/tst_slow_callers.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t kEventPadding = 6000;
 // Time in which the daemon reads the end of the engine's reply.
 constexpr Duration kSettleTime = std::chrono::milliseconds(100);
-constexpr std::size_t kMaxReplyBytes = std::size_t{1024} * 1024;
+constexpr std::size_t kMaxReplyBytes = std::size_t{4} * 1024 * 1024;
 constexpr char kLastChunk[] = "0\r\n\r\n";
 
 std::string StreamRequest(const std::string& target, const std::string& version) {
@@ -93,6 +93,26 @@
   cr_assert_not(EndsWithLastChunk(body));
 }
 
+// Longer than a stream without a KV cache backup may be silent.
+constexpr Duration kPauseOfCaller = std::chrono::milliseconds(1500);
+// Events that together are more than the daemon queues.
+constexpr int kManyEvents = 200;
+
+Task<void> PausingCaller(PlatformWorld& world) {
+  for (const char* domain : {"a", "b"}) {
+    EndpointStandin& engine = world.AddEndpoint("drafts", domain);
+    MakeEventsLong(engine);
+    engine.total_events = kManyEvents;
+  }
+  co_await world.Start();
+  const TimePoint until = SteadyNow() + kPauseOfCaller;
+  const std::string body = co_await ReadLate(world, StreamRequest("/stream/x", "1.1"),
+                                             [until]() { return SteadyNow() >= until; });
+  cr_assert(NumbersOf(body) == NumbersUpTo(kManyEvents), "%zu events", NumbersOf(body).size());
+  cr_assert(EndsWithLastChunk(body));
+  cr_assert_eq(world.endpoints[0]->seen.size() + world.endpoints[1]->seen.size(), 1u);
+}
+
 }  // namespace
 
 // Guards against a stream that ends as complete without the events that were queued for a slow
@@ -109,3 +129,7 @@
 
 // Guards against events that arrived before their engine failed and never reach the caller.
 Test(slow_callers, events_that_arrived_before_a_failure_are_delivered) { RunTest(&BrokenStream); }
+
+// Guards against a second attempt, with its prompt read anew, because the daemon has stopped
+// reading for a caller that pauses and takes the engine for silent.
+Test(slow_callers, a_pause_of_the_caller_is_no_silence_of_the_engine) { RunTest(&PausingCaller); }
