poison detection: refusals prove crashes where no daemon reaches an endpoint

The path is in doubt only while another daemon is available; if none reaches an endpoint, the endpoints have failed. Lost attempts are kept in any case, and decided when the doubt ends; only the comparison of versions leaves out what an isolated daemon sees.

--- a/src/libs/relay/poison_request_detector.cpp
+++ b/src/libs/relay/poison_request_detector.cpp
@@ -23,9 +23,8 @@
 namespace {
 
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(120);
-// Intervals of further connections while it is open whether the endpoint or the path has failed.
-constexpr Duration kDoubtfulProbeInterval = std::chrono::milliseconds(30);
-constexpr Duration kIsolatedProbeInterval = std::chrono::milliseconds(250);
+// Interval of further connections while it is open whether the endpoint or the path has failed.
+constexpr Duration kDoubtfulProbeInterval = std::chrono::milliseconds(50);
 // A terminating process closes its connections before its listening socket, so a probe without a
 // delay could still succeed.
 constexpr Duration kProbeDelay = std::chrono::milliseconds(5);
@@ -56,6 +55,7 @@
   Task<void> Probe(EndpointId endpoint, std::string address);
   Task<std::error_code> TryConnect(EndpointId endpoint, std::string address);
   bool HasLostAttemptsAt(const EndpointId& endpoint) const;
+  bool IsPathInDoubt() const;
   void ReportCrashes(const std::vector<LostAttempt>& attempts);
   bool IsGone(const EndpointProcess& process, TimePoint now) const;
   void Report(const LostAttempt& attempt, const std::vector<PeerRecord>& peers);
@@ -110,6 +110,13 @@
                      [&](const EndpointProcess& process) { return process.endpoint == endpoint; });
 }
 
+/// Returns whether the path to the endpoints may be lost. If no daemon reaches any, they have
+/// failed.
+bool PoisonRequestDetector::State::IsPathInDoubt() const {
+  const EndpointReachability& reachability = context.reachability;
+  return reachability.IsIsolated() ? context.ShouldRedirect() : reachability.MayBeIsolated();
+}
+
 /// Connects to the endpoint of lost attempts. Only a refused connection shows that its process is
 /// gone.
 Task<void> PoisonRequestDetector::State::Probe(EndpointId endpoint, std::string address) {
@@ -119,9 +126,8 @@
   std::error_code error = co_await TryConnect(endpoint, address);
   // A path that was lost refuses connections, too. Lost attempts are forgotten after some time, so
   // this ends.
-  while (!stopped && error && context.reachability.MayBeIsolated() && HasLostAttemptsAt(endpoint)) {
-    co_await Sleep(context.reachability.IsIsolated() ? kIsolatedProbeInterval
-                                                     : kDoubtfulProbeInterval);
+  while (!stopped && error && IsPathInDoubt() && HasLostAttemptsAt(endpoint)) {
+    co_await Sleep(kDoubtfulProbeInterval);
     if (!stopped) error = co_await TryConnect(endpoint, address);
   }
   if (stopped) co_return;
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -181,9 +181,9 @@
 
 void ReportLostAttempt(RelayContext& context, RelayedRequest& request,
                        const EndpointRecord& endpoint, const AttemptLossDetails& details) {
-  // The path was lost, which says nothing about the request, the endpoint or its version.
-  if (context.reachability.IsIsolated()) return;
   context.poison_requests->OnAttemptLost(request, endpoint, details);
+  // The path was lost, which says nothing about the version.
+  if (context.reachability.IsIsolated()) return;
   CompareVersions(context, request, endpoint, true, Duration::zero(), Duration::zero());
 }
 
