calls: count a crash on a kept connection as an attempt

Cause: a kept connection that ends before a reply was taken for an idle one that the engine had closed; the attempt did not count, took no retry and was not reported as lost. The request now goes to the same engine again on a new connection, which tells a closed connection from a lost process: if none is accepted, the attempt counts and is reported. An engine that leaves or wants no request is not asked again.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -90,6 +90,8 @@
 
  private:
   Task<TryResult> TryEndpoint();
+  bool ChecksClosedEndpoint() const;
+  void OnCrashedOnKeptConnection();
   Task<bool> Connect();
   void CountBegun();
   void EndWatch();
@@ -136,6 +138,8 @@
   /// A retry was taken from the quota for the next attempt.
   bool m_has_retry = false;
   bool m_use_idle = true;
+  /// The endpoint has closed the kept connection on which the request was sent.
+  bool m_was_closed = false;
   bool m_may_have_run = false;
   bool m_stale = false;
   /// The request was counted as begun.
@@ -151,7 +155,7 @@
          !m_exchange.ClientDisconnected() && !m_context.ShouldRedirect()) {
     if (m_replacement) {
       m_endpoint = m_replacement->endpoint;
-    } else {
+    } else if (!ChecksClosedEndpoint()) {
       const DirectoryEndpoint* endpoint = Place(m_excluded);
       if (endpoint == nullptr) break;
       m_endpoint = endpoint->record;
@@ -165,7 +169,8 @@
     if (end == TryResult::kCallerGone) break;
     if (end == TryResult::kAnswered) co_return;
     if (m_stale) break;
-    if (end == TryResult::kClosedIdle) continue;
+    m_was_closed = end == TryResult::kClosedIdle;
+    if (m_was_closed) continue;
     m_excluded.insert(m_endpoint.id);
     if (end == TryResult::kMayHaveRun) m_may_have_run = true;
     if (end == TryResult::kMayHaveRun && !IsIdempotent()) break;
@@ -212,7 +217,11 @@
   const bool may_reuse = !replacement && IsIdempotent() && m_use_idle;
   if (may_reuse) m_connection = m_pool.TakeIdle(m_endpoint.id, SteadyNow());
   m_is_reused = may_reuse && m_connection != nullptr;
-  if (!m_connection && !co_await Connect()) co_return TryResult::kNotRun;
+  if (!m_connection && !co_await Connect()) {
+    if (!m_was_closed) co_return TryResult::kNotRun;
+    OnCrashedOnKeptConnection();
+    co_return TryResult::kMayHaveRun;
+  }
   if (m_exchange.ClientDisconnected()) co_return TryResult::kCallerGone;
   if (!MayForward(m_context, m_request)) {
     m_stale = true;
@@ -223,6 +232,26 @@
   co_return end;
 }
 
+/// A kept connection that ends before a reply was idle and closed by the endpoint, or the endpoint
+/// has crashed. Whether it accepts another connection tells which, so the request goes there again,
+/// unless the endpoint takes no more requests.
+bool CallSession::ChecksClosedEndpoint() const {
+  const DirectoryEndpoint* known = m_context.endpoints.Find(m_endpoint.id);
+  const TimePoint now = SteadyNow();
+  return m_was_closed && known != nullptr && !known->IsDraining() && !known->HasEnded(now) &&
+         known->wanted_from <= now;
+}
+
+/// Counts the attempt on the kept connection, which did not count when the connection ended.
+void CallSession::OnCrashedOnKeptConnection() {
+  ++m_attempts;
+  if (m_exchange.ClientDisconnected()) return;
+  AttemptLossDetails details;
+  details.started = m_attempt_started;
+  details.connection_broken = true;
+  ReportLostAttempt(m_context, m_request, m_endpoint, details);
+}
+
 Task<bool> CallSession::Connect() {
   m_connection =
       std::make_shared<HttpClientExchange>(m_context.executor, HttpClientExchange::Options());
--- a/tests/auto/platform/tst_crashing_requests.cpp
+++ b/tests/auto/platform/tst_crashing_requests.cpp
@@ -115,6 +115,39 @@
   cr_assert_leq(all_attempts, attempts + (retries - 1) * kAttemptsPerRequest, "%zu", all_attempts);
 }
 
+/// Sends requests at once until the daemon keeps a connection to each endpoint.
+Task<void> KeepConnections(PlatformWorld& world) {
+  const auto is_used = [](const std::unique_ptr<EndpointStandin>& endpoint) {
+    return !endpoint->seen.empty();
+  };
+  for (const std::unique_ptr<EndpointStandin>& endpoint : world.endpoints) {
+    endpoint->behaviour = EndpointBehaviour::kPause;
+    endpoint->pause = std::chrono::milliseconds(100);
+  }
+  int left = kEndpoints;
+  for (int request = 0; request < kEndpoints; ++request) {
+    Spawn(world.loop.GetExecutor(), [&world, &left]() -> Task<void> {
+      co_await world.Send("GET", kHarmlessTarget);
+      --left;
+    });
+  }
+  co_await PlatformWorld::WaitFor([&left]() { return left == 0; });
+  cr_assert(std::all_of(world.endpoints.begin(), world.endpoints.end(), is_used));
+  for (const std::unique_ptr<EndpointStandin>& endpoint : world.endpoints) {
+    endpoint->behaviour = EndpointBehaviour::kCrash;
+  }
+}
+
+Task<void> CrashesOnKeptConnectionsCount(PlatformWorld& world) {
+  AddEndpointsThatCrash(world);
+  co_await world.Start();
+  co_await KeepConnections(world);
+  const HttpResult result = co_await world.Send("GET", kCrashingTarget);
+  cr_assert_eq(result.reply.status, 502, "%d", result.reply.status);
+  const std::size_t attempts = AttemptsOf(world, kCrashingTarget);
+  cr_assert_eq(attempts, kAttemptsPerRequest, "%zu", attempts);
+}
+
 /// Sends the crashing request at all daemons in turn until it is rejected.
 Task<void> SendUntilRejected(PlatformWorld& world, Daemons& others) {
   for (std::unique_ptr<RelayDaemon>& daemon : others) {
@@ -298,3 +331,9 @@
 Test(crashing_requests, the_fleet_quarantines_a_poison_part) {
   RunTest(&FleetQuarantinesPoisonPart);
 }
+
+// Guards against a call that crashes more endpoints than its route allows attempts, because the end
+// of a kept connection is taken for an idle one that the endpoint has closed.
+Test(crashing_requests, crashes_on_kept_connections_count) {
+  RunTest(&CrashesOnKeptConnectionsCount);
+}
