endpoint reachability: failing tests of daemons that never notice or stay isolated

One known endpoint never leads to isolation, because NextProbe() waits for two failures. A probe without a result blocks all later ones. Recovery fails while every second endpoint is down. All three fail on the present code.

--- a/tests/auto/coordination/tst_endpoint_reachability.cpp
+++ b/tests/auto/coordination/tst_endpoint_reachability.cpp
@@ -161,3 +161,46 @@
   std::sort(probed.begin(), probed.end());
   cr_assert(std::unique(probed.begin(), probed.end()) == probed.end());
 }
+
+// Guards against a daemon with a single known endpoint that never notices that it is isolated,
+// because its caller asks for probes only when `NextProbe()` says so.
+Test(endpoint_reachability, the_only_endpoint_isolates_the_daemon) {
+  const std::vector<ReachabilityCandidate> fleet = {{"order-a", "orders", "a"}};
+  EndpointReachability reachability;
+  reachability.OnConnected("order-a");
+  FailAll(reachability, fleet, {"order-a"}, At(0));
+  if (reachability.NextProbe()) reachability.TakeProbes(fleet, At(0));
+  cr_assert(reachability.IsIsolated());
+}
+
+// Guards against a daemon that stays isolated for good after a probe without a result, such as one
+// that failed for lack of a descriptor.
+Test(endpoint_reachability, a_probe_without_a_result_does_not_end_the_probes) {
+  const std::vector<ReachabilityCandidate> fleet = Fleet();
+  EndpointReachability reachability;
+  Isolate(reachability, fleet);
+  cr_assert_eq(reachability.TakeProbes(fleet, At(1000)).size(), 1u);
+  cr_assert_eq(reachability.TakeProbes(fleet, At(60000)).size(), 1u);
+}
+
+// Guards against a daemon that stays isolated for good although half of the endpoints accept its
+// connections, because every second one that it probes is down.
+Test(endpoint_reachability, endpoints_that_are_down_do_not_prolong_the_isolation) {
+  const std::vector<ReachabilityCandidate> fleet = {
+      {"1", "orders", "a"}, {"2", "orders", "b"}, {"3", "orders", "a"}, {"4", "orders", "b"}};
+  EndpointReachability reachability;
+  FailAll(reachability, fleet, {"1", "2", "3", "4"}, At(0));
+  reachability.TakeProbes(fleet, At(0));
+  cr_assert(reachability.IsIsolated());
+  for (int round = 1; round <= 200 && reachability.IsIsolated(); ++round) {
+    const TimePoint now = At(300 * round);
+    for (const EndpointId& id : reachability.TakeProbes(fleet, now)) {
+      if (Find(fleet, id).failure_domain == "a") {
+        reachability.OnConnected(id);
+      } else {
+        reachability.OnConnectFailed(Find(fleet, id), now);
+      }
+    }
+  }
+  cr_assert_not(reachability.IsIsolated());
+}
