brittle engines: failing test of a small limit with eight daemons

The fleet model released a call before it reported the load, so windows never grew in it; it now follows the order of the relay.

--- a/tests/auto/coordination/tst_brittle_endpoints.cpp
+++ b/tests/auto/coordination/tst_brittle_endpoints.cpp
@@ -195,9 +195,10 @@
 
   void Answer(std::size_t daemon, std::size_t index, const EndpointLoad& load) {
     const EndpointRecord& record = m_engines[index].record;
-    m_daemons[daemon]->RemoveUse({record.id});
-    m_daemons[daemon]->OnLoad(record, load, m_now);
+    // In the order of `ReportEndpointState()`; the relay counts a call until its reply was read.
     m_daemons[daemon]->OnRejectionLimit(record, m_scenario.limit, m_daemons.size(), m_now);
+    m_daemons[daemon]->OnLoad(record, load, m_now);
+    m_daemons[daemon]->RemoveUse({record.id});
   }
 
   Scenario m_scenario;
@@ -237,6 +238,18 @@
   }
 }
 
+// Guards against engines with a small limit that crash in series although each daemon keeps to its
+// budget.
+Test(brittle_endpoints, a_small_limit_is_kept_by_all_daemons_together) {
+  const Scenario scenario{8, 4, 2, 1.0};
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    BrittleFleet fleet(scenario, seed);
+    fleet.Run();
+    cr_expect_leq(fleet.Crashes(), 2, "seed %d: %d crashes", static_cast<int>(seed),
+                  fleet.Crashes());
+  }
+}
+
 // Guards against an engine that counts as brittle for good, and against one that is spared although
 // its replies do not say that it is brittle.
 Test(brittle_endpoints, a_reply_without_the_statement_ends_it) {
