calls: failing test of a request that was lost on a kept connection

The endpoint has begun to run the request when the kept connection ends, and the next connection is refused. The caller gets status 503, which promises that the request has not run.

--- a/tests/auto/platform/tst_calls.cpp
+++ b/tests/auto/platform/tst_calls.cpp
@@ -138,6 +138,17 @@
       [&endpoint]() { return !endpoint.seen.empty() && endpoint.seen[0].caller_disconnected; });
 }
 
+Task<void> LossOnKeptConnectionIsNoRefusal(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  co_await world.Start();
+  cr_assert_eq((co_await world.Send("GET", "/look/a")).reply.status, 200);
+  endpoint.behaviour = EndpointBehaviour::kCrash;
+  endpoint.crashing_target = "/look/b";
+  const HttpResult result = co_await world.Send("GET", "/look/b");
+  cr_assert_eq(endpoint.seen.size(), 2u, "the endpoint has begun to run the request");
+  cr_assert_neq(result.reply.status, 503, "the request may have run");
+}
+
 }  // namespace
 
 // Guards against modified requests and replies, forged internal headers, and keys that reach
@@ -169,3 +180,9 @@
 
 // Guards against requests that keep running after their caller has disconnected.
 Test(calls, a_caller_that_leaves_ends_the_call) { RunTest(&CallerThatLeavesEndsTheCall); }
+
+// Guards against status 503, which promises that a request has not run, for one that was lost on a
+// kept connection when the endpoint, or the path to all endpoints, was lost.
+Test(calls, a_loss_on_a_kept_connection_is_no_refusal) {
+  RunTest(&LossOnKeptConnectionIsNoRefusal);
+}
