--- a/tests/auto/platform/tst_broken_answers.cpp
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -422,6 +422,60 @@
   return cut;
 }
 
+/// Returns what a caller gets whose HEAD request an endpoint answers with a length of 12.
+Received ReplyToHead() {
+  PlatformWorld world;
+  ScriptedEndpoints endpoints(
+      world.loop.GetExecutor(),
+      {{"head", Head("200 OK", "Content-Length: 12\r\n"), 0, "", Ending::kClose}});
+  Received received;
+  world.Run([&]() -> Task<void> {
+    endpoints.List(*world.store, "orders");
+    co_await world.Start();
+    std::string request = Request("/look/x", "HTTP/1.1", kLongDeadline);
+    request.replace(0, 4, "HEAD");
+    received = co_await Send(world.daemon->CallerAddress(), std::move(request));
+  });
+  return received;
+}
+
+/// Returns what a caller gets that closes its sending side within a stream without chunks.
+Received StreamToCallerThatHasClosedItsSide() {
+  EventLoop loop;
+  HttpServer server(
+      loop.GetExecutor(), HttpServerLimits(),
+      [](HttpExchange& exchange) -> Task<void> {
+        co_await exchange.StartStream(200, HttpHeaders());
+        co_await exchange.WriteChunk(AllEvents(1, kEventsBeforeFault));
+        while (!exchange.ClientDisconnected()) co_await Sleep(kSettleTime);
+        co_await exchange.WriteChunk(AllEvents(kEventsBeforeFault + 1, kWholeStreamEvents));
+        co_await exchange.FinishStream();
+      },
+      [](HttpRejection) {
+        return HttpReply{400, {}, ""};
+      });
+  server.Listen("127.0.0.1:0");
+  Received received;
+  Spawn(loop.GetExecutor(), [&]() -> Task<void> {
+    const std::optional<SocketAddress> to = ParseSocketAddress(server.Address());
+    tcp::socket socket(loop.GetExecutor());
+    co_await socket.async_connect({asio::ip::make_address(to->ip), to->port},
+                                  internal::kCompletion);
+    const std::string request = Request("/stream/x", "HTTP/1.0", kLongDeadline);
+    co_await asio::async_write(socket, asio::buffer(request), internal::kCompletion);
+    co_await Sleep(kForwardTime);
+    socket.shutdown(tcp::socket::shutdown_send);
+    std::string bytes;
+    const internal::IoResult read =
+        co_await asio::async_read(socket, asio::dynamic_buffer(bytes), internal::kCompletion);
+    received = Parse(std::move(bytes), std::get<0>(read) == asio::error::eof);
+    loop.Stop();
+  });
+  loop.Run();
+  loop.DestroyPendingWork();
+  return received;
+}
+
 }  // namespace
 
 // Guards against bytes of the next engine's failure in a stream that goes on at a third engine.
@@ -515,3 +569,36 @@
     }
   }
 }
+
+// Guards against a reply that a caller gets as the endpoint's although the endpoint has switched to
+// another protocol before, and against a folded field line that is passed on as one line.
+Test(broken_answers, switched_protocols_and_folded_lines_in_replies_to_calls) {
+  const std::string length = "Content-Length: 12\r\n";
+  const std::vector<Answer> invalid = {
+      {"101 before the reply", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + GoodCall().head, 0, "",
+       Ending::kClose},
+      {"folded line", Head("200 OK", length + "X: a\r\n b\r\n") + kBody, 0, "", Ending::kClose},
+      {"folded line without a first part", Head("200 OK", length + "X:\r\n b\r\n") + kBody, 0, "",
+       Ending::kClose},
+  };
+  for (const Answer& answer : invalid) {
+    const Received lost = Play({"/place/x", "HTTP/1.1", kLongDeadline}, {answer, GoodCall()});
+    cr_expect_eq(lost.status, 502, "%s: %s", answer.name.c_str(), lost.bytes.c_str());
+  }
+}
+
+// Guards against a reply to HEAD that states a length of 0 where the endpoint states another one.
+Test(broken_answers, a_reply_to_head_states_no_other_length) {
+  const Received received = ReplyToHead();
+  cr_assert_eq(received.status, 200, "%s", received.bytes.c_str());
+  cr_assert_eq(received.bytes.find("Content-Length: 0\r\n"), std::string::npos, "%s",
+               received.bytes.c_str());
+}
+
+// Guards against a stream without chunks that ends as complete although a part was not written,
+// because the caller has closed its sending side.
+Test(broken_answers, a_stream_whose_last_part_was_not_written_does_not_end_as_whole) {
+  const Received received = StreamToCallerThatHasClosedItsSide();
+  cr_assert_not(received.is_whole && received.body != AllEvents(1, kWholeStreamEvents), "%s",
+                received.bytes.c_str());
+}
--- a/tests/auto/platform/tst_slow_callers.cpp
+++ b/tests/auto/platform/tst_slow_callers.cpp
@@ -1,3 +1,8 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+// A macro of Criterion breaks Boost headers that follow it.
 #include <criterion/criterion.h>
 
 #include <cstdlib>
@@ -6,8 +11,11 @@
 
 #include "platform_world.h"
 #include "raw_caller.h"
+#include "transport/address.h"
+#include "transport/internal/completion.h"
 
 using namespace fulmarpoint;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -113,6 +121,27 @@
   cr_assert_eq(world.endpoints[0]->seen.size() + world.endpoints[1]->seen.size(), 1u);
 }
 
+/// Reads nothing for longer than an engine may be silent, and then as fast as it can. The daemon
+/// empties its queue then, before it reads from the engine again.
+Task<void> QuickPausingCaller(PlatformWorld& world) {
+  for (const char* domain : {"a", "b"}) {
+    EndpointStandin& engine = world.AddEndpoint("drafts", domain);
+    MakeEventsLong(engine);
+    engine.total_events = kManyEvents;
+  }
+  co_await world.Start();
+  const std::optional<SocketAddress> to = ParseSocketAddress(world.daemon->CallerAddress());
+  asio::ip::tcp::socket socket(world.loop.GetExecutor());
+  co_await socket.async_connect({asio::ip::make_address(to->ip), to->port}, internal::kCompletion);
+  const std::string request = StreamRequest("/stream/x", "1.1");
+  co_await asio::async_write(socket, asio::buffer(request), internal::kCompletion);
+  co_await Sleep(kPauseOfCaller);
+  std::string reply;
+  co_await asio::async_read(socket, asio::dynamic_buffer(reply), internal::kCompletion);
+  cr_assert(NumbersOf(reply) == NumbersUpTo(kManyEvents), "%zu events", NumbersOf(reply).size());
+  cr_assert_eq(world.endpoints[0]->seen.size() + world.endpoints[1]->seen.size(), 1u);
+}
+
 }  // namespace
 
 // Guards against a stream that ends as complete without the events that were queued for a slow
@@ -133,3 +162,8 @@
 // Guards against a second attempt, with its prompt read anew, because the daemon has stopped
 // reading for a caller that pauses and takes the engine for silent.
 Test(slow_callers, a_pause_of_the_caller_is_no_silence_of_the_engine) { RunTest(&PausingCaller); }
+
+// As above, for a caller that takes what is queued before the daemon reads from the engine again.
+Test(slow_callers, a_pause_of_a_quick_caller_is_no_silence_of_the_engine) {
+  RunTest(&QuickPausingCaller);
+}
--- a/tests/auto/transport/tst_head_requests.cpp
+++ b/tests/auto/transport/tst_head_requests.cpp
@@ -22,12 +22,14 @@
   co_await exchange.FinishStream();
 }
 
+Task<void> ReplyNothing(HttpExchange&) { co_return; }
+
 /// Sends `requests` to a server that streams its replies, and returns all that it sends until it
 /// closes the connection.
-std::string AnswerTo(std::string requests) {
+std::string AnswerTo(std::string requests, HttpHandler handler = &StreamReply) {
   EventLoop loop;
-  HttpServer server(loop.GetExecutor(), HttpServerLimits(), &StreamReply, [](HttpRejection) {
-    return HttpReply{400, {}, ""};
+  HttpServer server(loop.GetExecutor(), HttpServerLimits(), std::move(handler), [](HttpRejection) {
+    return HttpReply{400, {}, "rejected"};
   });
   server.Listen("127.0.0.1:0");
   std::string received;
@@ -75,3 +77,9 @@
   cr_assert_eq(rest.rfind("HTTP/1.1 200", 0), 0u, "%s", rest.c_str());
   cr_assert(AfterHead(rest) == "4\r\npart\r\n0\r\n\r\n", "%s", rest.c_str());
 }
+
+// Guards against a body after the reply to a HEAD request whose handler has not replied.
+Test(head_requests, a_rejection_has_no_body) {
+  const std::string rest = AfterHead(AnswerTo(RequestOf("HEAD", "1.1", "close"), &ReplyNothing));
+  cr_assert_eq(rest.size(), 0u, "%s", rest.c_str());
+}
