--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -54,6 +55,8 @@
   /// An event without a number arrived. Returns `kGap` if these exceed a number of bytes in a row,
   /// which no valid stream sends.
   EventDisposition OnUnnumberedEvent(std::size_t bytes);
+  /// Nothing was read from the endpoint until `at`, because the caller is slow.
+  void OnReadingPaused(TimePoint at) { m_last_progress = std::max(m_last_progress, at); }
   /// The endpoint accepted a new connection while the attempt was stalled.
   void OnProbeAnswered(TimePoint now);
 
--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -49,6 +49,7 @@
 }
 
 ArrivedEvent StreamAttempt::TakeEvent() {
+  if (IsQueueFull()) m_reading_paused_at = SteadyNow();
   ArrivedEvent event = std::move(m_events.front());
   m_events.pop_front();
   m_queued_bytes -= event.event.bytes.size();
@@ -87,7 +88,10 @@
 Task<void> StreamAttempt::ReadEvents() {
   std::string data;
   while (!m_connection->BodyDone()) {
-    while (IsQueueFull() && !m_cancelled) co_await Sleep(kQueueCheckInterval);
+    while (IsQueueFull() && !m_cancelled) {
+      co_await Sleep(kQueueCheckInterval);
+      m_reading_paused_at = SteadyNow();
+    }
     const std::error_code error = co_await m_connection->ReadSome(data);
     if (m_cancelled) co_return;
     if (error) {
--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -72,6 +72,9 @@
   /// Returns when `Answer()` arrived.
   TimePoint AnsweredAt() const { return m_answered_at; }
   const EndpointRecord& Endpoint() const { return m_endpoint; }
+  /// Returns when the reading last paused because too many events are still to be taken; what an
+  /// engine sends meanwhile does not arrive.
+  TimePoint ReadingPausedAt() const { return m_reading_paused_at; }
   /// Returns what marks the end of the reply's body. Precondition: the attempt has ended as
   /// `kComplete`.
   ReplyFraming Framing() const { return m_connection->Framing(); }
@@ -102,6 +105,7 @@
   TimePoint m_started{};
   TimePoint m_first_arrival{};
   TimePoint m_last_arrival{};
+  TimePoint m_reading_paused_at{};
   int m_event_count = 0;
   std::optional<std::uint64_t> m_last_arrived_event;
   std::optional<StreamAttemptEnd> m_end;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -595,6 +595,7 @@
   StreamContinuation::StallContext stall_context;
   stall_context.suspected = m_context.endpoints.IsSuspected(m_attempt->Endpoint().id, now);
   stall_context.has_backup = HasBackup();
+  m_continuation.OnReadingPaused(m_attempt->ReadingPausedAt());
   switch (m_continuation.CheckStall(stall_context, now)) {
     case StallDecision::kAbandon:
       co_await ReplaceAttempt("silent", AttemptLoss::kStalledOrInvalid);
