http client: 101 is no informational reply

Found by review: every status from 100 to 199 was skipped, so a reply behind '101 Switching Protocols' reached the caller as the engine's; the entry of the test before passed for another reason. 101 is now an error like other invalid statuses.

Evidence: broken_answers/a_reply_after_switched_protocols_is_broken failed before and passes now.

--- a/src/libs/transport/http_client_connection.cpp
+++ b/src/libs/transport/http_client_connection.cpp
@@ -55,6 +55,11 @@
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
 
+// No request of this client asks for another protocol.
+constexpr unsigned kSwitchingProtocols = 101;
+
+bool IsInformational(unsigned status) { return status / 100 == 1 && status != kSwitchingProtocols; }
+
 bool IsFinalStatus(int status) { return status >= kMinFinalStatus && status <= kMaxStatus; }
 
 }  // namespace
@@ -105,7 +110,7 @@
     }
     reply_begun = reply_begun || parser->got_some();
     if (error) co_return error;
-  } while (parser->get().result_int() / 100 == 1);
+  } while (IsInformational(parser->get().result_int()));
   reply.status = static_cast<int>(parser->get().result_int());
   if (!IsFinalStatus(reply.status)) co_return http::error::bad_status;
   if (!HasKnownFraming(parser->get())) co_return http::error::bad_transfer_encoding;
