http server: rejections and lengths of replies to HEAD requests

Found by review: the rejection of a HEAD request carried its body, and a reply to HEAD stated a length of 0 whatever the engine stated. A rejection now sends its head only, and a reply to HEAD states no length, because that of the body is not known here. Evidence: head_requests/a_rejection_has_no_body and broken_answers/a_reply_to_head_states_no_other_length failed before and pass now.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -150,11 +150,13 @@
   parser->body_limit(limits->body_bytes);
   buffer.max_size(limits->head_bytes + kBufferSlackBytes);
   std::optional<HttpRejection> rejection;
+  is_head_request = false;
   idle = first;
   boost::system::error_code error = co_await ReadHead(*parser, rejection);
   std::optional<HttpRequest> request;
   if (!error && !rejection) {
     request = ToRequest(*parser, peer_address);
+    is_head_request = request->method == "HEAD";
     error = co_await ReadBody(*parser, reservation, rejection);
   }
   if (rejection) {
@@ -264,8 +266,8 @@
   HttpReply reply = shared->rejection_reply(rejection);
   reply.headers.push_back({"Content-Length", std::to_string(reply.body.size())});
   reply.headers.push_back({"Connection", "close"});
-  const std::string text =
-      internal::FormatReplyHead(reply.status, reply.headers) + "\r\n" + reply.body;
+  std::string text = internal::FormatReplyHead(reply.status, reply.headers) + "\r\n";
+  if (!is_head_request) text += reply.body;
   if (co_await Write(text)) co_return;
   boost::system::error_code error;
   socket.shutdown(tcp::socket::shutdown_send, error);
@@ -380,7 +382,10 @@
   if (m_started) co_return std::make_error_code(std::errc::operation_not_permitted);
   m_started = true;
   const bool has_body = reply.status != 204 && reply.status != 304;
-  if (has_body) reply.headers.push_back({"Content-Length", std::to_string(reply.body.size())});
+  // The length of the body that a GET request would get is unknown here.
+  if (has_body && !IsHeadRequest()) {
+    reply.headers.push_back({"Content-Length", std::to_string(reply.body.size())});
+  }
   if (m_connection.close_after_reply) reply.headers.push_back({"Connection", "close"});
   std::string text = internal::FormatReplyHead(reply.status, reply.headers) + "\r\n";
   if (has_body && !IsHeadRequest()) text += reply.body;
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -84,15 +84,13 @@
   bool Started() const { return m_started; }
 
  private:
-  Task<std::error_code> Write(const std::string& data);
+  /// The reply to a HEAD request has no body, whatever its headers say.
+  bool IsHeadRequest() const { return m_request.method == "HEAD"; }
 
   Connection& m_connection;
   HttpRequest m_request;
   bool m_started = false;
   bool m_streaming = false;
-  /// The reply to a HEAD request has no body, whatever its headers say.
-  bool IsHeadRequest() const { return m_request.method == "HEAD"; }
-
   bool m_chunked = false;
 
   friend struct Connection;
--- a/src/libs/transport/internal/http_connection.h
+++ b/src/libs/transport/internal/http_connection.h
@@ -94,6 +94,8 @@
   std::function<void()> on_client_disconnect;
   bool client_disconnected = false;
   bool close_after_reply = false;
+  /// The current request is a HEAD request, whose reply has no body.
+  bool is_head_request = false;
   /// Whether the connection waits for a request and has taken no bytes of it from the socket.
   bool idle = true;
 
