http server: a stream that lacks a part does not end as complete

Found by review: FinishStream() made the end of the connection clean for an HTTP/1.0 caller although the write of a part had failed, because the caller had closed its sending side. It now fails with the error of that write, and the connection is reset.

--- a/src/libs/transport/http_connection.cpp
+++ b/src/libs/transport/http_connection.cpp
@@ -412,16 +412,24 @@
     co_return std::make_error_code(std::errc::operation_not_permitted);
   }
   if (IsHeadRequest()) co_return std::error_code();
-  if (!m_chunked) co_return co_await m_connection.Write(data);
+  if (!m_chunked) co_return co_await WritePart(std::move(data));
   char size[20];
   const std::to_chars_result end = std::to_chars(size, size + sizeof size, data.size(), 16);
   std::string text(size, end.ptr);
   text.append("\r\n").append(data).append("\r\n");
-  co_return co_await m_connection.Write(text);
+  co_return co_await WritePart(std::move(text));
+}
+
+Task<std::error_code> HttpExchange::WritePart(std::string text) {
+  const std::error_code error = co_await m_connection.Write(text);
+  if (error) m_write_error = error;
+  co_return error;
 }
 
 Task<std::error_code> HttpExchange::FinishStream() {
   if (!m_streaming) co_return std::make_error_code(std::errc::operation_not_permitted);
+  // A stream that lacks a part must not look complete.
+  if (m_write_error) co_return m_write_error;
   m_streaming = false;
   if (!m_chunked) {
     m_connection.SetResetOnClose(false);
--- a/src/libs/transport/http_server.h
+++ b/src/libs/transport/http_server.h
@@ -84,6 +84,7 @@
   bool Started() const { return m_started; }
 
  private:
+  Task<std::error_code> WritePart(std::string text);
   /// The reply to a HEAD request has no body, whatever its headers say.
   bool IsHeadRequest() const { return m_request.method == "HEAD"; }
 
@@ -91,6 +92,8 @@
   HttpRequest m_request;
   bool m_started = false;
   bool m_streaming = false;
+  /// The first error of a part of a stream.
+  std::error_code m_write_error;
   bool m_chunked = false;
 
   friend struct Connection;
