endpoint reachability: daemons that stay isolated or never notice

A probe that ended for a local reason, such as a lack of descriptors, blocked all further probes; it is now reported, and given up after 2 s in any case. A failure cleared the endpoints that had accepted, so a daemon stayed isolated where every second endpoint is down; two different ones within 2 s now end the isolation, and the test of the rule 'in a row' was replaced by one of this rule. A daemon that knows one endpoint only was never isolated, because probes were asked for from two failures on; while the number is unknown, one is enough to look.

--- a/src/libs/coordination/endpoint_reachability.cpp
+++ b/src/libs/coordination/endpoint_reachability.cpp
@@ -1,11 +1,12 @@
 #include "coordination/endpoint_reachability.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace fulmarpoint {
 
-void EndpointReachability::OnConnected(const EndpointId& endpoint) {
+void EndpointReachability::OnConnected(const EndpointId& endpoint, TimePoint now) {
   m_pending_probes.erase(endpoint);
   if (!IsIsolated()) {
     m_failures.clear();
@@ -13,7 +14,9 @@
     return;
   }
   m_failures.erase(endpoint);
-  m_recovered.insert(endpoint);
+  m_recovered[endpoint] = now;
+  std::erase_if(m_recovered,
+                [&](const auto& entry) { return now - entry.second > m_options.failure_window; });
   const std::size_t needed =
       std::min(m_options.successes_before_recovery, std::max<std::size_t>(1, m_known_count));
   if (m_recovered.size() < needed) {
@@ -29,7 +32,7 @@
 
 void EndpointReachability::OnConnectFailed(const ReachabilityCandidate& endpoint, TimePoint now) {
   m_pending_probes.erase(endpoint.id);
-  m_recovered.clear();
+  m_recovered.erase(endpoint.id);
   ForgetOldFailures(now);
   if (m_failures.empty()) m_first_failure = now;
   m_failures[endpoint.id] = {endpoint.service, endpoint.failure_domain, now};
@@ -47,6 +50,7 @@
     const std::vector<ReachabilityCandidate>& known, TimePoint now) {
   m_known_count = known.size();
   ForgetOldFailures(now);
+  std::erase_if(m_pending_probes, [&](const auto& entry) { return now >= entry.second; });
   CheckIsolation(known);
   const bool is_due = !m_last_probe || now - *m_last_probe >= m_options.probe_interval;
   if (known.empty() || !is_due || !m_pending_probes.empty()) return {};
@@ -59,10 +63,17 @@
   }
   if (probes.empty()) return {};
   m_last_probe = now;
-  m_pending_probes.insert(probes.begin(), probes.end());
+  for (const EndpointId& id : probes) m_pending_probes[id] = now + m_options.probe_timeout;
   return probes;
 }
 
+/// While the number of endpoints is unknown, a failure may concern the only one.
+bool EndpointReachability::MayBeIsolated() const {
+  const std::size_t needed =
+      std::min(m_options.failures_before_probes, std::max<std::size_t>(1, m_known_count));
+  return IsIsolated() || m_failures.size() >= needed;
+}
+
 std::optional<TimePoint> EndpointReachability::NextProbe() const {
   if (!MayBeIsolated()) return std::nullopt;
   return m_last_probe ? *m_last_probe + m_options.probe_interval : TimePoint{};
--- a/src/libs/relay/reachability_monitor.cpp
+++ b/src/libs/relay/reachability_monitor.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(150);
 // Without suspicion the monitor waits for evidence; this only bounds the wait.
 constexpr Duration kIdleWait = std::chrono::seconds(5);
-constexpr Duration kMinWait = std::chrono::milliseconds(1);
+constexpr Duration kMinWait = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -62,6 +62,7 @@
 
 Task<void> ReachabilityMonitor::State::Probe(EndpointRecord endpoint) {
   const std::shared_ptr<State> self = shared_from_this();
+  if (stopped) co_return;
   HttpClientExchange connection(context.executor, HttpClientExchange::Options());
   const std::error_code error = co_await connection.Connect(endpoint.address, kProbeTimeout);
   if (stopped) co_return;
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -40,13 +40,16 @@
 }
 
 void RelayContext::OnConnectionEnded(const EndpointRecord& endpoint, const std::error_code& error) {
-  if (error && !IsPathFailure(error)) return;
+  if (error && !IsPathFailure(error)) {
+    reachability.OnInconclusive(endpoint.id);
+    return;
+  }
   const bool is_news = error || reachability.FailedEndpoints() > 0 || reachability.IsIsolated();
   if (error) {
     reachability.OnConnectFailed({endpoint.id, endpoint.service, endpoint.failure_domain},
                                  SteadyNow());
   } else {
-    reachability.OnConnected(endpoint.id);
+    reachability.OnConnected(endpoint.id, SteadyNow());
   }
   if (is_news && on_reachability_evidence) on_reachability_evidence();
 }
