rejection budget: take each reply's statement once

Found by review: the relay asks a stream for its reply's statements whenever events arrive, also before the head is there, so each new stream ended the brittle state of its engine and reset its window. A statement now counts once, by the time at which its reply arrived.

--- a/src/libs/coordination/endpoint_directory.cpp
+++ b/src/libs/coordination/endpoint_directory.cpp
@@ -255,8 +255,9 @@
   if (found == m_endpoints.end()) return;
   DirectoryEndpoint& endpoint = found->second;
   if (endpoint.record.incarnation != record.incarnation) return;
-  endpoint.rejections.OnStatement({limit, endpoint.record.slots, daemons, endpoint.own.requests},
-                                  now);
+  const bool is_news = endpoint.rejections.OnStatement(
+      {limit, endpoint.record.slots, daemons, endpoint.own.requests}, now);
+  if (!is_news) return;
   TimePoint& stated_at = m_brittle_services[record.service];
   if (!limit || now - stated_at < kServiceStatementInterval) return;
   stated_at = now;
--- a/src/libs/coordination/rejection_budget.cpp
+++ b/src/libs/coordination/rejection_budget.cpp
@@ -16,14 +16,17 @@
 
 }  // namespace
 
-void RejectionBudget::OnStatement(const Statement& statement, TimePoint now) {
-  const bool was_brittle = IsBrittle(now);
+bool RejectionBudget::OnStatement(const Statement& statement, TimePoint at) {
+  if (at <= m_replied_at) return false;
+  m_replied_at = at;
+  const bool was_brittle = IsBrittle(at);
   m_statement = statement;
-  m_confirmed_at = now;
-  if (was_brittle || !statement.limit) return;
+  m_confirmed_at = at;
+  if (was_brittle || !statement.limit) return true;
   // What is in progress when the endpoint becomes brittle has room there.
   m_window = std::max(ShareOfSlots(), statement.requests);
-  m_next_growth = now + PauseAfterRejection(now);
+  m_next_growth = at + PauseAfterRejection(at);
+  return true;
 }
 
 void RejectionBudget::OnRejected(TimePoint now) {
--- a/src/libs/coordination/rejection_budget.h
+++ b/src/libs/coordination/rejection_budget.h
@@ -24,7 +24,9 @@
     int requests = 0;
   };
 
-  void OnStatement(const Statement& statement, TimePoint now);
+  /// Records the statement of a reply that arrived at `at`. Returns false, and changes nothing, if
+  /// that of the same or a later reply is known: a stream is asked for its reply more than once.
+  bool OnStatement(const Statement& statement, TimePoint at);
   /// Another endpoint of the service states that it is brittle. They are so at the same time, so
   /// what this one has stated holds longer, although this daemon may not send it anything.
   void OnServiceStatement(TimePoint now) { m_confirmed_at = now; }
@@ -47,6 +49,8 @@
   int ShareOfSlots() const;
 
   Statement m_statement;
+  /// When the latest reply arrived.
+  TimePoint m_replied_at{};
   /// When the endpoint, or another one of its service, last stated that it is brittle.
   TimePoint m_confirmed_at{};
   /// Requests of this daemon at once.
--- a/src/libs/relay/relayed_request.cpp
+++ b/src/libs/relay/relayed_request.cpp
@@ -76,14 +76,15 @@
 }
 
 void ReportRejectionLimit(RelayContext& context, const EndpointRecord& endpoint,
-                          const EndpointResponseFields& answer, TimePoint now) {
+                          const EndpointResponseFields& answer, TimePoint answered_at) {
   const DirectoryEndpoint* known = context.endpoints.Find(endpoint.id);
-  const bool was_brittle = known != nullptr && known->rejections.IsBrittle(now);
-  if (!was_brittle && !answer.rejection_limit) return;
+  if (known == nullptr) return;
+  const bool was_brittle = known->rejections.IsBrittle(answered_at);
   context.endpoints.OnRejectionLimit(endpoint, answer.rejection_limit, context.peers.Size() + 1,
-                                     now);
-  if (was_brittle == answer.rejection_limit.has_value()) return;
-  Log(LogLevel::kInfo, was_brittle ? "endpoint_sound" : "endpoint_brittle",
+                                     answered_at);
+  const bool is_brittle = known->rejections.IsBrittle(answered_at);
+  if (was_brittle == is_brittle) return;
+  Log(LogLevel::kInfo, is_brittle ? "endpoint_brittle" : "endpoint_sound",
       {{"endpoint", endpoint.id}, {"rejections", answer.rejection_limit.value_or(0)}});
 }
 
@@ -152,7 +153,7 @@
                          TimePoint answered_at) {
   if (answer.misdirected) return;
   const TimePoint now = SteadyNow();
-  ReportRejectionLimit(context, endpoint, answer, now);
+  ReportRejectionLimit(context, endpoint, answer, answered_at);
   if (answer.load) context.endpoints.OnLoad(endpoint, *answer.load, answered_at);
   if (answer.retry_after) {
     context.endpoints.OnRetryAfter(endpoint, now + *answer.retry_after, now);
