calls: a request that was lost on a kept connection is not refused

Found by review: an idempotent request whose kept connection ended without a reply, at an engine that then refused connections or at a daemon that became isolated, ended with 503, which promises that it has not run. It now ends with 502. Evidence: calls/a_loss_on_a_kept_connection_is_no_refusal failed before and passes now.

--- a/src/libs/relay/call_relay.cpp
+++ b/src/libs/relay/call_relay.cpp
@@ -170,7 +170,10 @@
     if (end == TryResult::kAnswered) co_return;
     if (m_stale) break;
     m_was_closed = end == TryResult::kClosedIdle;
-    if (m_was_closed) continue;
+    if (m_was_closed) {
+      m_may_have_run = true;
+      continue;
+    }
     m_excluded.insert(m_endpoint.id);
     if (end == TryResult::kMayHaveRun) m_may_have_run = true;
     if (end == TryResult::kMayHaveRun && !IsIdempotent()) break;
