test: scripted endpoints as support code of their own

The endpoints that play a list of replies, and the parsing of what a caller gets, move from tst_broken_answers.cpp (610 lines) to scripted_endpoints.h, so that another test can use them.

--- a/tests/auto/platform/tst_broken_answers.cpp
+++ b/tests/auto/platform/tst_broken_answers.cpp
@@ -1,76 +1,32 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <list>
 
 // A macro of Criterion breaks Boost headers that follow it.
 #include <criterion/criterion.h>
 
 #include "platform_world.h"
+#include "scripted_endpoints.h"
 #include "transport/address.h"
 #include "transport/internal/completion.h"
 
 using namespace fulmarpoint;
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 
 namespace {
 
-constexpr int kEndpoints = 4;
-constexpr int kWholeStreamEvents = 10;
 constexpr int kEventsBeforeFault = 2;
-// Time in which the daemon reads what was sent before the connection ends.
-constexpr Duration kSettleTime = std::chrono::milliseconds(5);
 // Time in which the daemon forwards the events that have arrived.
 constexpr Duration kForwardTime = std::chrono::milliseconds(50);
-// Deadline of requests that no endpoint answers.
-constexpr char kShortDeadline[] = "700";
-constexpr char kLongDeadline[] = "5000";
-
-// Identifies bytes of failures, which no caller of a stream may receive.
-constexpr char kForeign[] = "FOREIGN";
-constexpr char kSeal[] = "Fulmarpoint-Request-Id: r1\r\nFulmarpoint-Server-Seal: s\r\n";
-constexpr char kEventStream[] = "Content-Type: text/event-stream\r\n";
-constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n";
 constexpr char kBody[] = "a whole body";
 
-enum class Ending { kClose, kReset, kStayOpen };
-
-/// How an endpoint replies to one request and ends the connection.
-struct Answer {
-  std::string name;
-  std::string head;
-  /// Last event of the stream that follows the head; 0 if none does.
-  int events = 0;
-  /// Bytes after the events.
-  std::string tail;
-  Ending ending = Ending::kClose;
-};
-
-std::string Head(const std::string& status, const std::string& headers) {
-  return "HTTP/1.1 " + status + "\r\n" + kSeal + headers + "\r\n";
-}
-
-std::string InChunk(const std::string& data) {
-  char size[20];
-  std::snprintf(size, sizeof size, "%zx\r\n", data.size());
-  return size + data + "\r\n";
-}
-
 std::string Failure(const std::string& status, const std::string& headers = "") {
   const std::string body = std::string(kForeign) + " " + status;
   return "HTTP/1.1 " + status + "\r\n" + headers +
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-Answer GoodStream() {
-  return {"whole stream", Head("200 OK", kEventStream), kWholeStreamEvents, "", Ending::kClose};
-}
-
 Answer GoodCall() {
   return {"whole reply",
           Head("200 OK", "Content-Length: " + std::to_string(sizeof kBody - 1) + "\r\n") + kBody, 0,
@@ -122,153 +78,6 @@
   };
 }
 
-/// Endpoints that share a list of replies: whichever receives a request uses the next one, and the
-/// last is repeated.
-class ScriptedEndpoints {
- public:
-  ScriptedEndpoints(const Executor& executor, std::vector<Answer> answers, int count = kEndpoints)
-      : m_answers(std::move(answers)) {
-    for (int endpoint = 0; endpoint < count; ++endpoint) {
-      m_acceptors.emplace_back(executor, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-      Spawn(executor, [this, &acceptor = m_acceptors.back()]() { return Accept(acceptor); });
-    }
-  }
-
-  void List(StoreStandin& store, const std::string& service) const {
-    for (const tcp::acceptor& acceptor : m_acceptors) {
-      const std::string port = std::to_string(acceptor.local_endpoint().port());
-      store.Put("servers", "i-" + port, EndpointRow("127.0.0.1:" + port, service, "a"));
-    }
-  }
-
-  int requests = 0;
-
- private:
-  Task<void> Accept(tcp::acceptor& acceptor) {
-    while (true) {
-      tcp::socket socket(acceptor.get_executor());
-      const std::tuple<boost::system::error_code> accepted =
-          co_await acceptor.async_accept(socket, internal::kCompletion);
-      if (std::get<0>(accepted)) co_return;
-      m_sockets.push_back(std::move(socket));
-      Spawn(acceptor.get_executor(),
-            [this, &connection = m_sockets.back()]() { return Serve(connection); });
-    }
-  }
-
-  Task<void> Serve(tcp::socket& socket) {
-    Ending ending = Ending::kStayOpen;
-    while (ending == Ending::kStayOpen) ending = co_await ServeOne(socket);
-    boost::system::error_code ignored;
-    if (ending == Ending::kReset) {
-      socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
-    socket.close(ignored);
-  }
-
-  Task<Ending> ServeOne(tcp::socket& socket) {
-    std::string received;
-    const internal::IoResult read = co_await asio::async_read_until(
-        socket, asio::dynamic_buffer(received), "\r\n\r\n", internal::kCompletion);
-    // A probe only connects.
-    if (std::get<0>(read)) co_return Ending::kClose;
-    const std::size_t at = std::min<std::size_t>(requests++, m_answers.size() - 1);
-    const Answer answer = m_answers[at];
-    const std::string bytes = answer.head + Events(answer, LastEventOf(received)) + answer.tail;
-    co_await asio::async_write(socket, asio::buffer(bytes), internal::kCompletion);
-    co_await Sleep(kSettleTime);
-    co_return answer.ending;
-  }
-
-  static int LastEventOf(const std::string& request) {
-    const std::string name = "Last-Event-Id: ";
-    const std::size_t at = request.find(name);
-    return at == std::string::npos ? 0 : std::stoi(request.substr(at + name.size()));
-  }
-
-  static std::string Events(const Answer& answer, int after) {
-    const bool is_chunked = answer.head.find(kChunked) != std::string::npos;
-    const std::string events = AllEvents(after + 1, answer.events);
-    return is_chunked && !events.empty() ? InChunk(events) : events;
-  }
-
-  std::vector<Answer> m_answers;
-  std::list<tcp::acceptor> m_acceptors;
-  std::list<tcp::socket> m_sockets;
-};
-
-/// A reply as a caller takes it.
-struct Received {
-  int status = 0;
-  std::string body;
-  /// The framing shows that nothing is missing.
-  bool is_whole = false;
-  std::string bytes;
-};
-
-Received Parse(std::string bytes, bool was_closed_cleanly) {
-  http::response_parser<http::string_body> parser;
-  parser.eager(true);
-  boost::system::error_code error;
-  std::size_t used = 0;
-  while (!error && used < bytes.size() && !parser.is_done()) {
-    used += parser.put(asio::buffer(bytes.data() + used, bytes.size() - used), error);
-  }
-  if (error == http::error::need_more) error = {};
-  if (!error && !parser.is_done() && was_closed_cleanly) parser.put_eof(error);
-  Received received;
-  received.is_whole = !error && parser.is_done();
-  if (parser.is_header_done()) received.status = static_cast<int>(parser.get().result_int());
-  received.body = parser.get().body();
-  cr_assert(!parser.is_done() || used == bytes.size(), "bytes after the reply");
-  received.bytes = std::move(bytes);
-  return received;
-}
-
-std::string Request(const std::string& target, const std::string& version,
-                    const std::string& deadline) {
-  return "POST " + target + " " + version +
-         "\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\nConnection: close\r\n"
-         "Fulmarpoint-Request-Id: r1\r\nFulmarpoint-Model: m\r\n"
-         "Fulmarpoint-Token-Count: 50,80\r\nFulmarpoint-Prompt-Prefix: 5c1e07a2:50\r\n"
-         "Content-Length: 0\r\nFulmarpoint-Deadline-Ms: " +
-         deadline + "\r\n\r\n";
-}
-
-/// Sends a request on a new connection and reads until it ends.
-Task<Received> Send(std::string address, std::string request) {
-  const std::optional<SocketAddress> to = ParseSocketAddress(address);
-  tcp::socket socket(co_await asio::this_coro::executor);
-  co_await socket.async_connect({asio::ip::make_address(to->ip), to->port}, internal::kCompletion);
-  co_await asio::async_write(socket, asio::buffer(request), internal::kCompletion);
-  std::string bytes;
-  const internal::IoResult read =
-      co_await asio::async_read(socket, asio::dynamic_buffer(bytes), internal::kCompletion);
-  co_return Parse(std::move(bytes), std::get<0>(read) == asio::error::eof);
-}
-
-struct Exchange {
-  std::string target = "/stream/x";
-  std::string version = "HTTP/1.1";
-  std::string deadline = kLongDeadline;
-};
-
-/// Sends a request to a daemon whose endpoints give `answers`, and returns what the caller gets.
-Received Play(const Exchange& exchange, std::vector<Answer> answers, int* requests = nullptr) {
-  PlatformWorld world;
-  ScriptedEndpoints endpoints(world.loop.GetExecutor(), std::move(answers));
-  const bool is_stream = exchange.target.substr(0, 8) == "/stream/";
-  Received received;
-  world.Run([&]() -> Task<void> {
-    endpoints.List(*world.store, is_stream ? "drafts" : "orders");
-    co_await world.Start();
-    received = co_await Send(world.daemon->CallerAddress(),
-                             Request(exchange.target, exchange.version, exchange.deadline));
-  });
-  if (requests != nullptr) *requests = endpoints.requests;
-  return received;
-}
-
 /// Closes a server that streams a reply, and returns what the client gets.
 Received CloseServerWithinStream(const std::string& version) {
   EventLoop loop;
@@ -289,7 +98,8 @@
     server.Close();
   });
   Spawn(loop.GetExecutor(), [&]() -> Task<void> {
-    received = co_await Send(server.Address(), Request("/stream/x", version, kLongDeadline));
+    const std::string request = RequestText({"/stream/x", version, kLongDeadline});
+    received = co_await SendRequest(server.Address(), request);
     loop.Stop();
   });
   loop.Run();
@@ -307,22 +117,15 @@
   world.Run([&]() -> Task<void> {
     endpoints.List(*world.store, "orders");
     co_await world.Start();
-    const std::string request = Request("/look/x", "HTTP/1.1", kLongDeadline);
-    const Received first = co_await Send(world.daemon->CallerAddress(), request);
+    const std::string request = RequestText({"/look/x", "HTTP/1.1", kLongDeadline});
+    const Received first = co_await SendRequest(world.daemon->CallerAddress(), request);
     cr_assert_eq(first.status, 200, "%d", first.status);
-    const Received second = co_await Send(world.daemon->CallerAddress(), request);
+    const Received second = co_await SendRequest(world.daemon->CallerAddress(), request);
     cr_assert_eq(second.status, 502, "%d", second.status);
   });
   return endpoints.requests - 1;
 }
 
-void CheckWholeStream(const Received& received, const std::string& name) {
-  cr_expect_eq(received.status, 200, "%s: %d", name.c_str(), received.status);
-  cr_expect(received.is_whole, "%s: not whole", name.c_str());
-  cr_expect(received.body == AllEvents(1, kWholeStreamEvents), "%s: %s", name.c_str(),
-            received.bytes.c_str());
-}
-
 void CheckCutStream(const Received& received, const std::string& name) {
   cr_expect_eq(received.status, 200, "%s: %d", name.c_str(), received.status);
   cr_expect_not(received.is_whole, "%s: taken for whole", name.c_str());
@@ -432,9 +235,9 @@
   world.Run([&]() -> Task<void> {
     endpoints.List(*world.store, "orders");
     co_await world.Start();
-    std::string request = Request("/look/x", "HTTP/1.1", kLongDeadline);
+    std::string request = RequestText({"/look/x", "HTTP/1.1", kLongDeadline});
     request.replace(0, 4, "HEAD");
-    received = co_await Send(world.daemon->CallerAddress(), std::move(request));
+    received = co_await SendRequest(world.daemon->CallerAddress(), std::move(request));
   });
   return received;
 }
@@ -461,14 +264,14 @@
     tcp::socket socket(loop.GetExecutor());
     co_await socket.async_connect({asio::ip::make_address(to->ip), to->port},
                                   internal::kCompletion);
-    const std::string request = Request("/stream/x", "HTTP/1.0", kLongDeadline);
+    const std::string request = RequestText({"/stream/x", "HTTP/1.0", kLongDeadline});
     co_await asio::async_write(socket, asio::buffer(request), internal::kCompletion);
     co_await Sleep(kForwardTime);
     socket.shutdown(tcp::socket::shutdown_send);
     std::string bytes;
     const internal::IoResult read =
         co_await asio::async_read(socket, asio::dynamic_buffer(bytes), internal::kCompletion);
-    received = Parse(std::move(bytes), std::get<0>(read) == asio::error::eof);
+    received = ParseReply(std::move(bytes), std::get<0>(read) == asio::error::eof);
     loop.Stop();
   });
   loop.Run();
