stream relay: log bytes without an event number, name the limit that ends a run

The log line of the abandoned run said "gap between events", which stands for a missing event, too many repeated events and too many bytes without a number alike, and nothing said whether the foreign bytes were inside numbered events, between them, or came from the next run.

Change: the reason "too many bytes without an event number" is separate from the gap, and `request_end` has `unnumbered_bytes`, the bytes of events without a number that the caller got. What is passed on stays as it was.

--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -79,7 +79,7 @@
 EventDisposition StreamContinuation::OnUnnumberedEvent(std::size_t bytes) {
   m_unnumbered_bytes += bytes;
   const bool exceeds_limit = m_unnumbered_bytes > kMaxUnnumberedBytes;
-  return exceeds_limit ? EventDisposition::kGap : EventDisposition::kDeliver;
+  return exceeds_limit ? EventDisposition::kUnnumberedLimit : EventDisposition::kDeliver;
 }
 
 void StreamContinuation::OnProbeAnswered(TimePoint now) { m_last_probe = now; }
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -14,11 +14,19 @@
   kDeliver,
   /// The caller has already received it.
   kDuplicate,
-  /// An earlier event is missing, or the data is not a valid stream: nothing more of this attempt
+  /// An earlier event is missing, or events are repeated too often: nothing more of this attempt
   /// may be delivered.
   kGap,
+  /// More bytes without an event number than a valid stream sends: nothing more of this attempt may
+  /// be delivered.
+  kUnnumberedLimit,
 };
 
+/// Returns whether the attempt that sent such an event is to be abandoned.
+constexpr bool EndsAttempt(EventDisposition disposition) {
+  return disposition == EventDisposition::kGap || disposition == EventDisposition::kUnnumberedLimit;
+}
+
 /// How to handle an attempt that sends no events.
 enum class StallDecision { kWait, kProbe, kAbandon };
 
@@ -52,8 +60,7 @@
   /// The endpoint rejected the attempt before executing it; the attempt does not count.
   void OnAttemptRejected();
   EventDisposition OnEvent(std::uint64_t id, TimePoint now);
-  /// An event without a number arrived. Returns `kGap` if these exceed a number of bytes in a row,
-  /// which no valid stream sends.
+  /// An event without a number arrived.
   EventDisposition OnUnnumberedEvent(std::size_t bytes);
   /// Nothing was read from the endpoint until `at`, because the caller is slow.
   void OnReadingPaused(TimePoint at) { m_last_progress = std::max(m_last_progress, at); }
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -132,6 +132,9 @@
   /// that arrived. Logged, so that events lost here can be told from an engine that ended early.
   std::string_view m_framing = "none";
   std::optional<std::uint64_t> m_last_arrived_event;
+  /// Bytes of events without a number that were delivered. Logged, so that they can be told from
+  /// bytes inside numbered events.
+  std::size_t m_unnumbered_bytes = 0;
   /// An attempt with an engine's error reply, forwarded if no other engine succeeds.
   std::shared_ptr<StreamAttempt> m_failed_attempt;
 };
@@ -491,14 +494,14 @@
   ReportEndpointState(m_context, m_request, m_attempt->Endpoint(), m_attempt->Answer(),
                       m_attempt->AnsweredAt());
   std::string bytes;
-  bool has_gap = false;
-  while (m_attempt->HasEvent() && !has_gap) {
+  EventDisposition disposition = EventDisposition::kDeliver;
+  while (m_attempt->HasEvent() && !EndsAttempt(disposition)) {
     ArrivedEvent arrived = m_attempt->TakeEvent();
-    const EventDisposition disposition =
-        arrived.event.id ? m_continuation.OnEvent(*arrived.event.id, arrived.at)
-                         : m_continuation.OnUnnumberedEvent(arrived.event.bytes.size());
-    if (disposition == EventDisposition::kDeliver) bytes += arrived.event.bytes;
-    has_gap = disposition == EventDisposition::kGap;
+    disposition = arrived.event.id ? m_continuation.OnEvent(*arrived.event.id, arrived.at)
+                                   : m_continuation.OnUnnumberedEvent(arrived.event.bytes.size());
+    if (disposition != EventDisposition::kDeliver) continue;
+    bytes += arrived.event.bytes;
+    if (!arrived.event.id) m_unnumbered_bytes += arrived.event.bytes.size();
   }
   if (!bytes.empty()) {
     OnPromptRead();
@@ -513,7 +516,11 @@
     }
     co_await m_exchange.WriteChunk(std::move(bytes));
   }
-  if (has_gap) AbandonAttempt("gap between events", AttemptLoss::kStalledOrInvalid);
+  if (EndsAttempt(disposition)) {
+    const bool has_gap = disposition == EventDisposition::kGap;
+    AbandonAttempt(has_gap ? "gap between events" : "too many bytes without an event number",
+                   AttemptLoss::kStalledOrInvalid);
+  }
   co_return Step::kContinue;
 }
 
@@ -733,6 +740,7 @@
                  {"last_event", m_continuation.LastEvent().value_or(0)},
                  {"last_arrived", m_last_arrived_event.value_or(0)},
                  {"framing", m_framing},
+                 {"unnumbered_bytes", m_unnumbered_bytes},
                  {"first_ms", m_first_event.count() / 1000},
                  {"longest_pause_ms", m_continuation.LongestGap().count() / 1000}});
 }
