streams: hold back what may not be the engine's until the stream goes on

Cause: each event was judged by itself and passed on at once. Events without a number were passed on until there were 16 KiB of them in a row; the limit ended the attempt, but what the caller had stayed in the answer. The second way to the same answer: an engine that stops within an event leaves an open line, which foreign bytes complete. Whether bytes are the engine's shows only in what follows.

Change: events without a number are held until the next numbered event that continues the stream, or its complete end, and dropped with the attempt otherwise. The same holds for a numbered event that may have been cut: arrived in parts, without data, line ends of two kinds, no UTF-8, or a number that is sent again. Lines that are no comment or field, ids that are no decimal number, and blocks without a field of the standard end the attempt, which does not count as a crash. Lines may end with CR, and a byte-order mark of the next engine is left out, so that the stricter reading cuts no sound stream. No message to peers or the store is changed.

Why it works: what cannot be taken back is passed on only after the engine has shown that it goes on, and an engine in trouble does not do that.

--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -50,6 +50,7 @@
   m_expected_first = start.expected_first;
   m_expected_first_elsewhere = start.expected_first_elsewhere;
   m_attempt_event.reset();
+  m_held_event.reset();
   m_unnumbered_bytes = 0;
   m_repeated_events = 0;
   m_last_progress = now;
@@ -59,7 +60,7 @@
 
 void StreamContinuation::OnAttemptRejected() { m_attempts = std::max(0, m_attempts - 1); }
 
-EventDisposition StreamContinuation::OnEvent(std::uint64_t id, TimePoint now) {
+EventDisposition StreamContinuation::OnEvent(std::uint64_t id, bool is_doubtful, TimePoint now) {
   const bool is_repeated = m_attempt_event && id <= *m_attempt_event;
   if (is_repeated && ++m_repeated_events > kMaxRepeatedEvents) return EventDisposition::kGap;
   if (!is_repeated) {
@@ -67,19 +68,40 @@
     m_last_progress = now;
     m_unnumbered_bytes = 0;
   }
-  if (m_last_event && id <= *m_last_event) return EventDisposition::kDuplicate;
-  if (m_last_event && id != *m_last_event + 1) return EventDisposition::kGap;
+  const std::optional<std::uint64_t>& last = m_held_event ? m_held_event : m_last_event;
+  if (last && id <= *last) return EventDisposition::kDuplicate;
+  if (!IsNext(id)) return EventDisposition::kGap;
+  if (m_held_event) MarkDelivered(*m_held_event, now);
+  m_held_event.reset();
+  if (is_doubtful) {
+    m_held_event = id;
+    return EventDisposition::kDeliverHeld;
+  }
+  MarkDelivered(id, now);
+  return EventDisposition::kDeliver;
+}
+
+bool StreamContinuation::IsNext(std::uint64_t id) const {
+  const std::optional<std::uint64_t>& last = m_held_event ? m_held_event : m_last_event;
+  return !last || id == *last + 1;
+}
+
+void StreamContinuation::MarkDelivered(std::uint64_t id, TimePoint now) {
   if (m_delivered) m_longest_gap = std::max(m_longest_gap, now - m_last_delivery);
   m_last_delivery = now;
   m_last_event = id;
   m_delivered = true;
-  return EventDisposition::kDeliver;
+}
+
+void StreamContinuation::OnHeldEventDelivered(TimePoint now) {
+  if (m_held_event) MarkDelivered(*m_held_event, now);
+  m_held_event.reset();
 }
 
 EventDisposition StreamContinuation::OnUnnumberedEvent(std::size_t bytes) {
   m_unnumbered_bytes += bytes;
   const bool exceeds_limit = m_unnumbered_bytes > kMaxUnnumberedBytes;
-  return exceeds_limit ? EventDisposition::kUnnumberedLimit : EventDisposition::kDeliver;
+  return exceeds_limit ? EventDisposition::kUnnumberedLimit : EventDisposition::kHold;
 }
 
 void StreamContinuation::OnProbeAnswered(TimePoint now) { m_last_probe = now; }
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -11,7 +11,12 @@
 
 /// How an event of a stream is to be handled.
 enum class EventDisposition {
+  /// Deliver the events that are held, then this one.
   kDeliver,
+  /// Deliver the events that are held, and hold this one.
+  kDeliverHeld,
+  /// Hold the event with the others that are held.
+  kHold,
   /// The caller has already received it.
   kDuplicate,
   /// An earlier event is missing, or events are repeated too often: nothing more of this attempt
@@ -32,6 +37,10 @@
 
 /// Decides for one relayed stream which events are delivered to the caller, and when a stalled
 /// attempt is abandoned for one at another endpoint. Not thread-safe.
+///
+/// An event without a number, or a doubtful one, may be the work of a faulty endpoint, which shows
+/// only in what follows. It is held until the next numbered event or the end of the stream, and
+/// dropped if another attempt follows.
 class StreamContinuation {
  public:
   struct Limits {
@@ -59,9 +68,13 @@
   void OnAttemptStarted(const AttemptStart& start, TimePoint now);
   /// The endpoint rejected the attempt before executing it; the attempt does not count.
   void OnAttemptRejected();
-  EventDisposition OnEvent(std::uint64_t id, TimePoint now);
+  /// `is_doubtful` is that of `RawEvent`.
+  EventDisposition OnEvent(std::uint64_t id, bool is_doubtful, TimePoint now);
   /// An event without a number arrived.
   EventDisposition OnUnnumberedEvent(std::size_t bytes);
+  /// The doubtful event that was held is delivered, because the endpoint has ended its stream or
+  /// nothing can replace the event.
+  void OnHeldEventDelivered(TimePoint now);
   /// Nothing was read from the endpoint until `at`, because the caller is slow.
   void OnReadingPaused(TimePoint at) { m_last_progress = std::max(m_last_progress, at); }
   /// The endpoint accepted a new connection while the attempt was stalled.
@@ -91,18 +104,23 @@
     return m_attempts < max_attempts;
   }
   bool HasDelivered() const { return m_delivered; }
-  /// Returns the last event that the caller has, after which the next attempt starts.
+  /// Returns the last event that the caller has, after which the next attempt starts. An event that
+  /// is held does not count.
   std::optional<std::uint64_t> LastEvent() const { return m_last_event; }
   int Attempts() const { return m_attempts; }
   /// Returns the longest time between two delivered events.
   Duration LongestGap() const { return m_longest_gap; }
 
  private:
+  bool IsNext(std::uint64_t id) const;
+  void MarkDelivered(std::uint64_t id, TimePoint now);
   Duration AbandonTimeout(const StallContext& context) const;
   Duration FirstEventTimeout(bool suspected) const;
 
   Limits m_limits;
   std::optional<std::uint64_t> m_last_event;
+  /// The doubtful event that is held.
+  std::optional<std::uint64_t> m_held_event;
   bool m_delivered = false;
   /// Highest event number of the current attempt.
   std::optional<std::uint64_t> m_attempt_event;
--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -98,27 +98,60 @@
       Finish(StreamAttemptEnd::kBroken, "stream: " + error.message());
       co_return;
     }
-    if (!m_splitter.Append(data)) {
-      Finish(StreamAttemptEnd::kBroken, "an event is too large");
+    const bool is_event_stream = m_splitter.Append(data);
+    QueueEvents();
+    if (!is_event_stream) {
+      FinishInvalid();
       co_return;
     }
-    const TimePoint now = SteadyNow();
-    const bool arrived = m_splitter.HasEvent();
-    while (m_splitter.HasEvent()) {
-      m_events.push_back({m_splitter.Take(), now});
-      if (m_event_count++ == 0) m_first_arrival = now;
-      m_last_arrival = now;
-      const RawEvent& event = m_events.back().event;
-      m_queued_bytes += event.bytes.size();
-      if (event.id) m_last_arrived_event = std::max(m_last_arrived_event, event.id);
-    }
-    if (arrived) Wake();
   }
-  if (m_splitter.HasPartial()) {
+  const bool is_complete = m_splitter.Finish();
+  QueueEvents();
+  if (m_splitter.Error() != EventStreamError::kNone) {
+    FinishInvalid();
+  } else if (!is_complete) {
     Finish(StreamAttemptEnd::kBroken, "the stream ends within an event");
-    co_return;
+  } else {
+    Finish(StreamAttemptEnd::kComplete);
+  }
+}
+
+void StreamAttempt::QueueEvents() {
+  if (!m_splitter.HasEvent()) return;
+  const TimePoint now = SteadyNow();
+  while (m_splitter.HasEvent()) {
+    RawEvent next = m_splitter.Take();
+    if (next.id && next.id == m_last_arrived_event) DoubtQueuedEvent(*next.id);
+    m_events.push_back({std::move(next), now});
+    const RawEvent& event = m_events.back().event;
+    m_queued_bytes += event.bytes.size();
+    if (!event.id) continue;
+    if (m_event_count++ == 0) m_first_arrival = now;
+    m_last_arrival = now;
+    m_last_arrived_event = std::max(m_last_arrived_event, event.id);
+  }
+  Wake();
+}
+
+/// Marks an event as doubtful if it is still queued: the endpoint has sent its number again, so one
+/// of the two is not the endpoint's event.
+void StreamAttempt::DoubtQueuedEvent(std::uint64_t id) {
+  for (ArrivedEvent& queued : m_events) {
+    if (queued.event.id == id) queued.event.is_doubtful = true;
+  }
+}
+
+/// Ends the attempt because the bytes that have arrived are no stream of events. Where the foreign
+/// ones begin is not known: an event before the first invalid line may end in some of them.
+void StreamAttempt::FinishInvalid() {
+  bool is_numbered = false;
+  while (!m_events.empty() && !is_numbered) {
+    is_numbered = m_events.back().event.id.has_value();
+    m_queued_bytes -= m_events.back().event.bytes.size();
+    m_events.pop_back();
   }
-  Finish(StreamAttemptEnd::kComplete);
+  Finish(StreamAttemptEnd::kInvalid,
+         "no event stream: " + std::string(NameOf(kEventStreamErrorNames, m_splitter.Error())));
 }
 
 Task<void> StreamAttempt::ReadNonStreamAnswer() {
--- a/src/libs/relay/stream_attempt.h
+++ b/src/libs/relay/stream_attempt.h
@@ -36,8 +36,10 @@
   /// The endpoint replied with something other than a stream. `Reply()` is complete, but for the
   /// body of a rejection or of a reply that is not the endpoint's own.
   kAnswered,
-  /// The connection broke, or the reply is invalid or belongs to another request.
+  /// The connection broke, or the reply's head is invalid or belongs to another request.
   kBroken,
+  /// The body is no stream of events.
+  kInvalid,
 };
 
 /// One attempt to run a stream at an endpoint. Reads the events into a queue as they arrive. Used
@@ -66,6 +68,8 @@
   std::optional<StreamAttemptEnd> End() const { return HasEvent() ? std::nullopt : m_end; }
   /// Why the attempt broke.
   const std::string& Reason() const { return m_reason; }
+  /// Returns what is wrong with the reply if it is no stream of events.
+  EventStreamError StreamError() const { return m_splitter.Error(); }
   /// The reply's status and headers, and for `kAnswered` its body.
   HttpReply& Reply() { return m_reply; }
   const EndpointResponseFields& Answer() const { return m_answer; }
@@ -81,12 +85,15 @@
   /// Returns the highest number of an event that has arrived, taken or not; nothing if none has.
   const std::optional<std::uint64_t>& LastArrivedEvent() const { return m_last_arrived_event; }
   AttemptTiming Timing() const;
-  /// Returns when the first event arrived; nothing if none has.
+  /// Returns when the first numbered event arrived; nothing if none has.
   std::optional<TimePoint> FirstEventAt() const;
 
  private:
   Task<void> Read(RelayWire wire, std::string request_id);
   Task<void> ReadEvents();
+  void QueueEvents();
+  void DoubtQueuedEvent(std::uint64_t id);
+  void FinishInvalid();
   bool IsQueueFull() const;
   Task<void> ReadNonStreamAnswer();
   void Finish(StreamAttemptEnd end, std::string reason = {});
@@ -106,6 +113,7 @@
   TimePoint m_first_arrival{};
   TimePoint m_last_arrival{};
   TimePoint m_reading_paused_at{};
+  /// Numbered events that have arrived.
   int m_event_count = 0;
   std::optional<std::uint64_t> m_last_arrived_event;
   std::optional<StreamAttemptEnd> m_end;
--- a/src/libs/relay/stream_relay.cpp
+++ b/src/libs/relay/stream_relay.cpp
@@ -40,6 +40,8 @@
 // the caller can still try another daemon.
 constexpr int kRejectAfterDivisor = 8;
 
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+
 enum class Step { kContinue, kEnd };
 
 /// What the end of an attempt says about its endpoint.
@@ -51,6 +53,12 @@
   kBroken,
 };
 
+/// An endpoint may begin its stream with a byte-order mark, which belongs only to the beginning of
+/// the caller's.
+void RemoveByteOrderMark(std::string& bytes) {
+  if (bytes.starts_with(kByteOrderMark)) bytes.erase(0, kByteOrderMark.size());
+}
+
 class StreamSession {
  public:
   StreamSession(RelayContext& context, HttpExchange& exchange, RelayedRequest request);
@@ -82,6 +90,10 @@
   std::shared_ptr<KvCacheBackup> NewBackup() const;
   std::string BackupHolderId() const { return m_backup->Holder() ? m_backup->Holder()->id : ""; }
   Task<Step> ForwardEvents();
+  void Hold(const RawEvent& event);
+  std::string TakeHeld();
+  Task<void> DeliverHeldEvent();
+  Task<void> Deliver(std::string bytes);
   Task<Step> OnAttemptEnd();
   Task<Step> OnNonStreamAnswer();
   Task<Step> WaitForEvents();
@@ -132,6 +144,10 @@
   /// that arrived. Logged, so that events lost here can be told from an engine that ended early.
   std::string_view m_framing = "none";
   std::optional<std::uint64_t> m_last_arrived_event;
+  /// Events of the current attempt that are held, see `StreamContinuation`: a doubtful one, and
+  /// those without a number that follow it or, without one, the last event delivered.
+  std::string m_held_event;
+  std::string m_held_unnumbered;
   /// Bytes of events without a number that were delivered. Logged, so that they can be told from
   /// bytes inside numbered events.
   std::size_t m_unnumbered_bytes = 0;
@@ -497,24 +513,21 @@
   EventDisposition disposition = EventDisposition::kDeliver;
   while (m_attempt->HasEvent() && !EndsAttempt(disposition)) {
     ArrivedEvent arrived = m_attempt->TakeEvent();
-    disposition = arrived.event.id ? m_continuation.OnEvent(*arrived.event.id, arrived.at)
-                                   : m_continuation.OnUnnumberedEvent(arrived.event.bytes.size());
-    if (disposition != EventDisposition::kDeliver) continue;
-    bytes += arrived.event.bytes;
-    if (!arrived.event.id) m_unnumbered_bytes += arrived.event.bytes.size();
+    RawEvent& event = arrived.event;
+    if (m_head_sent) RemoveByteOrderMark(event.bytes);
+    disposition = event.id ? m_continuation.OnEvent(*event.id, event.is_doubtful, arrived.at)
+                           : m_continuation.OnUnnumberedEvent(event.bytes.size());
+    const bool is_delivered = disposition == EventDisposition::kDeliver;
+    if (is_delivered || disposition == EventDisposition::kDeliverHeld) bytes += TakeHeld();
+    if (is_delivered) bytes += event.bytes;
+    if (disposition == EventDisposition::kHold || disposition == EventDisposition::kDeliverHeld) {
+      Hold(event);
+    }
   }
   if (!bytes.empty()) {
     OnPromptRead();
     OnRunning();
-    if (!m_head_sent) {
-      m_head_sent = true;
-      m_first_event = SteadyNow() - m_request.arrived;
-      m_context.metrics.Observe("relay_first_event", {}, m_first_event);
-      CountFirstEvent();
-      co_await m_exchange.StartStream(m_attempt->Reply().status,
-                                      EndToEndHeaders(m_attempt->Reply().headers));
-    }
-    co_await m_exchange.WriteChunk(std::move(bytes));
+    co_await Deliver(std::move(bytes));
   }
   if (EndsAttempt(disposition)) {
     const bool has_gap = disposition == EventDisposition::kGap;
@@ -524,6 +537,35 @@
   co_return Step::kContinue;
 }
 
+void StreamSession::Hold(const RawEvent& event) {
+  (event.id ? m_held_event : m_held_unnumbered) += event.bytes;
+}
+
+/// Returns the events that are held, which are delivered now.
+std::string StreamSession::TakeHeld() {
+  m_unnumbered_bytes += m_held_unnumbered.size();
+  return std::exchange(m_held_event, std::string()) +
+         std::exchange(m_held_unnumbered, std::string());
+}
+
+Task<void> StreamSession::DeliverHeldEvent() {
+  m_continuation.OnHeldEventDelivered(SteadyNow());
+  return Deliver(std::exchange(m_held_event, std::string()));
+}
+
+/// Writes events of the current attempt to the caller.
+Task<void> StreamSession::Deliver(std::string bytes) {
+  if (!m_head_sent) {
+    m_head_sent = true;
+    m_first_event = SteadyNow() - m_request.arrived;
+    m_context.metrics.Observe("relay_first_event", {}, m_first_event);
+    CountFirstEvent();
+    co_await m_exchange.StartStream(m_attempt->Reply().status,
+                                    EndToEndHeaders(m_attempt->Reply().headers));
+  }
+  co_await m_exchange.WriteChunk(std::move(bytes));
+}
+
 Task<Step> StreamSession::OnAttemptEnd() {
   switch (*m_attempt->End()) {
     case StreamAttemptEnd::kComplete:
@@ -531,9 +573,18 @@
     case StreamAttemptEnd::kAnswered:
       co_return co_await OnNonStreamAnswer();
     case StreamAttemptEnd::kBroken:
+      // Nothing will replace a doubtful event, and the caller sees that the stream is cut.
+      if (!MayStartAttempt() && !m_held_event.empty()) co_await DeliverHeldEvent();
       AbandonAttempt(m_attempt->Reason(), AttemptLoss::kBroken);
       co_return Step::kContinue;
+    case StreamAttemptEnd::kInvalid:
+      m_context.metrics.Count("relay_invalid_streams",
+                              NameOf(kEventStreamErrorNames, m_attempt->StreamError()));
+      AbandonAttempt(m_attempt->Reason(), AttemptLoss::kStalledOrInvalid);
+      co_return Step::kContinue;
   }
+  if (!m_held_event.empty()) co_await DeliverHeldEvent();
+  if (!m_held_unnumbered.empty()) co_await Deliver(TakeHeld());
   m_context.endpoints.OnSuccess(m_attempt->Endpoint().id);
   const AttemptTiming timing = m_attempt->Timing();
   ReportCompletedAttempt(m_context, m_request, m_attempt->Endpoint(), false, timing.first_event,
@@ -641,7 +692,10 @@
       {{"request", m_request.fields.request_id},
        {"endpoint", engine},
        {"after", m_continuation.LastEvent().value_or(0)},
+       {"held_bytes", m_held_event.size() + m_held_unnumbered.size()},
        {"reason", reason}});
+  m_held_event.clear();
+  m_held_unnumbered.clear();
   const bool is_failure = loss != AttemptLoss::kNone;
   if (is_failure) {
     AttemptLossDetails details;
--- a/tests/auto/server/tst_sessions.cpp
+++ b/tests/auto/server/tst_sessions.cpp
@@ -59,6 +59,22 @@
   cr_assert_eq(fixture.endpoints.LongestPrefix(), 8);
 }
 
+// Guards against bytes of an engine in trouble that reach the caller as tokens, or end its
+// generation.
+Test(sessions, bytes_that_are_no_events_are_not_delivered) {
+  for (const char* bytes :
+       {"<html>lost</html>\r\n\r\n", ": lost\n\n", "data: lost\n\n", "data: {\"error\":1}\n\n",
+        "data: {\"position\":-8,\"token\":\"x\"}\n\n", "data: {\"position\":9,\"token\":\"x\"}\n\n",
+        "data: {\"position\":8,\"token\":1}\n\n", "data: {\"position\":8.0,\"token\":\"x\"}\n\n",
+        "data: {\"position\":8,\"tok<html>\n\n", "data: {\"done\":true,\"total\":3}\n\n"}) {
+    EndpointsFixture fixture;
+    fixture.endpoints.SetForeignBytes(bytes);
+    fixture.endpoints.FailAt(8, StreamFault::kForeignBytes, false);
+    ExpectTokens(fixture.client->Complete("key-model", kBody), 0);
+    cr_assert_eq(fixture.endpoints.LongestPrefix(), 8, "%s", bytes);
+  }
+}
+
 // Guards against a daemon that can't continue a generation of another daemon (6.2).
 Test(sessions, event_id_continues_at_another_daemon) {
   EndpointsFixture fixture;
