streams: a stream begins with its first event

What callers may get: a stream whose first bytes are foreign and look like a later event (`id: 7`) began with them. The engine's own events were then dropped as repeated, and another engine went on after the foreign number, so that the answer looked whole. Not seen from a deployment.

Cause: the number of the first event was compared with nothing, unless the caller resumes a stream.

Change: a stream that is not resumed begins with event 1, as the protocol's streams do, or with 0; anything else ends the attempt like a missing event.

--- a/src/libs/coordination/stream_continuation.cpp
+++ b/src/libs/coordination/stream_continuation.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kReplacementInterval = std::chrono::milliseconds(300);
 // Limit on the bytes of comments and other events without a number between two numbered events.
 constexpr std::size_t kMaxUnnumberedBytes = std::size_t{16} * 1024;
+// Streams begin with this event or with 0.
+constexpr std::uint64_t kFirstEvent = 1;
 // Limit on the duplicate events that one attempt may send.
 constexpr int kMaxRepeatedEvents = 64;
 
@@ -83,7 +85,7 @@
 
 bool StreamContinuation::IsNext(std::uint64_t id) const {
   const std::optional<std::uint64_t>& last = m_held_event ? m_held_event : m_last_event;
-  return !last || id == *last + 1;
+  return last ? id == *last + 1 : id <= kFirstEvent;
 }
 
 void StreamContinuation::MarkDelivered(std::uint64_t id, TimePoint now) {
--- a/src/libs/coordination/stream_continuation.h
+++ b/src/libs/coordination/stream_continuation.h
@@ -68,7 +68,7 @@
   void OnAttemptStarted(const AttemptStart& start, TimePoint now);
   /// The endpoint rejected the attempt before executing it; the attempt does not count.
   void OnAttemptRejected();
-  /// `is_doubtful` is that of `RawEvent`.
+  /// `is_doubtful` is that of `RawEvent`. A stream that no caller resumes begins with event 0 or 1.
   EventDisposition OnEvent(std::uint64_t id, bool is_doubtful, TimePoint now);
   /// An event without a number arrived.
   EventDisposition OnUnnumberedEvent(std::size_t bytes);
--- a/tests/auto/coordination/tst_stream_continuation.cpp
+++ b/tests/auto/coordination/tst_stream_continuation.cpp
@@ -213,6 +213,15 @@
   cr_assert_eq(stream.LastEvent().value_or(0), 3u);
 }
 
+// Guards against a stream that lacks its beginning.
+Test(stream_continuation, a_stream_begins_with_event_0_or_1) {
+  for (const std::uint64_t first : {0, 1, 2, 500}) {
+    StreamContinuation stream = Started();
+    const bool is_delivered = stream.OnEvent(first, false, At(10)) == EventDisposition::kDeliver;
+    cr_assert_eq(is_delivered, first <= 1);
+  }
+}
+
 // Guards against a resumed stream that is not placed on the engine that has its prompt cached.
 Test(stream_registry, remembers_which_engine_has_a_prompt_cached) {
   StreamRegistry registry;
--- a/tests/auto/platform/tst_foreign_bytes.cpp
+++ b/tests/auto/platform/tst_foreign_bytes.cpp
@@ -31,6 +31,7 @@
       "\n\ndata: FOREIGN\n\n",
       "\r\n\r\nFOREIGN\r\n\r\n",
       "id: 99999999999999999999999\ndata: FOREIGN\n\n",
+      "id: 7\ndata: FOREIGN\n\n",
       "id: 3\ndata: FOREIGN\n\n",
       "id: 3x\ndata: FOREIGN\n\n",
       "id: -3\ndata: FOREIGN\n\n",
@@ -241,3 +242,13 @@
   const Received received = Play({}, {{"repeated", head + first + first + last + last}});
   cr_assert(received.is_whole && received.body == first + last, "%s", received.bytes.c_str());
 }
+
+// Guards against a stream whose first event is foreign and numbered like a later one, or lost: all
+// events before it would be missing.
+Test(foreign_bytes, a_stream_begins_with_its_first_event) {
+  const std::string head = Head("200 OK", kEventStream);
+  for (const char* number : {"2", "7", "18446744073709551615"}) {
+    const Answer faulty = {number, head + "id: " + number + "\ndata: FOREIGN\n\n"};
+    CheckWholeStream(Play({}, {faulty, GoodStream()}), faulty.name);
+  }
+}
