streams: recognize an event stream by its media type

What callers got: a stream whose engine writes its media type in another case, or with a blank before the parameters, reached them as one piece after its end, up to 1 MB, and was not checked as a stream: an error page after its events was passed on in a complete answer. Not seen from a deployment.

Cause: both daemons compared the first 17 bytes of Content-Type. Media types are compared without regard to case (RFC 9110, 8.3.1).

Change: HasMediaType() in http_message, used by the relay and by the HTTP client of fulmarpointd.

Result: foreign_bytes/in_a_stream_whose_media_type_is_written_otherwise fails before the change and passes now.

--- a/src/libs/relay/stream_attempt.cpp
+++ b/src/libs/relay/stream_attempt.cpp
@@ -16,8 +16,7 @@
 constexpr Duration kQueueCheckInterval = std::chrono::milliseconds(20);
 
 bool IsEventStream(const HttpReply& reply) {
-  const std::optional<std::string_view> type = FindHeader(reply.headers, "Content-Type");
-  return reply.status == 200 && type && type->substr(0, 17) == "text/event-stream";
+  return reply.status == 200 && HasMediaType(reply.headers, "text/event-stream");
 }
 
 }  // namespace
--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -21,8 +21,7 @@
 constexpr std::size_t kBufferSlackBytes = std::size_t{16} * 1024;
 
 bool IsEventStream(const HttpReply& reply) {
-  const std::optional<std::string_view> type = FindHeader(reply.headers, "Content-Type");
-  return reply.status == 200 && type && type->substr(0, 17) == "text/event-stream";
+  return reply.status == 200 && HasMediaType(reply.headers, "text/event-stream");
 }
 
 }  // namespace
--- a/src/libs/transport/http_message.cpp
+++ b/src/libs/transport/http_message.cpp
@@ -70,6 +70,13 @@
   return std::nullopt;
 }
 
+bool HasMediaType(const HttpHeaders& headers, std::string_view media_type) {
+  std::string_view type = FindHeader(headers, "Content-Type").value_or("");
+  type = type.substr(0, type.find(';'));
+  while (type.ends_with(' ') || type.ends_with('\t')) type.remove_suffix(1);
+  return EqualsIgnoringCase(type, media_type);
+}
+
 namespace internal {
 
 bool IsSafeHeader(const HttpHeader& header) {
--- a/src/libs/transport/http_message.h
+++ b/src/libs/transport/http_message.h
@@ -18,6 +18,10 @@
 /// Thread-safe.
 std::optional<std::string_view> FindHeader(const HttpHeaders& headers, std::string_view name);
 
+/// Returns whether the content type is `media_type`, in whatever case and with whatever parameters.
+/// Thread-safe.
+bool HasMediaType(const HttpHeaders& headers, std::string_view media_type);
+
 /// A request as received. `target` is the path with the query, `peer_address` is "ip:port".
 struct HttpRequest {
   std::string method;
--- a/tests/auto/platform/tst_foreign_bytes.cpp
+++ b/tests/auto/platform/tst_foreign_bytes.cpp
@@ -252,3 +252,14 @@
     CheckWholeStream(Play({}, {faulty, GoodStream()}), faulty.name);
   }
 }
+
+// Guards against a stream that is taken for a plain reply, which is passed on late and unchecked,
+// because of how its media type is written.
+Test(foreign_bytes, in_a_stream_whose_media_type_is_written_otherwise) {
+  for (const char* type : {"Text/Event-Stream", "text/event-stream;charset=utf-8",
+                           "TEXT/EVENT-STREAM ; charset=UTF-8"}) {
+    const std::string head = Head("200 OK", "Content-Type: " + std::string(type) + "\r\n");
+    const Answer faulty = {type, head, 2, kErrorPage};
+    CheckWholeStream(Play({}, {faulty, GoodStream()}), faulty.name);
+  }
+}
