settings: apply changed bounds where components had copied them

Daemons had logged settings_reloaded.

Cause: ApplySettings() replaced the settings, but the confirmation of the configuration, the waits of its watch, the retry quotas of services that had been used, and the memory for replies kept what they had copied at the start.

Ruled out: that the file is not read again (the log line is there).

Change: RelayContext::SetSettings() and RelayTables::OnSettingsChanged() pass the new values on. Confirmations and counts stay; if the retry window changes its length, retries that count now count for a whole new window. A budget of bytes may have a limit below what is reserved. settings_reloaded shows the revocation time. No message to peers or the store is changed.

--- a/src/libs/coordination/configuration_freshness.h
+++ b/src/libs/coordination/configuration_freshness.h
@@ -51,6 +51,12 @@
                                                          ExpiredConfigurationPolicy::kReject)
       : m_validity(validity), m_when_expired(when_expired) {}
 
+  /// Replaces what the constructor was given; confirmations stay, and are judged by it at once.
+  void SetLimits(Duration validity, ExpiredConfigurationPolicy when_expired) {
+    m_validity = validity;
+    m_when_expired = when_expired;
+  }
+
   /// Records that a call that began at `started` returned the current configuration.
   void Confirm(TimePoint started) {
     if (!m_confirmed || started > *m_confirmed) m_confirmed = started;
--- a/src/libs/coordination/fleet_retry_quota.cpp
+++ b/src/libs/coordination/fleet_retry_quota.cpp
@@ -22,6 +22,15 @@
   return slice;
 }
 
+void FleetRetryQuota::SetLimits(const Limits& limits, TimePoint now) {
+  const int retries = WindowTotal(now).retries;
+  const bool has_new_window = limits.window != m_limits.window;
+  m_limits = limits;
+  if (!has_new_window) return;
+  m_slices.fill(Slice());
+  SliceAt(now).retries = retries;
+}
+
 void FleetRetryQuota::OnFirstAttempt(TimePoint now) { ++SliceAt(now).first_attempts; }
 
 bool FleetRetryQuota::TryTake(std::size_t daemons, TimePoint now) {
@@ -46,18 +55,22 @@
   m_borrowed_until = now + kTransferLifetime;
 }
 
-int FleetRetryQuota::Left(std::size_t daemons, TimePoint now) {
-  const std::int64_t current = SliceAt(now).number;
-  int first_attempts = 0;
-  int retries = 0;
+FleetRetryQuota::Slice FleetRetryQuota::WindowTotal(TimePoint now) {
+  Slice total;
+  total.number = SliceAt(now).number;
   for (const Slice& slice : m_slices) {
-    if (slice.number < current - kSlicesPerWindow) continue;
-    first_attempts += slice.first_attempts;
-    retries += slice.retries;
+    if (slice.number < total.number - kSlicesPerWindow) continue;
+    total.first_attempts += slice.first_attempts;
+    total.retries += slice.retries;
   }
+  return total;
+}
+
+int FleetRetryQuota::Left(std::size_t daemons, TimePoint now) {
+  const Slice total = WindowTotal(now);
   const double daemon_count = static_cast<double>(std::max<std::size_t>(1, daemons));
-  const double limit = m_limits.share * first_attempts + m_limits.slack / daemon_count;
-  return static_cast<int>(std::floor(limit * kUsableShare)) - retries;
+  const double limit = m_limits.share * total.first_attempts + m_limits.slack / daemon_count;
+  return static_cast<int>(std::floor(limit * kUsableShare)) - total.retries;
 }
 
 }  // namespace fulmarpoint
--- a/src/libs/coordination/fleet_retry_quota.h
+++ b/src/libs/coordination/fleet_retry_quota.h
@@ -25,6 +25,10 @@
   /// Precondition: `limits.window` is at least a second.
   explicit FleetRetryQuota(const Limits& limits) : m_limits(limits) {}
 
+  /// Replaces the limits. If the length of the window changes, retries that count now count for a
+  /// whole new window, and the first attempts before allow no more retries.
+  void SetLimits(const Limits& limits, TimePoint now);
+
   /// Counts a request's first attempt.
   void OnFirstAttempt(TimePoint now);
   /// Counts a retry and returns true if the quota allows one, or uses a borrowed retry. `daemons`
@@ -47,6 +51,8 @@
   static constexpr int kSlicesPerWindow = 20;
 
   Slice& SliceAt(TimePoint now);
+  /// Returns the sum of the counts of the window that ends now.
+  Slice WindowTotal(TimePoint now);
   /// Returns how many retries are left in the window that ends now; negative if it is exceeded.
   int Left(std::size_t daemons, TimePoint now);
 
--- a/src/libs/coordination/table_replicator.cpp
+++ b/src/libs/coordination/table_replicator.cpp
@@ -17,6 +17,11 @@
       m_source_selection(source_selection),
       m_watcher(m_options.watcher, seed) {}
 
+void TableReplicator::SetOptions(Options options) {
+  m_options = std::move(options);
+  m_watcher.SetOptions(m_options.watcher);
+}
+
 TableReplicator::SourceCall TableReplicator::Next(const PeerRecord& self,
                                                   const std::vector<PeerRecord>& peers,
                                                   TimePoint now) {
--- a/src/libs/coordination/table_replicator.h
+++ b/src/libs/coordination/table_replicator.h
@@ -44,6 +44,9 @@
   TableReplicator(Options options, ReplicationSourceSelection& source_selection,
                   std::uint64_t seed);
 
+  /// Replaces the options from the next call on. Precondition: the table is the same.
+  void SetOptions(Options options);
+
   /// Returns the next call. `self` is this daemon, and `peers` are the other daemons that the store
   /// lists.
   SourceCall Next(const PeerRecord& self, const std::vector<PeerRecord>& peers, TimePoint now);
--- a/src/libs/coordination/table_watcher.h
+++ b/src/libs/coordination/table_watcher.h
@@ -53,6 +53,9 @@
 
   TableWatcher(Options options, std::uint64_t seed);
 
+  /// Replaces the options from the next call on. Precondition: the table is the same.
+  void SetOptions(Options options) { m_options = std::move(options); }
+
   /// Returns the call to make next and the pause before it.
   NextCall Next();
   /// The next calls go to another source. Restarts a read in progress.
--- a/src/libs/relay/relay_context.cpp
+++ b/src/libs/relay/relay_context.cpp
@@ -17,6 +17,10 @@
          error == std::errc::host_unreachable || error == std::errc::network_unreachable;
 }
 
+FleetRetryQuota::Limits RetryLimitsOf(const RelaySettings& settings) {
+  return {settings.retry_share, settings.retry_slack, settings.retry_window};
+}
+
 }  // namespace
 
 RelayContext::RelayContext(RelaySettings own_settings, RelayWire own_wire, Store own_store,
@@ -31,6 +35,15 @@
       peers(settings.name, PeerDirectory::Options()),
       reply_memory(settings.max_body_bytes) {}
 
+void RelayContext::SetSettings(RelaySettings changed) {
+  settings = std::move(changed);
+  freshness.SetLimits(settings.key_revocation_time, settings.when_freshness_expired);
+  reply_memory.SetLimit(settings.max_body_bytes);
+  for (auto& [service, quota] : m_retry_quotas) {
+    quota.SetLimits(RetryLimitsOf(settings), SteadyNow());
+  }
+}
+
 bool RelayContext::IsServing() const {
   return table != nullptr && endpoints.Size() > 0 && freshness.Permits(BootNow());
 }
@@ -122,9 +135,7 @@
 }
 
 FleetRetryQuota& RelayContext::RetryQuota(const ServiceName& service) {
-  const FleetRetryQuota::Limits limits{settings.retry_share, settings.retry_slack,
-                                       settings.retry_window};
-  return m_retry_quotas.try_emplace(service, limits).first->second;
+  return m_retry_quotas.try_emplace(service, RetryLimitsOf(settings)).first->second;
 }
 
 ConnectionShare RelayContext::ConnectionShareOf(const RelayTable& configuration,
--- a/src/libs/relay/relay_context.h
+++ b/src/libs/relay/relay_context.h
@@ -38,6 +38,8 @@
   RelayContext(RelaySettings own_settings, RelayWire own_wire, Store own_store,
                Executor own_executor, std::uint64_t seed);
 
+  /// Replaces the settings, also where a component keeps a copy of one.
+  void SetSettings(RelaySettings changed);
   /// Returns whether requests may be accepted: at least one endpoint and a usable configuration are
   /// known.
   bool IsServing() const;
--- a/src/libs/relay/relay_daemon.cpp
+++ b/src/libs/relay/relay_daemon.cpp
@@ -425,7 +425,7 @@
 }
 
 void RelayDaemon::ApplySettings(const RelaySettings& settings) {
-  RelaySettings& current = m_state->context.settings;
+  const RelaySettings& current = m_state->context.settings;
   RelaySettings applied = settings;
   applied.name = current.name;
   applied.caller_address = current.caller_address;
@@ -436,10 +436,14 @@
   applied.duties = current.duties;
   applied.queues_streams = current.queues_streams;
   if (applied == current) return;
-  current = applied;
+  m_state->context.SetSettings(std::move(applied));
+  m_state->tables.OnSettingsChanged();
   const std::shared_ptr<const RelayTable>& table = m_state->context.table;
   m_state->caller_server->SetLimits(LimitsOf(current, table ? table->Limits() : CallerLimits()));
-  Log(LogLevel::kInfo, "settings_reloaded", {{"name", current.name}});
+  Log(LogLevel::kInfo, "settings_reloaded",
+      {{"name", current.name},
+       {"key_revocation_ms", current.key_revocation_time.count() / 1000},
+       {"serves_expired", current.when_freshness_expired == ExpiredConfigurationPolicy::kServe}});
 }
 
 std::string RelayDaemon::CallerAddress() const { return m_state->caller_server->Address(); }
--- a/src/libs/relay/relay_tables.cpp
+++ b/src/libs/relay/relay_tables.cpp
@@ -37,10 +37,11 @@
 void RelayTables::Start(PeerRecord self) {
   m_self = std::move(self);
   using Changes = std::vector<TableWatcher::Change>;
-  AddReplication(ConfigurationReplicationOptions(m_sources.configuration_table,
-                                                 m_context.settings.key_revocation_time),
-                 [this](const Changes& changes) { OnConfigurationRows(changes); })
-      .Start();
+  m_configuration_replication =
+      &AddReplication(ConfigurationReplicationOptions(m_sources.configuration_table,
+                                                      m_context.settings.key_revocation_time),
+                      [this](const Changes& changes) { OnConfigurationRows(changes); });
+  m_configuration_replication->Start();
   AddReplication(PeerReplicationOptions(kPeerTable), m_handlers.on_peers).Start();
   // Endpoints may be replicated from a peer, so the peers must be known first.
   m_endpoint_replication =
@@ -48,6 +49,18 @@
                       [this](const Changes& changes) { OnEndpointRows(changes); });
 }
 
+void RelayTables::OnSettingsChanged() {
+  if (m_configuration_replication == nullptr) return;
+  m_configuration_replication->SetOptions(ConfigurationReplicationOptions(
+      m_sources.configuration_table, m_context.settings.key_revocation_time));
+}
+
+void RelayTables::Stop() {
+  m_configuration_replication = nullptr;
+  m_endpoint_replication = nullptr;
+  m_replications.clear();
+}
+
 TableReplication& RelayTables::AddReplication(
     TableReplicator::Options options,
     std::function<void(const std::vector<TableWatcher::Change>&)> on_changes) {
--- a/src/libs/relay/relay_tables.h
+++ b/src/libs/relay/relay_tables.h
@@ -37,8 +37,10 @@
 
   /// Starts replicating the tables as the daemon `self`. Call once.
   void Start(PeerRecord self);
+  /// Applies settings that have changed. Precondition: the context has the new ones.
+  void OnSettingsChanged();
   /// Stops replicating.
-  void Stop() { m_replications.clear(); }
+  void Stop();
   /// Replies to a peer that replicates a table from this daemon.
   Task<TableReplicaReply> AnswerPeer(TableReplicaRequest request);
   /// Returns whether any table is replicated from a peer instead of the store.
@@ -65,6 +67,8 @@
   ReplicaClient m_replica_client;
   ReplicationSourceSelection m_source_selection;
   std::vector<std::unique_ptr<TableReplication>> m_replications;
+  /// Null unless the tables are replicated.
+  TableReplication* m_configuration_replication = nullptr;
   /// The replication of the endpoints until it is started, then null.
   TableReplication* m_endpoint_replication = nullptr;
   RestoredConfigurationCheck m_restored_check;
--- a/src/libs/relay/table_replication.cpp
+++ b/src/libs/relay/table_replication.cpp
@@ -112,6 +112,10 @@
 
 const std::string& TableReplication::Source() const { return m_state->replicator.Source(); }
 
+void TableReplication::SetOptions(Options options) {
+  m_state->replicator.SetOptions(std::move(options));
+}
+
 void TableReplication::Start() {
   Spawn(m_state->executor, [state = m_state]() { return state->Run(); });
 }
--- a/src/libs/relay/table_replication.h
+++ b/src/libs/relay/table_replication.h
@@ -39,6 +39,8 @@
   TableReplication& operator=(const TableReplication&) = delete;
 
   void Start();
+  /// Replaces the options from the next call on. Precondition: the table is the same.
+  void SetOptions(Options options);
   /// Returns the address of the peer that is the replication source; empty for the store.
   const std::string& Source() const;
 
--- a/src/libs/utils/byte_budget.h
+++ b/src/libs/utils/byte_budget.h
@@ -9,9 +9,12 @@
  public:
   explicit ByteBudget(std::size_t limit) : m_limit(limit) {}
 
+  /// Replaces the limit. What is reserved stays reserved, also beyond a lower limit.
+  void SetLimit(std::size_t limit) { m_limit = limit; }
+
   /// Reserves `bytes` and returns true, or returns false if the limit would be exceeded.
   bool TryReserve(std::size_t bytes) {
-    if (bytes > m_limit - m_reserved) return false;
+    if (m_reserved > m_limit || bytes > m_limit - m_reserved) return false;
     m_reserved += bytes;
     return true;
   }
--- a/tests/auto/coordination/tst_fleet_retry_quota.cpp
+++ b/tests/auto/coordination/tst_fleet_retry_quota.cpp
@@ -177,3 +177,21 @@
   cr_assert_eq(
       selection.SelectLenders(neighbours, now + std::chrono::milliseconds(300), random).size(), 3u);
 }
+
+// Guards against a quota that keeps the limits of the start, and against retries that are forgotten
+// when the length of the window changes.
+Test(fleet_retry_quota, changed_limits_apply_at_once) {
+  const TimePoint now{std::chrono::hours(1)};
+  FleetRetryQuota quota({0.0, 20.0, std::chrono::seconds(10)});
+  const auto take_all = [&quota](TimePoint at) {
+    int taken = 0;
+    while (quota.TryTake(1, at)) ++taken;
+    return taken;
+  };
+  cr_assert_eq(take_all(now), 18);
+  quota.SetLimits({0.0, 30.0, std::chrono::seconds(10)}, now);
+  cr_assert_eq(take_all(now), 9);
+  quota.SetLimits({0.0, 30.0, std::chrono::seconds(20)}, now);
+  cr_assert_eq(take_all(now + std::chrono::seconds(15)), 0);
+  cr_assert_eq(take_all(now + std::chrono::seconds(25)), 27);
+}
--- a/tests/auto/coordination/tst_peer_directory.cpp
+++ b/tests/auto/coordination/tst_peer_directory.cpp
@@ -251,6 +251,20 @@
   cr_assert_not(serving.IsConfirmed(At(5000)), "the confirmation itself expires");
 }
 
+// Guards against a removed key that works for as long as the settings at the start allowed
+// (review/12), and against a confirmation that is lost when they change.
+Test(configuration_freshness, changed_limits_apply_to_the_last_confirmation) {
+  ConfigurationFreshness freshness(std::chrono::seconds(5), ExpiredConfigurationPolicy::kReject);
+  freshness.Confirm(kStart);
+  freshness.SetLimits(std::chrono::milliseconds(2500), ExpiredConfigurationPolicy::kReject);
+  cr_assert(freshness.Permits(At(2499)));
+  cr_assert_not(freshness.Permits(At(2500)));
+  freshness.SetLimits(std::chrono::milliseconds(2500), ExpiredConfigurationPolicy::kServe);
+  cr_assert(freshness.Permits(At(2500)));
+  freshness.SetLimits(std::chrono::seconds(5), ExpiredConfigurationPolicy::kReject);
+  cr_assert(freshness.Permits(At(4999)));
+}
+
 // Guards against requests that are rejected soon after the store becomes unreachable because the
 // last confirmation was already old. The configuration may change at any time before that.
 Test(configuration_freshness, most_of_the_validity_is_left_when_the_store_is_lost) {
--- a/tests/auto/coordination/tst_table_watcher.cpp
+++ b/tests/auto/coordination/tst_table_watcher.cpp
@@ -249,3 +249,15 @@
   cr_assert_eq(watcher.OnReply(ReplyOfEpoch(1, {Row("c", 10)}, 10), kStart).size(), 0u);
   cr_assert(NextWatch(watcher).after == StorePosition(2, 4));
 }
+
+// Guards against watches that wait for longer than changed settings allow.
+Test(table_watcher, changed_options_apply_to_the_next_watch) {
+  TableWatcher watcher(Options(), kSeed);
+  NextRead(watcher);
+  watcher.OnReply(Reply({Row("a", 1)}, 1), kStart);
+  TableWatcher::Options changed = Options();
+  changed.watch_wait = std::chrono::milliseconds(321);
+  cr_assert_neq(NextWatch(watcher).wait.count(), changed.watch_wait.count());
+  watcher.SetOptions(changed);
+  cr_assert_eq(NextWatch(watcher).wait.count(), changed.watch_wait.count());
+}
--- a/tests/auto/platform/tst_configuration.cpp
+++ b/tests/auto/platform/tst_configuration.cpp
@@ -131,6 +131,25 @@
   co_await WaitForStatus(world, "/look/x", HttpHeaders(), 200);
 }
 
+Task<void> ChangedRevocationTime(PlatformWorld& world) {
+  EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
+  world.settings.key_revocation_time = std::chrono::hours(1);
+  co_await world.Start();
+  world.store->Hang(true);
+  cr_assert_eq(co_await StatusOf(world, "/look/x"), 200);
+  const std::size_t before = endpoint.seen.size();
+  RelaySettings changed = world.settings;
+  // Shorter than the age of any confirmation.
+  changed.key_revocation_time = Duration(1);
+  world.daemon->ApplySettings(changed);
+  cr_assert_not(world.daemon->IsServing());
+  cr_assert_eq(co_await StatusOf(world, "/look/x"), 503, "the key may have been removed");
+  cr_assert_eq(endpoint.seen.size(), before);
+  changed.when_freshness_expired = ExpiredConfigurationPolicy::kServe;
+  world.daemon->ApplySettings(changed);
+  cr_assert_eq(co_await StatusOf(world, "/look/x"), 200);
+}
+
 Task<void> ExpiredConfirmationMayServe(PlatformWorld& world) {
   EndpointStandin& endpoint = world.AddEndpoint("orders", "a");
   world.settings.key_revocation_time = std::chrono::milliseconds(600);
@@ -316,6 +335,10 @@
 // Guards against a removed key that still works on a daemon that cannot reach the store.
 Test(configuration, keys_need_a_recent_confirmation) { RunTest(&KeysNeedRecentConfirmation); }
 
+// Guards against a removed key that works for as long as the settings at the start allowed,
+// although they have changed since (review/12).
+Test(configuration, a_changed_revocation_time_is_applied) { RunTest(&ChangedRevocationTime); }
+
 // Guards against rejected requests during an outage of the store when the settings allow requests
 // with keys that may have been removed meanwhile.
 Test(configuration, a_daemon_may_serve_after_its_confirmation_expires) {
