stream admission: an ended pause of another stream rejects none

Cause: waiting streams look for an engine every 50 ms and are passed over in between. If the daemon stalls for longer, the pauses of all have ended, and a stream that looks before the one ahead of it did not have the turn and was judged by the rate of admissions, which says one per 4 s after a single one.

Ruled out: the rate by itself, which is the same in each run.

Change: when its rejection is decided, a stream also has the turn if all before it are connecting, or found no engine since room was last freed. The order in which streams choose is unchanged.

--- a/src/libs/coordination/stream_admission.cpp
+++ b/src/libs/coordination/stream_admission.cpp
@@ -72,8 +72,11 @@
   if (found == m_waiting.end() || found->second.stream.is_committed) return std::nullopt;
   DecayTo(now);
   const std::size_t position = PositionOf(id, now);
-  // A stream whose turn it is may find an engine at once although others wait before it.
-  const Duration wait = Next(now) == id ? Duration::zero() : PredictWait(position, now);
+  // A stream whose turn it is may find an engine at once although others wait before it. That the
+  // pause of one of these has ended takes its turn away only once that one has tried again: timers
+  // that expire together may run in any order.
+  const bool has_turn = Next(now) == id || FoundNoEngineBefore(id);
+  const Duration wait = has_turn ? Duration::zero() : PredictWait(position, now);
   if (position >= m_options.max_waiting) {
     return Rejection{StreamRejectionReason::kQueueFull, wait};
   }
@@ -100,18 +103,25 @@
 
 void StreamAdmission::OnEngineChosen(StreamId id) {
   const auto found = m_waiting.find(id);
-  if (found != m_waiting.end()) found->second.is_connecting = true;
+  if (found == m_waiting.end()) return;
+  found->second.is_connecting = true;
+  found->second.found_no_engine = false;
 }
 
 void StreamAdmission::OnNotPlaced(StreamId id, TimePoint until) {
   const auto found = m_waiting.find(id);
   if (found == m_waiting.end()) return;
+  // One that was connecting had found an engine, which did not accept it.
+  found->second.found_no_engine = !found->second.is_connecting;
   found->second.is_connecting = false;
   found->second.not_before = until;
 }
 
 void StreamAdmission::OnRoomFreed() {
-  for (auto& [id, entry] : m_waiting) entry.not_before = TimePoint{};
+  for (auto& [id, entry] : m_waiting) {
+    entry.not_before = TimePoint{};
+    entry.found_no_engine = false;
+  }
 }
 
 void StreamAdmission::OnPlaced(StreamId id, TimePoint now) {
@@ -276,6 +286,16 @@
          found->second.not_before <= now;
 }
 
+/// Returns whether all streams before `id` are connecting or found no engine.
+bool StreamAdmission::FoundNoEngineBefore(StreamId id) const {
+  for (const StreamId other : m_order) {
+    if (other == id) return true;
+    const Entry& entry = m_waiting.at(other);
+    if (!entry.is_connecting && !entry.found_no_engine) return false;
+  }
+  return false;
+}
+
 /// Returns the predicted wait behind `ahead` streams.
 Duration StreamAdmission::PredictWait(std::size_t ahead, TimePoint now) const {
   const bool is_contended = std::any_of(
--- a/src/libs/coordination/stream_admission.h
+++ b/src/libs/coordination/stream_admission.h
@@ -139,6 +139,8 @@
     TimePoint enqueued{};
     TimePoint not_before{};
     bool is_connecting = false;
+    /// It found no engine at its last trial, and no room has been freed since.
+    bool found_no_engine = false;
   };
 
   /// Place in the queue; the lowest goes first.
@@ -149,6 +151,7 @@
   std::map<StreamId, int> WorkClasses() const;
   std::optional<StreamId> ReservedTurn(TimePoint now) const;
   bool IsEligible(StreamId id, TimePoint now) const;
+  bool FoundNoEngineBefore(StreamId id) const;
   Duration PredictWait(std::size_t ahead, TimePoint now) const;
   Duration TimeToAdmit(std::size_t streams) const;
   std::size_t ExpectedReturns(int priority, TimePoint now);
--- a/tests/auto/coordination/tst_stream_admission.cpp
+++ b/tests/auto/coordination/tst_stream_admission.cpp
@@ -406,6 +406,23 @@
   cr_assert_eq(*admission.Next(kStart), second, "others choose while a stream connects");
 }
 
+// Guards against a stream that is rejected as too late because the pause of the one before it has
+// ended and that one has not tried again yet: with a busy daemon, timers expire together.
+Test(stream_admission, an_ended_pause_of_another_stream_rejects_none) {
+  StreamAdmission admission;
+  const StreamAdmission::StreamId first =
+      admission.Enqueue(MakeStream(0, "a", std::chrono::seconds(4)), kStart);
+  StreamAdmission::Stream waiting = MakeStream(1, "a", std::chrono::seconds(4));
+  waiting.latest_useful_start = kStart + std::chrono::seconds(3);
+  const StreamAdmission::StreamId second = admission.Enqueue(waiting, kStart);
+  const TimePoint late = kStart + std::chrono::milliseconds(300);
+  admission.OnNotPlaced(first, late - kPollInterval);
+  cr_assert_eq(*admission.Next(late), first);
+  cr_assert_not(admission.CheckRejection(second, late).has_value());
+  admission.OnRoomFreed();
+  cr_assert(admission.CheckRejection(second, late).has_value(), "the first may take the room");
+}
+
 // Guards against a queue that grows without limit, and against urgent streams that are rejected
 // because less urgent ones fill it.
 Test(stream_admission, a_full_queue_rejects_its_last_streams) {
--- a/tests/auto/platform/tst_waiting_streams.cpp
+++ b/tests/auto/platform/tst_waiting_streams.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include "platform_world.h"
@@ -56,7 +57,9 @@
   });
 }
 
-Task<void> UrgentGoesFirst(PlatformWorld& world) {
+/// Sends a less urgent and then an urgent stream while another one runs, and checks that the urgent
+/// one goes first and both are served. The daemon stalls for `stall` while they wait.
+Task<void> UrgentGoesFirst(PlatformWorld& world, Duration stall) {
   EndpointStandin& engine = world.AddEndpoint("drafts", "a");
   engine.event_interval = std::chrono::milliseconds(60);
   co_await StartWithPriorities(world);
@@ -68,6 +71,8 @@
   SendInBackground(world, less_urgent, kLessUrgent, "5c1e07a2");
   co_await Sleep(std::chrono::milliseconds(60));
   SendInBackground(world, urgent, kUrgent, "5c1e07a3");
+  if (stall > Duration::zero()) co_await Sleep(stall);
+  std::this_thread::sleep_for(stall);
   co_await PlatformWorld::WaitFor([&engine]() { return engine.seen.size() == 2; });
   co_await Sleep(std::chrono::milliseconds(300));
   cr_assert_eq(engine.seen.size(), 2u, "the engine has room for one stream at a time");
@@ -80,6 +85,18 @@
   cr_assert(engine.seen[2].request.target == kLessUrgent);
 }
 
+Task<void> UrgentGoesFirstWithoutStall(PlatformWorld& world) {
+  return UrgentGoesFirst(world, Duration::zero());
+}
+
+// Longer than the interval at which waiting streams look for an engine, so that the timers of all
+// expire together.
+constexpr Duration kStall = std::chrono::milliseconds(120);
+
+Task<void> UrgentGoesFirstAfterStall(PlatformWorld& world) {
+  return UrgentGoesFirst(world, kStall);
+}
+
 Task<void> RejectedBeforeTheDeadline(PlatformWorld& world) {
   EndpointStandin& engine = world.AddEndpoint("drafts", "a");
   engine.event_interval = std::chrono::milliseconds(40);
@@ -142,7 +159,13 @@
 }  // namespace
 
 // Guards against capacity that goes to whichever stream polls first when an engine has room again.
-Test(waiting_streams, the_more_urgent_goes_first) { RunTest(&UrgentGoesFirst); }
+Test(waiting_streams, the_more_urgent_goes_first) { RunTest(&UrgentGoesFirstWithoutStall); }
+
+// Guards against a stream that is rejected because a stall of the daemon makes it look for an
+// engine before a more urgent one does.
+Test(waiting_streams, a_stall_of_the_daemon_rejects_no_stream) {
+  RunTest(&UrgentGoesFirstAfterStall);
+}
 
 // Guards against callers that are held until their deadline, and against streams that are sent
 // although they cannot end in time.
