--- a/tests/auto/platform/tst_foreign_bytes.cpp
+++ b/tests/auto/platform/tst_foreign_bytes.cpp
@@ -41,7 +41,7 @@
       "id\ndata: FOREIGN\n\n",
       "5\r\nFOREIGN\r\n\r\n",
       "0\r\n\r\nFOREIGN\r\n\r\n",
-      std::string("FOREIGN\0\xff\xfe\n\n\x80\n\n", 17),
+      "FOREIGN" + std::string("\0\xff\xfe\n\n\x80\n\n", 8),
   };
 }
 
